--- /dev/null
+++ b/src/rattanhollow/__init__.py
@@ -0,0 +1,36 @@
+"""A database proxy with session consistency, and the parts it coordinates with.
+
+The coordination parts can be used without the proxy; see ``docs/library.md``.
+"""
+
+from rattanhollow.coordination import (
+    GroupControl,
+    GroupState,
+    Position,
+    ReadIndex,
+    Vote,
+    agreed,
+    elect,
+    ranked,
+    survival_of,
+)
+from rattanhollow.store import Follower, ObjectStore, follow, update
+from rattanhollow.verdict import Refusal, Verdict
+
+__all__ = [
+    "Follower",
+    "GroupControl",
+    "GroupState",
+    "ObjectStore",
+    "Position",
+    "ReadIndex",
+    "Refusal",
+    "Verdict",
+    "Vote",
+    "agreed",
+    "elect",
+    "follow",
+    "ranked",
+    "survival_of",
+    "update",
+]
--- /dev/null
+++ b/src/rattanhollow/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the program: ``python -m rattanhollow``."""
+
+from rattanhollow.cli import main
+
+main()
--- /dev/null
+++ b/src/rattanhollow/backend/_group.py
@@ -0,0 +1,263 @@
+"""A host's view of one database group: who leads, and the pools to reach it."""
+
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import NamedTuple
+
+import trio
+from result import Err, Ok, Result
+
+from rattanhollow.backend._commands import confirm_command, lead_command
+from rattanhollow.backend._connection import (
+    BackendConnection,
+    Credentials,
+    open_connection,
+)
+from rattanhollow.backend._pool import Pool
+from rattanhollow.configuration import Database, Member
+from rattanhollow.coordination import (
+    NO_GROUP,
+    ORIGIN,
+    GroupState,
+    Position,
+    ReadIndex,
+    parse_position,
+)
+from rattanhollow.observe import log_event
+from rattanhollow.pgwire import error_fields, rows_as_text
+from rattanhollow.verdict import Refusal, not_run
+
+ANSWER_ALLOWANCE_MS = 200
+
+
+class PoolSettings(NamedTuple):
+    """How the pools of a group are built."""
+
+    credentials: Credentials
+    connections: int
+    probe_after_idle_ms: int
+    lead_timeout_ms: int
+    confirm_timeout_ms: int
+
+
+class Group:
+    """One database group.
+
+    ``state`` is the newest agreed state that was heard of; its term never goes
+    back. ``applied`` is what replicas were last seen to have, a hint only.
+    """
+
+    def __init__(
+        self, database: Database, settings: PoolSettings, rng: random.Random
+    ) -> None:
+        self.database = database
+        self.state = NO_GROUP
+        self.applied: dict[str, Position] = {}
+        self.index = ReadIndex(self._ask_index)
+        self.confirmed = ReadIndex(self._ask_confirmed)
+        self._settings = settings
+        self._rng = rng
+        self._pools: dict[str, Pool] = {}
+        self._changed = trio.Event()
+        self._at_risk: set[trio.CancelScope] = set()
+
+    @property
+    def primary(self) -> Member | None:
+        """The backend server that leads, as far as this host knows."""
+        return self.database.member(self.state.primary)
+
+    @property
+    def replicas(self) -> list[Member]:
+        """All other backend servers."""
+        return [m for m in self.database.members if m.name != self.state.primary]
+
+    def pool(self, member: Member) -> Pool:
+        """Return the pool of connections to ``member``."""
+        if member.name not in self._pools:
+            self._pools[member.name] = Pool(
+                partial(self._open, member),
+                self._settings.connections,
+                self._settings.probe_after_idle_ms,
+            )
+        return self._pools[member.name]
+
+    def take_state(self, state: GroupState) -> None:
+        """Take an agreed state; what runs on a primary that was replaced ends."""
+        if (state.term, state.claimed_term) <= (
+            self.state.term,
+            self.state.claimed_term,
+        ):
+            return
+        replaced = state.term > self.state.term
+        self.state = state
+        if replaced:
+            log_event(
+                "group.primary",
+                database=self.database.name,
+                term=state.term,
+                primary=state.primary,
+            )
+            for scope in list(self._at_risk):
+                scope.cancel()
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def take_database(self, database: Database) -> None:
+        """Take a changed description; pools of members that left are closed."""
+        self.database = database
+        places = {member.name: member for member in database.members}
+        for name in [name for name in self._pools if name not in places]:
+            await self._pools.pop(name).close()
+
+    async def wait_for_change(self) -> None:
+        """Return once another state was taken."""
+        await self._changed.wait()
+
+    def scope_of_primary(self) -> trio.CancelScope:
+        """Return a scope that is cancelled once the primary is replaced.
+
+        It must be handed to `forget_scope` when it is left.
+        """
+        scope = trio.CancelScope()
+        self._at_risk.add(scope)
+        return scope
+
+    def forget_scope(self, scope: trio.CancelScope) -> None:
+        """End what `scope_of_primary` began."""
+        self._at_risk.discard(scope)
+
+    def saw_applied(self, member: Member, position: Position) -> None:
+        """Remember what ``member`` was seen to have."""
+        self.applied[member.name] = position
+
+    def replicas_for(self, floor: Position) -> list[Member]:
+        """Return the replicas for a read at ``floor``, the best first.
+
+        The less loaded of two random ones comes first among those that were
+        seen to have ``floor``; those that may lack it come behind.
+        """
+        ready: list[Member] = []
+        behind: list[Member] = []
+        for member in self.replicas:
+            has_floor = self.applied.get(member.name, ORIGIN) >= floor
+            (ready if has_floor else behind).append(member)
+        self._rng.shuffle(ready)
+        if len(ready) > 1:
+            ready[:2] = sorted(ready[:2], key=lambda m: self.pool(m).outstanding)
+        return ready + behind
+
+    async def _ask_index(
+        self, connection: BackendConnection | None
+    ) -> Result[Position, Refusal]:
+        timeout_ms = self._settings.lead_timeout_ms
+        command = lead_command(self.database.copies, timeout_ms)
+        return await self._ask_primary(connection, command, timeout_ms)
+
+    async def _ask_confirmed(
+        self, connection: BackendConnection | None
+    ) -> Result[Position, Refusal]:
+        timeout_ms = self._settings.confirm_timeout_ms
+        command = confirm_command(self.database.copies, timeout_ms)
+        return await self._ask_primary(connection, command, timeout_ms)
+
+    async def _ask_primary(
+        self, connection: BackendConnection | None, command: str, timeout_ms: int
+    ) -> Result[Position, Refusal]:
+        scope = self.scope_of_primary()
+        try:
+            with scope:
+                if connection is not None and connection.usable:
+                    return await self._ask_over(connection, command, timeout_ms)
+                return await self._ask_borrowing(command, timeout_ms)
+        finally:
+            self.forget_scope(scope)
+        return Err(not_run(f"the primary of {self.database.name} was replaced"))
+
+    async def ask_apart(self) -> Result[Position, Refusal]:
+        """Ask the primary for its log end over a connection of its own."""
+        primary = self.primary
+        if primary is None:
+            return Err(not_run(f"{self.database.name} has no primary"))
+        opened = await self._open(primary)
+        if opened.is_err():
+            return Err(not_run(opened.unwrap_err()))
+        connection: BackendConnection = opened.unwrap()
+        try:
+            return await self._ask_index(connection)
+        finally:
+            await connection.close()
+
+    async def _open(self, member: Member) -> Result[BackendConnection, str]:
+        credentials = self._settings.credentials
+        return await open_connection(member, self.database.name, credentials)
+
+    async def _ask_borrowing(
+        self, command: str, timeout_ms: int
+    ) -> Result[Position, Refusal]:
+        primary = self.primary
+        if primary is None:
+            return Err(not_run(f"{self.database.name} has no primary"))
+        pool = self.pool(primary)
+        taken = await pool.take()
+        if taken.is_err():
+            return Err(not_run(taken.unwrap_err()))
+        borrowed: BackendConnection = taken.unwrap()
+        try:
+            return await self._ask_over(borrowed, command, timeout_ms)
+        finally:
+            with trio.CancelScope(shield=True):
+                await pool.give_back(borrowed)
+
+    async def _ask_over(
+        self, connection: BackendConnection, command: str, timeout_ms: int
+    ) -> Result[Position, Refusal]:
+        answer = await connection.command(command, timeout_ms + ANSWER_ALLOWANCE_MS)
+        if answer.is_err():
+            return Err(not_run(answer.unwrap_err()))
+        frames = answer.unwrap()
+        if frames.error is not None:
+            fields = error_fields(frames.error)
+            return Err(not_run(f"{connection.member.name}: {fields.message}"))
+        position = parse_position(rows_as_text(frames.frames)[0][0] or "")
+        if position.term < self.state.term:
+            return Err(not_run(f"{connection.member.name} leads an older term"))
+        return Ok(position)
+
+
+class Groups:
+    """All database groups of the configuration, by name."""
+
+    def __init__(self, make: Callable[[Database], Group]) -> None:
+        self._make = make
+        self._groups: dict[str, Group] = {}
+        self._states: dict[str, GroupState] = {}
+
+    def get(self, name: str) -> Group | None:
+        """Return the group of a database."""
+        return self._groups.get(name)
+
+    def all(self) -> list[Group]:
+        """Return all groups."""
+        return list(self._groups.values())
+
+    async def take_databases(self, databases: dict[str, Database]) -> None:
+        """Take the databases of a new configuration."""
+        for name, database in databases.items():
+            group = self._groups.get(name)
+            if group is None:
+                self._groups[name] = self._make(database)
+                if name in self._states:
+                    self._groups[name].take_state(self._states[name])
+            elif group.database != database:
+                await group.take_database(database)
+        for name in [name for name in self._groups if name not in databases]:
+            withdrawn = self._groups.pop(name)
+            await withdrawn.take_database(Database(name, ()))
+
+    def take_state(self, name: str, state: GroupState) -> None:
+        """Take the agreed state of a group, which may not be configured yet."""
+        self._states[name] = state
+        group = self._groups.get(name)
+        if group is not None:
+            group.take_state(state)
--- /dev/null
+++ b/src/rattanhollow/coordination/__init__.py
@@ -0,0 +1,53 @@
+"""Parts for acting together, usable without the proxy.
+
+Log positions, the read index, the state of a database group, the election of
+a new primary, and the choice of which hosts do a piece of work.
+"""
+
+from rattanhollow.coordination._election import (
+    ElectionFailure,
+    GroupControl,
+    MemberStatus,
+    Step,
+    elect,
+    follow_all,
+)
+from rattanhollow.coordination._group import (
+    GROUP_KIND,
+    NO_GROUP,
+    GroupState,
+    Succession,
+    Survival,
+    group_state_from_spec,
+    group_state_spec,
+    survival_of,
+)
+from rattanhollow.coordination._position import ORIGIN, Position, parse_position
+from rattanhollow.coordination._read_index import IndexReading, ReadIndex
+from rattanhollow.coordination._rendezvous import ranked
+from rattanhollow.coordination._suspicion import Vote, agreed
+
+__all__ = [
+    "GROUP_KIND",
+    "NO_GROUP",
+    "ORIGIN",
+    "ElectionFailure",
+    "GroupControl",
+    "GroupState",
+    "IndexReading",
+    "MemberStatus",
+    "Position",
+    "ReadIndex",
+    "Step",
+    "Succession",
+    "Survival",
+    "Vote",
+    "agreed",
+    "elect",
+    "follow_all",
+    "group_state_from_spec",
+    "group_state_spec",
+    "parse_position",
+    "ranked",
+    "survival_of",
+]
--- /dev/null
+++ b/src/rattanhollow/coordination/_group.py
@@ -0,0 +1,79 @@
+"""The agreed state of a database group, kept as one object in the store."""
+
+import enum
+from typing import Any, NamedTuple
+
+from rattanhollow.coordination._position import Position
+from rattanhollow.records import from_spec, to_spec
+
+GROUP_KIND = "groups"
+SUCCESSIONS_KEPT = 16
+
+
+class Succession(NamedTuple):
+    """How a term began: ``end`` is the log end that its primary started from."""
+
+    term: int
+    end: Position
+
+
+class GroupState(NamedTuple):
+    """Who leads a group.
+
+    ``term`` and ``primary`` are what was published last; ``claimed_term`` is
+    at least as high, and belongs to the election ``claim_id``.
+    """
+
+    term: int
+    primary: str
+    claimed_term: int
+    claim_id: str
+    claimed_by: str
+    successions: tuple[Succession, ...] = ()
+
+
+NO_GROUP = GroupState(0, "", 0, "", "")
+
+
+class Survival(enum.Enum):
+    """Whether a write is in the log of a later term."""
+
+    SURVIVED = "the later primary has it"
+    LOST = "the later primary does not have it"
+    UNKNOWN = "the terms between are not known"
+
+
+def group_state_spec(state: GroupState) -> dict[str, Any]:
+    """Return the state as the store keeps it."""
+    return to_spec(state)
+
+
+def group_state_from_spec(spec: dict[str, Any]) -> GroupState:
+    """Return a state read from the store.
+
+    Raises:
+        RecordError: the object is no group state.
+
+    """
+    return from_spec(GroupState, spec)
+
+
+def survival_of(
+    position: Position, proven_term: int, successions: tuple[Succession, ...]
+) -> Survival:
+    """Whether the log of ``proven_term`` holds the write at ``position``.
+
+    Follows the terms back from ``proven_term``, each to the log that it began
+    from. Final only where a majority holds an entry of ``proven_term``: before
+    that, a later election may still start from an older log.
+    """
+    began_from = {item.term: item.end for item in successions}
+    term = proven_term
+    while term > position.term:
+        end = began_from.get(term)
+        if end is None:
+            return Survival.UNKNOWN
+        if end.term == position.term and position.offset > end.offset:
+            return Survival.LOST
+        term = end.term
+    return Survival.SURVIVED if term == position.term else Survival.LOST
--- /dev/null
+++ b/src/rattanhollow/coordination/_position.py
@@ -0,0 +1,29 @@
+"""Positions in the log of a database group."""
+
+from typing import NamedTuple
+
+
+class Position(NamedTuple):
+    """A place in a log; ordered by ``term``, then by ``offset`` within the log."""
+
+    term: int
+    offset: int
+
+    def __str__(self) -> str:
+        return f"{self.term}/{self.offset}"
+
+
+ORIGIN = Position(0, 0)
+
+
+def parse_position(text: str) -> Position:
+    """Read ``term/offset``.
+
+    Raises:
+        ValueError: the text is no position.
+
+    """
+    term, separator, offset = text.partition("/")
+    if not separator or not (term.isdigit() and offset.isdigit()):
+        raise ValueError(f"{text!r} is not a position term/offset")
+    return Position(int(term), int(offset))
--- /dev/null
+++ b/src/rattanhollow/peer/__init__.py
@@ -0,0 +1,22 @@
+"""The protocol between proxies: typed messages over ZeroMQ, encrypted by CURVE."""
+
+from rattanhollow.peer._link import PeerAddress, PeerKeys, Peers, new_peer_keys
+from rattanhollow.peer._messages import (
+    CancelAnswer,
+    CancelQuestion,
+    Message,
+    SuspicionAnswer,
+    SuspicionQuestion,
+)
+
+__all__ = [
+    "CancelAnswer",
+    "CancelQuestion",
+    "Message",
+    "PeerAddress",
+    "PeerKeys",
+    "Peers",
+    "SuspicionAnswer",
+    "SuspicionQuestion",
+    "new_peer_keys",
+]
--- /dev/null
+++ b/src/rattanhollow/peer/_link.py
@@ -0,0 +1,211 @@
+"""Asking other proxies, and answering them."""
+
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+import trio
+import zmq
+import zmq.utils.z85
+from result import Err, Ok, Result
+
+from rattanhollow.observe import log_event
+from rattanhollow.peer._messages import (
+    LARGEST_MESSAGE_BYTES,
+    Message,
+    MessageRefused,
+    decode,
+    encode,
+)
+from rattanhollow.peer._socket import TrioSocket
+
+QUEUED_MESSAGES = 1_000
+HEARTBEAT_INTERVAL_MS = 2_000
+HEARTBEAT_TIMEOUT_MS = 6_000
+RECONNECT_MS = 100
+RECONNECT_HIGHEST_MS = 2_000
+AUTHENTICATION_ADDRESS = "inproc://zeromq.zap.01"
+
+
+class PeerKeys(NamedTuple):
+    """The CURVE key pair of a host, in Z85."""
+
+    public: bytes
+    secret: bytes
+
+
+class PeerAddress(NamedTuple):
+    """Where another proxy answers, and the public key that it must have."""
+
+    name: str
+    address: str
+    port: int
+    public_key: str
+
+
+Handler = Callable[[Message], Awaitable[Message | None]]
+
+
+def new_peer_keys() -> PeerKeys:
+    """Return a new key pair."""
+    return PeerKeys(*zmq.curve_keypair())
+
+
+class Peers:
+    """The links of one host at ``address``.
+
+    ``allowed(public_key)`` says whether a key belongs to a host of the fleet;
+    ``handle(message)`` answers a question, or returns None where it has no
+    answer. Links are made when a host is first asked.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        keys: PeerKeys,
+        allowed: Callable[[str], bool],
+        handle: Handler,
+    ) -> None:
+        self._context = zmq.Context()
+        self._address = address
+        self._keys = keys
+        self._allowed = allowed
+        self._handle = handle
+        self._links: dict[str, _Link] = {}
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self, port: int) -> None:
+        """Answer at ``port`` until cancelled."""
+        authenticator = TrioSocket(self._context.socket(zmq.REP))
+        authenticator.raw.bind(AUTHENTICATION_ADDRESS)
+        server = TrioSocket(self._server_socket(port))
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(self._authenticate, authenticator)
+                await self._answer(server)
+        finally:
+            self._nursery = None
+            for link in self._links.values():
+                link.socket.close()
+            self._links.clear()
+            server.close()
+            authenticator.close()
+            self._context.destroy(linger=0)
+
+    async def ask(
+        self, peer: PeerAddress, question: Message, timeout_ms: int
+    ) -> Result[Message, str]:
+        """Ask another host; no answer in time is an ``Err``."""
+        if self._nursery is None:
+            return Err("the links are not up")
+        link = self._link(peer, self._nursery)
+        with trio.move_on_after(timeout_ms / 1000):
+            return Ok(await link.ask(question))
+        return Err(f"{peer.name} did not answer in {timeout_ms} ms")
+
+    def _link(self, peer: PeerAddress, nursery: trio.Nursery) -> "_Link":
+        link = self._links.get(peer.name)
+        if link is not None and link.peer == peer:
+            return link
+        if link is not None:
+            link.scope.cancel()
+        fresh = _Link(peer, TrioSocket(self._client_socket(peer)))
+        self._links[peer.name] = fresh
+        nursery.start_soon(fresh.run)
+        return fresh
+
+    def _server_socket(self, port: int) -> zmq.Socket:
+        socket = self._socket(zmq.ROUTER)
+        socket.curve_server = 1
+        socket.zap_domain = b"rattanhollow"
+        socket.bind(f"tcp://{self._address}:{port}")
+        return socket
+
+    def _client_socket(self, peer: PeerAddress) -> zmq.Socket:
+        socket = self._socket(zmq.DEALER)
+        socket.curve_serverkey = peer.public_key.encode()
+        socket.connect(f"tcp://{self._address}:0;{peer.address}:{peer.port}")
+        return socket
+
+    def _socket(self, kind: int) -> zmq.Socket:
+        socket = self._context.socket(kind)
+        socket.curve_publickey = self._keys.public
+        socket.curve_secretkey = self._keys.secret
+        socket.setsockopt(zmq.SNDHWM, QUEUED_MESSAGES)
+        socket.setsockopt(zmq.RCVHWM, QUEUED_MESSAGES)
+        socket.setsockopt(zmq.MAXMSGSIZE, LARGEST_MESSAGE_BYTES)
+        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_HIGHEST_MS)
+        return socket
+
+    async def _authenticate(self, socket: TrioSocket) -> None:
+        """Answer ZeroMQ's questions whether a key may connect (RFC 27, ZAP)."""
+        while True:
+            parts = await socket.receive()
+            version, request = parts[0], parts[1]
+            known = len(parts) == 7 and parts[5] == b"CURVE"
+            key = zmq.utils.z85.encode(parts[6]).decode() if known else ""
+            status = b"200" if known and self._allowed(key) else b"400"
+            socket.send([version, request, status, b"", b"", b""])
+
+    async def _answer(self, server: TrioSocket) -> None:
+        async with trio.open_nursery() as nursery:
+            while True:
+                sender, data = (await server.receive())[:2]
+                try:
+                    number, question = decode(data)
+                except MessageRefused as error:
+                    log_event("peer.refused", reason=error)
+                    continue
+                nursery.start_soon(self._reply, server, sender, number, question)
+
+    async def _reply(
+        self, server: TrioSocket, sender: bytes, number: int, question: Message
+    ) -> None:
+        answer = await self._handle(question)
+        if answer is not None:
+            server.send([sender, encode(number, answer)])
+
+
+class _Link:
+    """The questions to one other host that are under way."""
+
+    def __init__(self, peer: PeerAddress, socket: TrioSocket) -> None:
+        self.peer = peer
+        self.socket = socket
+        self.scope = trio.CancelScope()
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, trio.MemorySendChannel[Message]] = {}
+
+    async def run(self) -> None:
+        """Hand out answers until the link is given up."""
+        try:
+            with self.scope:
+                while True:
+                    self._take((await self.socket.receive())[0])
+        finally:
+            self.socket.close()
+
+    def _take(self, data: bytes) -> None:
+        try:
+            number, answer = decode(data)
+        except MessageRefused as error:
+            log_event("peer.refused", peer=self.peer.name, reason=error)
+            return
+        waiting = self._waiting.get(number)
+        if waiting is not None:
+            waiting.send_nowait(answer)
+
+    async def ask(self, question: Message) -> Message:
+        """Send a question and wait for its answer; the caller bounds the wait."""
+        number = next(self._numbers)
+        send, receive = trio.open_memory_channel[Message](1)
+        self._waiting[number] = send
+        try:
+            self.socket.send([encode(number, question)])
+            return await receive.receive()
+        finally:
+            del self._waiting[number]
--- /dev/null
+++ b/src/rattanhollow/peer/_messages.py
@@ -0,0 +1,89 @@
+"""The messages between proxies, and their encoding."""
+
+from typing import Any, NamedTuple
+
+import msgspec
+
+from rattanhollow.records import RecordError, from_spec, to_spec
+
+PROTOCOL_VERSION = 1
+LARGEST_MESSAGE_BYTES = 65_536
+
+
+class SuspicionQuestion(NamedTuple):
+    """Asks whether a host holds the primary of ``term`` for dead."""
+
+    database: str
+    term: int
+
+
+class SuspicionAnswer(NamedTuple):
+    """``suspects`` is meant by the answering ``host`` in ``zone``."""
+
+    host: str
+    zone: str
+    suspects: bool
+
+
+class CancelQuestion(NamedTuple):
+    """Cancel what the caller with this key data runs, if it is connected there."""
+
+    process_id: int
+    secret: int
+
+
+class CancelAnswer(NamedTuple):
+    """Whether the caller was ``found``."""
+
+    found: bool
+
+
+Message = SuspicionQuestion | SuspicionAnswer | CancelQuestion | CancelAnswer
+
+MESSAGE_TYPES: dict[str, Any] = {
+    "suspicion?": SuspicionQuestion,
+    "suspicion": SuspicionAnswer,
+    "cancel?": CancelQuestion,
+    "cancel": CancelAnswer,
+}
+_NAMES = {record: name for name, record in MESSAGE_TYPES.items()}
+
+
+class Envelope(NamedTuple):
+    """A message on its way: ``number`` pairs an answer with its question."""
+
+    version: int
+    number: int
+    type: str
+    body: dict
+
+
+class MessageRefused(ValueError):
+    """Bytes that are no message this program understands."""
+
+
+def encode(number: int, message: Message) -> bytes:
+    """Return ``message`` as bytes."""
+    name = _NAMES[type(message)]
+    envelope = Envelope(PROTOCOL_VERSION, number, name, to_spec(message))
+    return msgspec.msgpack.encode(to_spec(envelope))
+
+
+def decode(data: bytes) -> tuple[int, Message]:
+    """Return number and message; unknown fields are ignored.
+
+    Raises:
+        MessageRefused: too large, no message, another version or type.
+
+    """
+    if len(data) > LARGEST_MESSAGE_BYTES:
+        raise MessageRefused(f"{len(data)} bytes are too many")
+    try:
+        envelope = from_spec(Envelope, msgspec.msgpack.decode(data))
+        if envelope.version != PROTOCOL_VERSION:
+            raise MessageRefused(f"version {envelope.version} is not understood")
+        if envelope.type not in MESSAGE_TYPES:
+            raise MessageRefused(f"type {envelope.type!r} is not understood")
+        return envelope.number, from_spec(MESSAGE_TYPES[envelope.type], envelope.body)
+    except (msgspec.DecodeError, RecordError) as error:
+        raise MessageRefused(str(error)) from None
--- /dev/null
+++ b/src/rattanhollow/proxy/_caller.py
@@ -0,0 +1,88 @@
+"""What the proxy knows of one caller's connection."""
+
+import time
+
+import trio
+
+from rattanhollow.backend import BackendConnection, Group
+from rattanhollow.configuration import Key, Scope
+from rattanhollow.coordination import ORIGIN, Position
+from rattanhollow.pgwire import Wire, parameter_status
+
+IDLE = b"I"
+IN_TRANSACTION = b"T"
+FAILED = b"E"
+TOKEN_SETTING = "rattanhollow.token"
+
+
+class PreparedStatement:
+    """A statement the caller prepared: ``backend_name`` is its name at servers."""
+
+    def __init__(self, backend_name: bytes, body: bytes, text: str) -> None:
+        self.backend_name = backend_name
+        self.body = body
+        self.text = text
+
+
+class Caller:
+    """The state of one caller's session.
+
+    ``floor`` is the position that its reads must see; ``exact`` is set once
+    the caller brought a token, so that no index is asked for. ``pinned`` is
+    the connection that holds its transaction or its session state, ``term``
+    the term in which that began; ``running`` the one that works for it now.
+    ``relayed``
+    whether it was sent some of the answer to its request, ``busy`` whether
+    one is under way. ``ending`` is why the session must end, if it must.
+    """
+
+    def __init__(
+        self, wire: Wire, organisation: str, key: Key | None, group: Group
+    ) -> None:
+        self.wire = wire
+        self.organisation = organisation
+        self.key = key
+        self.group = group
+        self.floor: Position = ORIGIN
+        self.exact = False
+        self.scope = Scope.ORGANISATION
+        self.max_age_ms = 0
+        self.settings: dict[str, str] = {}
+        self.statements: dict[bytes, PreparedStatement] = {}
+        self.status = IDLE
+        self.pinned: BackendConnection | None = None
+        self.pinned_for_good = False
+        self.term = 0
+        self.running: BackendConnection | None = None
+        self.process_id = 0
+        self.secret = 0
+        self.ending: str = ""
+        self.cancel_lock = trio.Lock()
+        self.idle_scope: trio.CancelScope | None = None
+        self.session_scope = trio.CancelScope()
+        self.began_at_s = time.monotonic()
+        self.index_known = False
+        self.flushed = False
+        self.relayed = False
+        self.busy = False
+
+    def raise_floor(self, position: Position) -> None:
+        """Raise the floor to ``position``; it never falls."""
+        if position > self.floor:
+            self.floor = position
+
+    @property
+    def database(self) -> str:
+        """The name of the database that the caller chose."""
+        return self.group.database.name
+
+    def token_status(self) -> bytes:
+        """Return the report of the token that another connection may bring."""
+        return parameter_status(TOKEN_SETTING, str(self.floor))
+
+    def lose_transaction(self, ended: bool) -> None:
+        """Forget the transaction; unless it ``ended``, the caller has to end it."""
+        self.pinned = None
+        self.pinned_for_good = False
+        self.flushed = False
+        self.status = IDLE if ended or self.status == IDLE else FAILED
--- /dev/null
+++ b/src/rattanhollow/proxy/_on_replica.py
@@ -0,0 +1,222 @@
+"""Reads: at any backend server that has what the session must see."""
+
+import time
+
+import trio
+from result import Err, Ok, Result
+
+from rattanhollow.backend import BackendConnection, wait_command
+from rattanhollow.configuration import Member, Scope
+from rattanhollow.coordination import ORIGIN, Position, parse_position
+from rattanhollow.pgwire import (
+    ConnectionLost,
+    Frame,
+    ProtocolViolation,
+    parameter,
+    query,
+)
+from rattanhollow.proxy._batch import Batch, prepare
+from rattanhollow.proxy._caller import IDLE, Caller
+from rattanhollow.proxy._exchange import Outcome, Relay, receive_answer
+from rattanhollow.proxy._lend import drop, release, take
+from rattanhollow.proxy._service import Service
+from rattanhollow.verdict import Refusal, may_have_run, not_run
+
+APPLIED_PARAMETER = "replication_applied"
+FLOOR_ANSWER_ALLOWANCE_MS = 500
+RETRY_PAUSE_S = 0.02
+READ_ONLY_SQLSTATE = "25006"
+
+ERROR = ord("E")
+PARAMETER = ord("S")
+READY = ord("Z")
+
+
+async def run_read(
+    caller: Caller, batch: Batch, service: Service, relay: Relay
+) -> Result[bytes, Refusal] | None:
+    """Run a read outside a transaction and return the rest of its answer.
+
+    Servers that lack the session's floor, or fail, are passed over until the
+    request's deadline. None where a server found that it is no read.
+    """
+    deadline_s = service.deadline_s()
+    floor = await session_floor(caller, service, deadline_s)
+    if floor.is_err():
+        return Err(floor.unwrap_err())
+    while trio.current_time() < deadline_s:
+        for member in _candidates(caller, floor.unwrap()):
+            wait_ms = _patience_ms(caller, member, floor.unwrap(), service)
+            answered = await _try_member(
+                caller, batch, member, floor.unwrap(), wait_ms, service, relay
+            )
+            if answered is None:
+                continue
+            if answered.is_ok() and _is_no_read(caller, answered.unwrap()):
+                return None
+            return answered.map(lambda outcome: outcome.tail)
+        with trio.move_on_after(RETRY_PAUSE_S):
+            await caller.group.wait_for_change()
+    return Err(not_run("no backend server had the session's writes in time"))
+
+
+async def session_floor(
+    caller: Caller, service: Service, deadline_s: float
+) -> Result[Position, Refusal]:
+    """Return the position that a read of ``caller`` must see.
+
+    A token brought by the caller is exact. Otherwise the primary is asked for
+    its log end: for each read where the organisation is the session, once
+    where the connection is. A read allowance takes an older proof instead.
+    """
+    if not service.guards.floor:
+        return Ok(ORIGIN)
+    if caller.exact or (caller.scope is Scope.CONNECTION and caller.index_known):
+        return Ok(caller.floor)
+    if caller.max_age_ms:
+        since_s = time.monotonic() - caller.max_age_ms / 1000
+        known = caller.group.index.reading_since(since_s)
+        if known is not None:
+            return Ok(max(known, caller.floor))
+    refusal = not_run("the primary was not asked")
+    with trio.move_on_at(deadline_s):
+        while True:
+            answer = await caller.group.index.read()
+            if answer.is_ok():
+                return Ok(_take_index(caller, answer.unwrap()))
+            refusal = answer.unwrap_err()
+            with trio.move_on_after(RETRY_PAUSE_S):
+                await caller.group.wait_for_change()
+    return Err(refusal)
+
+
+def _take_index(caller: Caller, index: Position) -> Position:
+    if caller.scope is Scope.CONNECTION and not caller.max_age_ms:
+        caller.raise_floor(index)
+        caller.index_known = True
+    return max(index, caller.floor)
+
+
+def _candidates(caller: Caller, floor: Position) -> list[Member]:
+    primary = caller.group.primary
+    replicas = caller.group.replicas_for(floor)
+    return [*replicas, primary] if primary else replicas
+
+
+def _patience_ms(
+    caller: Caller, member: Member, floor: Position, service: Service
+) -> int:
+    """How long ``member`` may take to reach ``floor``: no time if it seems there."""
+    if caller.group.applied.get(member.name, ORIGIN) >= floor:
+        return 0
+    return service.settings.reads.replica_wait_ms
+
+
+async def _try_member(
+    caller: Caller,
+    batch: Batch,
+    member: Member,
+    floor: Position,
+    wait_ms: int,
+    service: Service,
+    relay: Relay,
+) -> Result[Outcome, Refusal] | None:
+    """Run the read at ``member``; None where it can't serve it."""
+    taken: Result[BackendConnection, str] = Err("no connection became free")
+    with trio.move_on_after(service.settings.backend.connect_timeout_ms / 1000):
+        taken = await take(caller, member, service)
+    if taken.is_err():
+        return None
+    connection: BackendConnection = taken.unwrap()
+    caller.running = connection
+    outcome = await _read_over(
+        caller, batch, connection, floor, wait_ms, service, relay
+    )
+    if outcome is None and connection.usable:
+        await release(caller, connection, IDLE, service)
+        return None
+    if outcome is None or outcome.is_err():
+        await drop(caller, connection)
+        return outcome
+    if _is_no_read(caller, outcome.unwrap()):
+        await release(caller, connection, IDLE, service)
+        return outcome
+    caller.status = outcome.unwrap().status
+    _count(caller, member, service)
+    await release(caller, connection, caller.status, service)
+    return outcome
+
+
+async def _read_over(
+    caller: Caller,
+    batch: Batch,
+    connection: BackendConnection,
+    floor: Position,
+    wait_ms: int,
+    service: Service,
+    relay: Relay,
+) -> Result[Outcome, Refusal] | None:
+    prepared = prepare(caller, batch, connection.statements)
+    check = query(wait_command(floor, wait_ms))
+    connection.usable = False
+    # A server that may have to wait is asked alone first: a read behind a
+    # failed wait would run for nothing.
+    together = wait_ms == 0
+    allowance_ms = wait_ms + FLOOR_ANSWER_ALLOWANCE_MS
+    try:
+        with trio.fail_after(allowance_ms / 1000):
+            await connection.wire.send(check + prepared.data if together else check)
+            has_floor = await _read_floor_answer(caller, connection)
+        if not has_floor:
+            if together:
+                with trio.fail_after(allowance_ms / 1000):
+                    await connection.read_until_ready()
+            connection.usable = True
+            return None
+        if not together:
+            await connection.wire.send(prepared.data)
+    except (ConnectionLost, ProtocolViolation, trio.TooSlowError):
+        return None
+    answered = await receive_answer(
+        connection, prepared, relay, service.answer_timeout_ms, hold=False
+    )
+    if answered.is_ok():
+        return Ok(answered.unwrap())
+    if caller.relayed:
+        return Err(may_have_run(answered.unwrap_err().reason))
+    return None
+
+
+async def _read_floor_answer(caller: Caller, connection: BackendConnection) -> bool:
+    """Read the answer to the wait; whether the server has the floor."""
+    has_floor = True
+    while True:
+        frames = await connection.wire.read_frames()
+        for at, frame in enumerate(frames):
+            if frame.kind == ERROR:
+                has_floor = False
+                caller.group.saw_applied(connection.member, ORIGIN)
+            elif frame.kind == PARAMETER:
+                _take_parameter(caller, connection, frame)
+            elif frame.kind == READY:
+                connection.wire.push_back(frames[at + 1 :])
+                return has_floor
+
+
+def _take_parameter(
+    caller: Caller, connection: BackendConnection, frame: Frame
+) -> None:
+    name, value = parameter(frame)
+    if name == APPLIED_PARAMETER:
+        caller.group.saw_applied(connection.member, parse_position(value))
+
+
+def _is_no_read(caller: Caller, outcome: Outcome) -> bool:
+    if outcome.error is None or caller.relayed:
+        return False
+    return outcome.error.sqlstate == READ_ONLY_SQLSTATE
+
+
+def _count(caller: Caller, member: Member, service: Service) -> None:
+    at_primary = member.name == caller.group.state.primary
+    service.metrics.add("reads.primary" if at_primary else "reads.replica", 1)
--- /dev/null
+++ b/src/rattanhollow/proxy/_root.py
@@ -0,0 +1,281 @@
+"""The composition root: builds a proxy from its settings and runs it."""
+
+import random
+import secrets
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from rattanhollow.backend import (
+    Credentials,
+    Group,
+    Groups,
+    PoolSettings,
+    group_control,
+)
+from rattanhollow.configuration import (
+    CONFIGURATION_KIND,
+    EMPTY,
+    Configuration,
+    Database,
+    configuration_from_spec,
+)
+from rattanhollow.coordination import (
+    GROUP_KIND,
+    GroupControl,
+    Step,
+    group_state_from_spec,
+)
+from rattanhollow.observe import Metrics, log_event, no_metrics, statsd_metrics
+from rattanhollow.peer import (
+    CancelQuestion,
+    Message,
+    Peers,
+    SuspicionAnswer,
+    SuspicionQuestion,
+    new_peer_keys,
+)
+from rattanhollow.proxy._cancel import answer_cancel, cancel_anywhere
+from rattanhollow.proxy._guards import ALL_GUARDS, Guards
+from rattanhollow.proxy._hosts import HostDirectory, HostRecord, Registration
+from rattanhollow.proxy._listen import Listener, tls_context
+from rattanhollow.proxy._login import Cancel
+from rattanhollow.proxy._service import Callers, Service
+from rattanhollow.proxy._watch_primary import PrimaryWatch, WatchParts
+from rattanhollow.records import RecordError
+from rattanhollow.settings import ProxySettings
+from rattanhollow.sql import classifier
+from rattanhollow.store import Follower, ObjectStore, Stored, follow, http_store
+
+CONFIRM_TIMEOUT_MS = 2_000
+DRAIN_POLL_S = 0.05
+
+StepHook = Callable[[str, Step], Awaitable[None]]
+
+
+async def no_hook(database: str, step: Step) -> None:
+    """Do nothing behind an election step."""
+
+
+class Proxy:
+    """A running proxy process; built by `build_proxy`."""
+
+    def __init__(
+        self,
+        settings: ProxySettings,
+        store: ObjectStore,
+        metrics: Metrics,
+        guards: Guards,
+        rng: random.Random,
+        step_hook: StepHook,
+    ) -> None:
+        self.settings = settings
+        self.configuration: Configuration = EMPTY
+        self.groups = Groups(self._make_group)
+        self.hosts = HostDirectory()
+        self.metrics = metrics
+        self._store = store
+        self._rng = rng
+        self._step_hook = step_hook
+        self._watches: dict[str, PrimaryWatch] = {}
+        self._new_configuration = trio.Event()
+        keys = new_peer_keys()
+        self.peers = Peers(
+            settings.host.address, keys, self.hosts.knows_key, self._answer_peer
+        )
+        record = HostRecord(
+            name=settings.host.name,
+            address=settings.host.address,
+            zone=settings.host.zone,
+            peer_port=settings.peer.port,
+            public_key=keys.public.decode(),
+            incarnation=secrets.token_hex(8),
+        )
+        self.registration = Registration(store, record)
+        self.service = Service(
+            settings=settings,
+            groups=self.groups,
+            configuration=lambda: self.configuration,
+            classify=classifier(),
+            callers=Callers(),
+            guards=guards,
+            metrics=metrics,
+            rng=rng,
+        )
+        self._listener = Listener(self.service, tls_context(settings.listen))
+        self._drained = trio.Event()
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve callers until cancelled, or until `drain` is through."""
+        host = self.settings.host
+        async with trio.open_nursery() as nursery:
+            configurations = Follower(CONFIGURATION_KIND, self._take_stored)
+            states = Follower(GROUP_KIND, self._take_group)
+            for follower in (configurations, states, self.hosts.follower):
+                nursery.start_soon(follow, self._store, follower, self._rng)
+            nursery.start_soon(self._apply_configurations, nursery)
+            nursery.start_soon(self.metrics.run)
+            nursery.start_soon(self.peers.run, self.settings.peer.port)
+            nursery.start_soon(self.registration.run)
+            # Without the configuration no key can be checked: callers that come
+            # earlier are better off at another host.
+            await configurations.listed.wait()
+            await nursery.start(self._listener.run, self._cancel)
+            log_event("proxy.ready", host=host.name, port=self.settings.listen.port)
+            task_status.started()
+            await self._drained.wait()
+            nursery.cancel_scope.cancel()
+
+    async def drain(self) -> None:
+        """Leave without cutting a request.
+
+        The host list is told first and given time to be read; then nobody new
+        is accepted, idle callers are sent away, and running requests and
+        transactions finish, within the drain time of the settings.
+        """
+        log_event("proxy.draining", host=self.settings.host.name)
+        await self.registration.announce_leaving()
+        await trio.sleep(self.settings.shutdown.announce_ms / 1000)
+        callers = self.service.callers
+        callers.leaving = True
+        self._listener.stop()
+        with trio.move_on_after(self.settings.shutdown.drain_ms / 1000):
+            while callers.connected:
+                for caller in callers.all():
+                    if caller.idle_scope is not None:
+                        caller.idle_scope.cancel()
+                await trio.sleep(DRAIN_POLL_S)
+        log_event("proxy.drained", callers_cut=callers.connected)
+        self._drained.set()
+
+    def _make_group(self, database: Database) -> Group:
+        backend = self.settings.backend
+        settings = PoolSettings(
+            credentials=self._credentials(),
+            connections=backend.connections,
+            probe_after_idle_ms=backend.probe_after_idle_ms,
+            lead_timeout_ms=self.settings.failover.probe_timeout_ms,
+            confirm_timeout_ms=CONFIRM_TIMEOUT_MS,
+        )
+        return Group(database, settings, self._rng)
+
+    def _credentials(self) -> Credentials:
+        backend = self.settings.backend
+        return Credentials(
+            backend.user,
+            backend.password,
+            backend.connect_timeout_ms,
+            self.settings.host.address,
+        )
+
+    def _control(self, database: str) -> GroupControl:
+        timeout_ms = self.settings.failover.step_timeout_ms
+        return group_control(database, self._credentials(), timeout_ms)
+
+    def _take_stored(self, stored: Stored | None, name: str) -> None:
+        if stored is None:
+            log_event("configuration.missing", name=name)
+            return
+        try:
+            offered = configuration_from_spec(stored.spec)
+        except RecordError as error:
+            log_event("configuration.unreadable", reason=error)
+            return
+        if offered.version <= self.configuration.version:
+            return
+        self.configuration = offered
+        self._new_configuration.set()
+
+    async def _apply_configurations(self, nursery: trio.Nursery) -> None:
+        """Bring each configuration into force: groups, watches, open connections."""
+        while True:
+            await self._new_configuration.wait()
+            self._new_configuration = trio.Event()
+            configuration = self.configuration
+            await self.groups.take_databases(configuration.databases)
+            for group in self.groups.all():
+                watch = self._watches.get(group.database.name)
+                if watch is None or watch.group is not group:
+                    watch = PrimaryWatch(group, self._watch_parts())
+                    self._watches[group.database.name] = watch
+                    nursery.start_soon(watch.run)
+            self._check_keys(configuration)
+            self.registration.set_version(configuration.version)
+            log_event("configuration.in_force", version=configuration.version)
+
+    def _check_keys(self, configuration: Configuration) -> None:
+        if not self.service.guards.key_check:
+            return
+        for caller in self.service.callers.all():
+            if caller.key and configuration.has_key(caller.organisation, caller.key):
+                continue
+            verdict = "may have run" if caller.busy else "not run"
+            caller.ending = f"{verdict}: the key was withdrawn"
+            caller.session_scope.cancel()
+
+    def _take_group(self, stored: Stored | None, name: str) -> None:
+        if stored is None:
+            return
+        try:
+            self.groups.take_state(name, group_state_from_spec(stored.spec))
+        except RecordError as error:
+            log_event("group.unreadable", database=name, reason=error)
+
+    def _watch_parts(self) -> WatchParts:
+        return WatchParts(
+            own=lambda: self.registration.record,
+            hosts=self.hosts,
+            peers=self.peers,
+            store=self._store,
+            control=self._control,
+            settings=self.settings.failover,
+            metrics=self.metrics,
+            rng=self._rng,
+            finished=self._step_hook,
+            fencing=self.service.guards.fence,
+        )
+
+    async def _answer_peer(self, question: Message) -> Message | None:
+        if isinstance(question, SuspicionQuestion):
+            watch = self._watches.get(question.database)
+            suspects = watch is not None and watch.suspects(question.term)
+            host = self.settings.host
+            return SuspicionAnswer(host.name, host.zone, suspects)
+        if isinstance(question, CancelQuestion):
+            return await answer_cancel(self.service, question)
+        return None
+
+    async def _cancel(self, wanted: Cancel) -> None:
+        own = self.settings.host.name
+        await cancel_anywhere(self.service, wanted, self.peers, self.hosts, own)
+
+
+def build_proxy(
+    settings: ProxySettings,
+    store: ObjectStore | None = None,
+    guards: Guards = ALL_GUARDS,
+    seed: int | None = None,
+    step_hook: StepHook = no_hook,
+) -> Proxy:
+    """Return a proxy built from ``settings``.
+
+    Tests give a ``store``, ``guards``, a ``seed`` and a hook that is called
+    behind each election step.
+
+    Raises:
+        OSError: a TLS file can't be used.
+
+    """
+    metrics = no_metrics()
+    if settings.metrics.address:
+        name = settings.host.name
+        metrics = statsd_metrics(
+            settings.metrics.address, settings.metrics.port, f"rattanhollow.{name}"
+        )
+    chosen = store or http_store(
+        settings.store.url, settings.store.timeout_ms, settings.host.address
+    )
+    rng = random.Random(seed)
+    return Proxy(settings, chosen, metrics, guards, rng, step_hook)
--- /dev/null
+++ b/src/rattanhollow/proxy/_serve.py
@@ -0,0 +1,230 @@
+"""Serving one logged-in caller: request after request, straight down."""
+
+import trio
+from result import Err, Ok, Result
+
+from rattanhollow.observe import log_event
+from rattanhollow.pgwire import (
+    ConnectionLost,
+    Frame,
+    FrameReader,
+    ProtocolViolation,
+    command_complete,
+    error_response,
+    ready_for_query,
+)
+from rattanhollow.proxy._batch import SYNC, Batch, read_batch, understand
+from rattanhollow.proxy._caller import FAILED, IDLE, Caller
+from rattanhollow.proxy._exchange import ERROR, CallerLost, Relay
+from rattanhollow.proxy._lend import UNKNOWN_SETTINGS, end_session
+from rattanhollow.proxy._on_primary import run_on_primary, run_over
+from rattanhollow.proxy._on_replica import run_read
+from rattanhollow.proxy._own_settings import run_set, run_show
+from rattanhollow.proxy._service import Service
+from rattanhollow.sql import Kind
+from rattanhollow.verdict import Refusal, not_run
+
+SQLSTATE_PROTOCOL = "08P01"
+SQLSTATE_NOT_CARRIED = "0A000"
+SQLSTATE_FAILED_TRANSACTION = "25P02"
+SQLSTATE_LEAVING = "57P01"
+SQLSTATE_TRANSACTION_LOST = "40001"
+FAREWELL_S = 1.0
+
+Answered = Result[bytes, Refusal]
+
+
+async def serve(caller: Caller, service: Service) -> None:
+    """Serve requests until the caller, the host or an operator ends it."""
+    reason = "closed by the caller"
+    try:
+        with caller.session_scope:
+            reason = await _requests(caller, service)
+        if caller.ending:
+            reason = caller.ending
+    finally:
+        await end_session(caller)
+        with trio.move_on_after(FAREWELL_S, shield=True):
+            await _say_farewell(caller)
+        log_event(
+            "caller.end",
+            organisation=caller.organisation,
+            database=caller.database,
+            reason=reason,
+        )
+
+
+async def _say_farewell(caller: Caller) -> None:
+    if not caller.ending:
+        return
+    refusal = error_response(SQLSTATE_LEAVING, caller.ending, "FATAL")
+    try:
+        await caller.wire.send(refusal)
+    except ConnectionLost:
+        return
+
+
+async def _requests(caller: Caller, service: Service) -> str:
+    relay = _relay(caller, service)
+    while True:
+        try:
+            caller.busy = False
+            frames = await _next_request(caller, service)
+            caller.busy = True
+            if frames is None:
+                return caller.ending or "closed by the caller"
+            caller.relayed = False
+            batch = understand(caller, frames, service.classify)
+            answered = await _answer(caller, batch, service, relay)
+            if batch.flushed and answered.is_err():
+                await _skip_to_sync(caller)
+            await relay(_reply(caller, batch, answered, service))
+        except (ConnectionLost, CallerLost):
+            return "connection lost"
+        except ProtocolViolation as error:
+            caller.ending = f"{SQLSTATE_PROTOCOL} not run: {error}"
+            return str(error)
+
+
+async def _skip_to_sync(caller: Caller) -> None:
+    """Drop what a caller pipelined behind a request that was refused."""
+    while True:
+        frames = await read_batch(caller.wire)
+        if frames is None or frames[-1].kind == SYNC:
+            return
+
+
+def _relay(caller: Caller, service: Service) -> Relay:
+    timeout_s = service.settings.limits.send_timeout_ms / 1000
+
+    async def relay(data: bytes) -> None:
+        caller.relayed = True
+        try:
+            with trio.fail_after(timeout_s):
+                await caller.wire.send(data)
+        except (ConnectionLost, trio.TooSlowError) as error:
+            raise CallerLost(str(error)) from error
+
+    return relay
+
+
+async def _next_request(caller: Caller, service: Service) -> list[Frame] | None:
+    """Return the next request, or None where the session has to end."""
+    if caller.status == IDLE and not caller.flushed:
+        if service.callers.leaving and not caller.wire.has_frames:
+            caller.ending = "not run: the host is leaving"
+            return None
+        caller.idle_scope = trio.CancelScope()
+        try:
+            with caller.idle_scope:
+                return await read_batch(caller.wire)
+        finally:
+            caller.idle_scope = None
+        caller.ending = "not run: the host is leaving"
+        return None
+    idle_s = service.settings.limits.transaction_idle_ms / 1000
+    with trio.move_on_after(idle_s):
+        return await read_batch(caller.wire)
+    caller.ending = "not run: the transaction was idle for too long"
+    return None
+
+
+async def _answer(
+    caller: Caller, batch: Batch, service: Service, relay: Relay
+) -> Answered:
+    statement = batch.statement
+    kind = statement.kind
+    if kind is Kind.REFUSED:
+        return Err(not_run(f"{statement.name} is not carried", SQLSTATE_NOT_CARRIED))
+    if kind is Kind.SET_OWN:
+        return run_set(caller, batch)
+    if kind is Kind.SHOW_OWN:
+        return run_show(caller, batch)
+    if caller.status == FAILED and caller.pinned is None:
+        return _end_lost_transaction(caller, batch)
+    if kind is Kind.SEQUENCE_STATE and caller.status == IDLE:
+        reason = "currval and lastval outside a transaction are not carried"
+        return Err(not_run(reason, SQLSTATE_NOT_CARRIED))
+    if caller.pinned is not None:
+        return await _on_pinned(caller, batch, service, relay)
+    if kind in (Kind.READ, Kind.BEGIN_READ_ONLY) and not batch.flushed:
+        answered = await run_read(caller, batch, service, relay)
+        if answered is not None:
+            return answered
+    if kind is Kind.PIN:
+        caller.pinned_for_good = True
+    answered = await run_on_primary(caller, batch, service, relay)
+    if kind is Kind.SET:
+        _keep_setting(caller, batch, answered)
+    return answered
+
+
+async def _on_pinned(
+    caller: Caller, batch: Batch, service: Service, relay: Relay
+) -> Answered:
+    connection = caller.pinned
+    assert connection is not None
+    kind = batch.statement.kind
+    primary = caller.group.state.primary
+    replaced = caller.term < caller.group.state.term
+    if replaced and connection.member.name != primary:
+        await end_session(caller)
+        caller.lose_transaction(ended=kind in (Kind.COMMIT, Kind.ROLLBACK))
+        reason = "the transaction was rolled back: the primary was replaced"
+        return Err(not_run(reason, SQLSTATE_TRANSACTION_LOST))
+    if kind is Kind.PIN:
+        caller.pinned_for_good = True
+    deadline_s = service.deadline_s()
+    ran = await run_over(caller, connection, batch, service, relay, deadline_s)
+    if ran is None:
+        reason = "the transaction was rolled back: the server leads no more"
+        return Err(not_run(reason, SQLSTATE_TRANSACTION_LOST))
+    if kind is Kind.SET:
+        _keep_setting(caller, batch, ran)
+        connection.settings = UNKNOWN_SETTINGS
+    return ran
+
+
+def _end_lost_transaction(caller: Caller, batch: Batch) -> Answered:
+    """Answer a caller whose transaction was lost until it has ended it."""
+    if batch.statement.kind not in (Kind.COMMIT, Kind.ROLLBACK):
+        reason = "the transaction was lost; end it first"
+        return Err(not_run(reason, SQLSTATE_FAILED_TRANSACTION))
+    if not batch.simple:
+        caller.ending = "not run: the transaction was lost"
+        return Err(not_run("the transaction was lost"))
+    caller.status = IDLE
+    return Ok(command_complete("ROLLBACK") + ready_for_query(IDLE))
+
+
+def _keep_setting(caller: Caller, batch: Batch, answered: Answered) -> None:
+    if answered.is_err() or _has_error(answered.unwrap()):
+        return
+    name = batch.statement.name
+    caller.settings.pop(name, None)
+    if not batch.text.lstrip().upper().startswith("RESET"):
+        caller.settings[name] = batch.text.strip().rstrip(";")
+
+
+def _has_error(answer: bytes) -> bool:
+    frames = FrameReader(len(answer) + 1).feed(answer)
+    return any(frame.kind == ERROR for frame in frames)
+
+
+def _reply(caller: Caller, batch: Batch, answered: Answered, service: Service) -> bytes:
+    if answered.is_ok():
+        service.metrics.add("requests.answered", 1)
+        return answered.unwrap()
+    refusal: Refusal = answered.unwrap_err()
+    name = refusal.verdict.name.lower()
+    service.metrics.add(f"requests.{name}", 1)
+    log_event(
+        "request.refused",
+        organisation=caller.organisation,
+        database=caller.database,
+        verdict=refusal.verdict.value,
+        sqlstate=refusal.sqlstate,
+        reason=refusal.reason,
+    )
+    error = error_response(refusal.sqlstate, refusal.message)
+    return error + ready_for_query(caller.status)
--- /dev/null
+++ b/src/rattanhollow/settings/__init__.py
@@ -0,0 +1,50 @@
+"""Settings in INI, checked before anything starts."""
+
+from rattanhollow.settings._ini import (
+    Field,
+    Section,
+    SettingsError,
+    boolean,
+    integer,
+    ip_address,
+    read_file,
+    read_ini,
+    text,
+)
+from rattanhollow.settings._operator import OperatorSettings, read_operator_settings
+from rattanhollow.settings._proxy import (
+    BackendSettings,
+    FailoverSettings,
+    HostSettings,
+    LimitSettings,
+    ListenSettings,
+    MetricsSettings,
+    ProxySettings,
+    StoreSettings,
+    proxy_settings_from,
+    read_proxy_settings,
+)
+
+__all__ = [
+    "BackendSettings",
+    "FailoverSettings",
+    "Field",
+    "HostSettings",
+    "LimitSettings",
+    "ListenSettings",
+    "MetricsSettings",
+    "OperatorSettings",
+    "ProxySettings",
+    "Section",
+    "SettingsError",
+    "StoreSettings",
+    "boolean",
+    "integer",
+    "ip_address",
+    "proxy_settings_from",
+    "read_file",
+    "read_ini",
+    "read_operator_settings",
+    "read_proxy_settings",
+    "text",
+]
--- /dev/null
+++ b/src/rattanhollow/store/_api.py
@@ -0,0 +1,73 @@
+"""What the rest of the system needs of the platform's object store."""
+
+import enum
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, NamedTuple
+
+from result import Result
+
+
+class Trouble(enum.Enum):
+    """Why a call to the store failed."""
+
+    NOT_FOUND = "not found"
+    CONFLICT = "conflict"
+    GONE = "version too old to watch from"
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable, or no answer in time"
+
+
+class StoreFailure(NamedTuple):
+    """A failed call. After ``UNREACHABLE`` a change may have taken effect."""
+
+    trouble: Trouble
+    detail: str
+
+
+class Stored(NamedTuple):
+    """One object: ``version`` is the store's, and rises with every change."""
+
+    kind: str
+    name: str
+    version: int
+    spec: dict[str, Any]
+
+
+class EventType(enum.Enum):
+    """What a watch reports; a bookmark says only that the watch is alive."""
+
+    CHANGED = "changed"
+    DELETED = "deleted"
+    BOOKMARK = "bookmark"
+
+
+class Event(NamedTuple):
+    """One report of a watch."""
+
+    type: EventType
+    item: Stored
+
+
+class Listing(NamedTuple):
+    """All objects of a kind, and the version to watch from."""
+
+    version: int
+    items: list[Stored]
+
+
+class ObjectStore(NamedTuple):
+    """The functions of the store; none raises, a failure is an ``Err``.
+
+    ``get(kind, name)``; ``list(kind)``; ``put(kind, name, spec, version)``
+    creates at version 0 and otherwise replaces exactly that version;
+    ``delete(kind, name, version)``; ``watch(kind, version)`` yields events
+    after ``version`` and ends when the watch does.
+    """
+
+    get: Callable[[str, str], Awaitable[Result[Stored, StoreFailure]]]
+    list: Callable[[str], Awaitable[Result[Listing, StoreFailure]]]
+    put: Callable[
+        [str, str, dict[str, Any], int], Awaitable[Result[Stored, StoreFailure]]
+    ]
+    delete: Callable[[str, str, int], Awaitable[Result[None, StoreFailure]]]
+    watch: Callable[[str, int], AsyncIterator[Result[Event, StoreFailure]]]
--- /dev/null
+++ b/src/rattanhollow/store/_follow.py
@@ -0,0 +1,114 @@
+"""Keeping a copy of all objects of a kind up to date."""
+
+import random
+import time
+from collections.abc import Callable
+
+import trio
+
+from rattanhollow.observe import log_event
+from rattanhollow.store._api import (
+    Event,
+    EventType,
+    Listing,
+    ObjectStore,
+    Stored,
+    Trouble,
+)
+
+RETRY_LOW_S = 0.1
+RETRY_HIGH_S = 2.0
+
+
+class Follower:
+    """The newest known objects of one kind; their versions never go back.
+
+    ``heard_at_s`` is the monotonic time of the last sign of life.
+    """
+
+    def __init__(self, kind: str, on_change: Callable[[Stored | None, str], None]):
+        self.kind = kind
+        self.items: dict[str, Stored] = {}
+        self.version = 0
+        self.heard_at_s = 0.0
+        self.listed = trio.Event()
+        self._on_change = on_change
+
+    def take_list(self, listing: Listing) -> None:
+        """Take a full list, unless it is older than what is known."""
+        if listing.version < self.version:
+            log_event(
+                "store.list_stale",
+                kind=self.kind,
+                version=listing.version,
+                known_version=self.version,
+            )
+            return
+        self._heard()
+        names = {item.name for item in listing.items}
+        for name in [name for name in self.items if name not in names]:
+            self._forget(name)
+        for item in listing.items:
+            self._take(item)
+        self.version = listing.version
+        self.listed.set()
+
+    def take_event(self, event: Event) -> None:
+        """Take one report of a watch; an older version is ignored."""
+        self._heard()
+        if event.item.version < self.version:
+            return
+        self.version = event.item.version
+        if event.type is EventType.CHANGED:
+            self._take(event.item)
+        elif event.type is EventType.DELETED:
+            self._forget(event.item.name)
+
+    def offer(self, item: Stored) -> None:
+        """Take one object that was read or written beside the watch."""
+        self._take(item)
+
+    def _take(self, item: Stored) -> None:
+        known = self.items.get(item.name)
+        if known is not None and known.version >= item.version:
+            return
+        self.items[item.name] = item
+        self._on_change(item, item.name)
+
+    def _forget(self, name: str) -> None:
+        if self.items.pop(name, None) is not None:
+            self._on_change(None, name)
+
+    def _heard(self) -> None:
+        self.heard_at_s = time.monotonic()
+
+
+async def follow(store: ObjectStore, follower: Follower, rng: random.Random) -> None:
+    """List, then watch, then start again; runs until cancelled.
+
+    Pauses between failures are random, so that many hosts don't return to a
+    recovered store at once.
+    """
+    pause_s = RETRY_LOW_S
+    while True:
+        if await _list_and_watch(store, follower):
+            pause_s = RETRY_LOW_S
+            continue
+        await trio.sleep(rng.uniform(pause_s / 2, pause_s))
+        pause_s = min(pause_s * 2, RETRY_HIGH_S)
+
+
+async def _list_and_watch(store: ObjectStore, follower: Follower) -> bool:
+    """Follow until a failure; whether the store was heard at all."""
+    listed = await store.list(follower.kind)
+    if listed.is_err():
+        log_event("store.list_failed", kind=follower.kind, reason=listed.unwrap_err())
+        return False
+    follower.take_list(listed.unwrap())
+    while True:
+        async for event in store.watch(follower.kind, follower.version):
+            if event.is_err():
+                failure = event.unwrap_err()
+                log_event("store.watch_failed", kind=follower.kind, reason=failure)
+                return failure.trouble is Trouble.GONE
+            follower.take_event(event.unwrap())
--- /dev/null
+++ b/src/rattanhollow/store/_update.py
@@ -0,0 +1,55 @@
+"""Changing an object by conditional update, also when an answer is lost."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+from result import Err, Ok, Result
+
+from rattanhollow.store._api import ObjectStore, StoreFailure, Trouble
+
+RETRY_PAUSE_S = 0.1
+
+Spec = dict[str, Any]
+
+
+async def update(
+    store: ObjectStore,
+    kind: str,
+    name: str,
+    change: Callable[[Spec | None], Result[Spec | None, Any]],
+    attempts: int = 10,
+    pause: Callable[[float], Awaitable[None]] = trio.sleep,
+) -> Result[Any, Any]:
+    """Read an object, let ``change`` compute its new content, write it back.
+
+    ``change`` gets ``None`` where the object doesn't exist. It returns the new
+    content, ``Ok(None)`` where nothing is left to do, or an ``Err`` that is
+    handed on. The answer is the object as stored, None where there is none.
+    ``change`` runs again after a conflict and after an answer that didn't
+    come, so it must recognise its own earlier change.
+    """
+    failure = StoreFailure(Trouble.UNREACHABLE, "no attempt made")
+    for _ in range(attempts):
+        read = await store.get(kind, name)
+        if read.is_err() and read.unwrap_err().trouble is not Trouble.NOT_FOUND:
+            failure = read.unwrap_err()
+            await pause(RETRY_PAUSE_S)
+            continue
+        current = read.ok()
+        wanted = change(current.spec if current else None)
+        if wanted.is_err():
+            return Err(wanted.unwrap_err())
+        content = wanted.unwrap()
+        if content is None:
+            return Ok(current)
+        version = current.version if current else 0
+        written = await store.put(kind, name, content, version)
+        if written.is_ok():
+            return written
+        failure = written.unwrap_err()
+        if failure.trouble is Trouble.REFUSED:
+            return Err(failure)
+        if failure.trouble is Trouble.UNREACHABLE:
+            await pause(RETRY_PAUSE_S)
+    return Err(failure)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,44 @@
+"""What the tests share: running trio, and fleets on addresses of their own."""
+
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+import trio
+
+from rattanhollow_standins.fleet import Fleet
+
+LONGEST_TEST_S = 60
+_nets = itertools.count(100)
+
+
+def run_trio(function: Callable[[], Awaitable[Any]]) -> Any:
+    """Run ``function``, failing where it hangs."""
+
+    async def bounded() -> Any:
+        with trio.fail_after(LONGEST_TEST_S):
+            return await function()
+
+    return trio.run(bounded)
+
+
+Scenario = Callable[[Fleet], Awaitable[Any]]
+
+
+@pytest.fixture
+def with_fleet() -> Callable[..., Any]:
+    """Return a function that runs a scenario against a fleet that is up."""
+
+    def run(scenario: Scenario, **options: Any) -> Any:
+        async def main() -> Any:
+            fleet = Fleet(next(_nets), **options)
+            async with trio.open_nursery() as nursery:
+                await nursery.start(fleet.run)
+                answer = await scenario(fleet)
+                nursery.cancel_scope.cancel()
+            return answer
+
+        return run_trio(main)
+
+    return run
