Election matrix; members follow before the new primary is published

Cause: a coordinator that paused between publishing and following left a published primary that nobody followed, so that no commit could be confirmed (test_paused_coordinator[publish] red: acknowledgement failed). Ruled out: leaving it to the repair loop alone (up to 2 s of gap). Conclusion: following belongs before publishing. A replica that fails is now avoided for a while, and votes carry the newest state to hosts that the store has lost.

--- a/src/rattanhollow/backend/_group.py
+++ b/src/rattanhollow/backend/_group.py
@@ -1,6 +1,7 @@
 """A host's view of one database group: who leads, and the pools to reach it."""
 
 import random
+import time
 from collections.abc import Callable
 from functools import partial
 from typing import NamedTuple
@@ -29,6 +30,8 @@
 from rattanhollow.verdict import Refusal, not_run
 
 ANSWER_ALLOWANCE_MS = 200
+AVOID_LOW_S = 0.5
+AVOID_HIGH_S = 5.0
 
 
 class PoolSettings(NamedTuple):
@@ -41,6 +44,17 @@
     confirm_timeout_ms: int
 
 
+class Avoided(NamedTuple):
+    """A member that reads stay away from until ``until_s``, monotonic.
+
+    ``trying`` while one read tries it again.
+    """
+
+    pause_s: float
+    until_s: float
+    trying: bool = False
+
+
 class Group:
     """One database group.
 
@@ -58,6 +72,7 @@
         self.confirmed = ReadIndex(self._ask_confirmed)
         self._settings = settings
         self._rng = rng
+        self._avoided: dict[str, Avoided] = {}
         self._pools: dict[str, Pool] = {}
         self._changed = trio.Event()
         self._at_risk: set[trio.CancelScope] = set()
@@ -130,16 +145,33 @@
     def saw_applied(self, member: Member, position: Position) -> None:
         """Remember what ``member`` was seen to have."""
         self.applied[member.name] = position
+        self._avoided.pop(member.name, None)
+
+    def saw_failure(self, member: Member) -> None:
+        """Keep reads away from a replica that failed, longer each time."""
+        now_s = time.monotonic()
+        avoided = self._avoided.get(member.name)
+        if avoided is None:
+            pause_s = AVOID_LOW_S
+        elif avoided.until_s > now_s and not avoided.trying:
+            return
+        else:
+            pause_s = min(2 * avoided.pause_s, AVOID_HIGH_S)
+        self._avoided[member.name] = Avoided(pause_s, now_s + pause_s)
+        log_event("replica.avoided", member=member.name, database=self.database.name)
 
     def replicas_for(self, floor: Position) -> list[Member]:
         """Return the replicas for a read at ``floor``, the best first.
 
         The less loaded of two random ones comes first among those that were
-        seen to have ``floor``; those that may lack it come behind.
+        seen to have ``floor``; those that may lack it come behind. One that
+        failed lately is left out, but for one read that tries it again.
         """
         ready: list[Member] = []
         behind: list[Member] = []
         for member in self.replicas:
+            if self._is_avoided(member):
+                continue
             has_floor = self.applied.get(member.name, ORIGIN) >= floor
             (ready if has_floor else behind).append(member)
         self._rng.shuffle(ready)
@@ -147,6 +179,17 @@
             ready[:2] = sorted(ready[:2], key=lambda m: self.pool(m).outstanding)
         return ready + behind
 
+    def _is_avoided(self, member: Member) -> bool:
+        avoided = self._avoided.get(member.name)
+        now_s = time.monotonic()
+        if avoided is None:
+            return False
+        if avoided.until_s > now_s:
+            return True
+        trying_until_s = now_s + AVOID_LOW_S
+        self._avoided[member.name] = Avoided(avoided.pause_s, trying_until_s, True)
+        return False
+
     async def _ask_index(
         self, connection: BackendConnection | None
     ) -> Result[Position, Refusal]:
--- a/src/rattanhollow/coordination/_election.py
+++ b/src/rattanhollow/coordination/_election.py
@@ -1,4 +1,4 @@
-"""Electing a new primary: claim, fence, promote, publish, follow.
+"""Electing a new primary: claim, fence, promote, follow, publish.
 
 The store decides who may try in a term; the fenced members decide what the
 new primary must hold. A coordinator may stop after any step: the next one
@@ -6,7 +6,7 @@
 """
 
 import enum
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import Any, NamedTuple
 
 import trio
@@ -32,8 +32,8 @@
     CLAIM = "claim"
     FENCE = "fence"
     PROMOTE = "promote"
-    PUBLISH = "publish"
     FOLLOW = "follow"
+    PUBLISH = "publish"
 
 
 class MemberStatus(NamedTuple):
@@ -115,28 +115,35 @@
         return Err(ElectionFailure(Step.PROMOTE, promoted.unwrap_err()))
     await finished(Step.PROMOTE)
 
+    # Published last: whoever hears of the new primary finds it able to confirm.
+    # Members that were not reached follow later, by `follow_all`.
+    reached = {status.name for status in fenced}
+    await follow_all(database, term, best.name, control, reached)
+    await finished(Step.FOLLOW)
+
     succession = Succession(term, best.end)
     published = await _publish(database, claim_id, best.name, succession, store)
     if published.is_err():
         return Err(ElectionFailure(Step.PUBLISH, str(published.unwrap_err())))
     await finished(Step.PUBLISH)
-
-    await follow_all(database, term, best.name, control)
-    await finished(Step.FOLLOW)
     return Ok(published.unwrap())
 
 
 async def follow_all(
-    database: Database, term: int, primary: str, control: GroupControl
+    database: Database,
+    term: int,
+    primary: str,
+    control: GroupControl,
+    members: Collection[str],
 ) -> None:
-    """Tell every other member to follow the primary of ``term``; idempotent."""
+    """Tell ``members`` to follow the primary of ``term``; idempotent."""
 
     async def one(member: Member) -> None:
         await control.follow(member, term, primary)
 
     async with trio.open_nursery() as nursery:
         for member in database.members:
-            if member.name != primary:
+            if member.name in members and member.name != primary:
                 nursery.start_soon(one, member)
 
 
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from rattanhollow.coordination import GroupState
 from rattanhollow.records import RecordError, from_spec, to_spec
 
 PROTOCOL_VERSION = 1
@@ -18,11 +19,16 @@
 
 
 class SuspicionAnswer(NamedTuple):
-    """``suspects`` is meant by the answering ``host`` in ``zone``."""
+    """``suspects`` is meant by the answering ``host`` in ``zone``.
+
+    ``state`` is the newest agreed state that it knows, which a host cut off
+    from the store learns this way.
+    """
 
     host: str
     zone: str
     suspects: bool
+    state: GroupState | None = None
 
 
 class CancelQuestion(NamedTuple):
--- a/src/rattanhollow/proxy/_lend.py
+++ b/src/rattanhollow/proxy/_lend.py
@@ -62,12 +62,13 @@
     caller: Caller, connection: BackendConnection, service: Service
 ) -> None:
     """Give a connection back; one with state of the caller's is closed."""
-    caller.running = None
     if service.guards.cancel_wait and caller.cancel_lock.locked():
         async with caller.cancel_lock:
-            pass
+            caller.running = None
+    caller.running = None
     if caller.pinned_for_good:
         connection.usable = False
+        caller.pinned_for_good = False
     await caller.group.pool(connection.member).give_back(connection)
 
 
--- a/src/rattanhollow/proxy/_own_settings.py
+++ b/src/rattanhollow/proxy/_local.py
@@ -1,4 +1,4 @@
-"""The settings that callers make at the proxy itself, with SET and SHOW."""
+"""Requests that the proxy answers itself: its settings, and forgetting."""
 
 from result import Err, Ok, Result
 
@@ -78,6 +78,23 @@
     return Ok(_wrapped(caller, batch, row_description([name]), rows))
 
 
+def run_deallocate(caller: Caller, batch: Batch) -> Result[bytes, Refusal]:
+    """Forget a prepared statement, or all: servers know them by other names."""
+    name = batch.statement.name.encode()
+    if name:
+        caller.statements.pop(name, None)
+    else:
+        caller.statements.clear()
+    return Ok(_wrapped(caller, batch, b"", command_complete("DEALLOCATE")))
+
+
+def run_discard(caller: Caller, batch: Batch) -> Result[bytes, Refusal]:
+    """Forget all that the session left behind."""
+    caller.settings.clear()
+    caller.statements.clear()
+    return Ok(_wrapped(caller, batch, b"", command_complete("DISCARD ALL")))
+
+
 def _wrapped(caller: Caller, batch: Batch, description: bytes, rows: bytes) -> bytes:
     """Return the answer in the form that the batch asked for."""
     if batch.simple:
--- a/src/rattanhollow/proxy/_login.py
+++ b/src/rattanhollow/proxy/_login.py
@@ -23,7 +23,7 @@
     ready_for_query,
 )
 from rattanhollow.proxy._caller import IDLE, Caller
-from rattanhollow.proxy._own_settings import OWN_PREFIX, set_own
+from rattanhollow.proxy._local import OWN_PREFIX, set_own
 from rattanhollow.proxy._service import Service
 from rattanhollow.verdict import Refusal, not_run
 
--- a/src/rattanhollow/proxy/_on_primary.py
+++ b/src/rattanhollow/proxy/_on_primary.py
@@ -92,6 +92,7 @@
     deadline_s: float,
 ) -> Result[bytes, Refusal]:
     assert outcome.position is not None
+    caller.raise_floor(outcome.position)
     confirmed: Result = Ok(outcome.position)
     if service.guards.write_confirmation:
         confirmed = await confirm(
@@ -152,6 +153,8 @@
 def _refused_unread(caller: Caller, outcome: Outcome, in_transaction: bool) -> bool:
     if outcome.error is None or caller.relayed or in_transaction:
         return False
+    if outcome.position is not None:
+        return False
     return outcome.error.sqlstate == READ_ONLY_SQLSTATE and outcome.status == IDLE
 
 
--- a/src/rattanhollow/proxy/_on_replica.py
+++ b/src/rattanhollow/proxy/_on_replica.py
@@ -126,6 +126,7 @@
     with trio.move_on_after(service.settings.backend.connect_timeout_ms / 1000):
         taken = await take(caller, member, service)
     if taken.is_err():
+        caller.group.saw_failure(member)
         return None
     connection: BackendConnection = taken.unwrap()
     caller.running = connection
@@ -136,6 +137,7 @@
         await release(caller, connection, IDLE, service)
         return None
     if outcome is None or outcome.is_err():
+        caller.group.saw_failure(member)
         await drop(caller, connection)
         return outcome
     if _is_no_read(caller, outcome.unwrap()):
--- a/src/rattanhollow/proxy/_root.py
+++ b/src/rattanhollow/proxy/_root.py
@@ -242,7 +242,8 @@
             watch = self._watches.get(question.database)
             suspects = watch is not None and watch.suspects(question.term)
             host = self.settings.host
-            return SuspicionAnswer(host.name, host.zone, suspects)
+            state = watch.group.state if watch is not None else None
+            return SuspicionAnswer(host.name, host.zone, suspects, state)
         if isinstance(question, CancelQuestion):
             return await answer_cancel(self.service, question)
         return None
--- a/src/rattanhollow/proxy/_serve.py
+++ b/src/rattanhollow/proxy/_serve.py
@@ -17,9 +17,9 @@
 from rattanhollow.proxy._caller import FAILED, IDLE, Caller
 from rattanhollow.proxy._exchange import ERROR, CallerLost, Relay
 from rattanhollow.proxy._lend import UNKNOWN_SETTINGS, end_session
+from rattanhollow.proxy._local import run_deallocate, run_discard, run_set, run_show
 from rattanhollow.proxy._on_primary import run_on_primary, run_over
 from rattanhollow.proxy._on_replica import run_read
-from rattanhollow.proxy._own_settings import run_set, run_show
 from rattanhollow.proxy._service import Service
 from rattanhollow.sql import Kind
 from rattanhollow.verdict import Refusal, not_run
@@ -37,6 +37,12 @@
 async def serve(caller: Caller, service: Service) -> None:
     """Serve requests until the caller, the host or an operator ends it."""
     reason = "closed by the caller"
+    # The key may have been withdrawn while the login was under way.
+    if caller.key and not service.configuration().has_key(
+        caller.organisation, caller.key
+    ):
+        caller.ending = "not run: the key was withdrawn"
+        caller.session_scope.cancel()
     try:
         with caller.session_scope:
             reason = await _requests(caller, service)
@@ -140,6 +146,11 @@
         return run_set(caller, batch)
     if kind is Kind.SHOW_OWN:
         return run_show(caller, batch)
+    if kind is Kind.DEALLOCATE and not caller.pinned_for_good:
+        return run_deallocate(caller, batch)
+    if kind is Kind.DISCARD and caller.status == IDLE:
+        await end_session(caller)
+        return run_discard(caller, batch)
     if caller.status == FAILED and caller.pinned is None:
         return _end_lost_transaction(caller, batch)
     if kind is Kind.SEQUENCE_STATE and caller.status == IDLE:
@@ -151,9 +162,10 @@
         answered = await run_read(caller, batch, service, relay)
         if answered is not None:
             return answered
-    if kind is Kind.PIN:
-        caller.pinned_for_good = True
+    caller.pinned_for_good = kind is Kind.PIN
     answered = await run_on_primary(caller, batch, service, relay)
+    if caller.pinned is None:
+        caller.pinned_for_good = False
     if kind is Kind.SET:
         _keep_setting(caller, batch, answered)
     return answered
--- a/src/rattanhollow/proxy/_watch_primary.py
+++ b/src/rattanhollow/proxy/_watch_primary.py
@@ -146,10 +146,16 @@
         votes = [Vote(own.name, own.zone, self.suspects(term))]
         question = SuspicionQuestion(self.group.database.name, term)
 
+        def take(answer: SuspicionAnswer) -> None:
+            votes.append(Vote(answer.host, answer.zone, answer.suspects))
+            if answer.state is not None:
+                self.group.take_state(answer.state)
+
         async def ask(record: HostRecord) -> None:
-            answer = await self._parts.peers.ask(record.peer, question, VOTE_TIMEOUT_MS)
-            if answer.is_ok() and isinstance(answer.unwrap(), SuspicionAnswer):
-                votes.append(Vote(*answer.unwrap()))
+            asked = await self._parts.peers.ask(record.peer, question, VOTE_TIMEOUT_MS)
+            answer = asked.ok()
+            if isinstance(answer, SuspicionAnswer):
+                take(answer)
 
         async with trio.open_nursery() as nursery:
             for record in self._parts.hosts.live():
@@ -208,6 +214,9 @@
                     term=state.term,
                 )
                 await follow_all(
-                    self.group.database, state.term, state.primary, control
+                    self.group.database,
+                    state.term,
+                    state.primary,
+                    control,
+                    {member.name},
                 )
-                return
--- a/src/rattanhollow/sql/_classify.py
+++ b/src/rattanhollow/sql/_classify.py
@@ -38,6 +38,8 @@
     SET = "set"
     SET_OWN = "set of a setting of the proxy"
     SHOW_OWN = "show of a setting of the proxy"
+    DEALLOCATE = "forgets a prepared statement, or all"
+    DISCARD = "forgets all that the session left behind"
     PIN = "leaves state on its connection"
     SEQUENCE_STATE = "needs the sequence state of its connection"
     UNKNOWN = "anything, ends of transactions included"
@@ -108,7 +110,7 @@
         return Statement(Kind.REFUSED, "a setting of the proxy among other statements")
     if Kind.SEQUENCE_STATE in kinds:
         return Statement(Kind.SEQUENCE_STATE)
-    if kinds & {Kind.PIN, Kind.SET}:
+    if kinds & {Kind.PIN, Kind.SET, Kind.DEALLOCATE, Kind.DISCARD}:
         return Statement(Kind.PIN)
     if kinds <= {Kind.READ, Kind.EMPTY}:
         return Statement(Kind.READ)
@@ -183,6 +185,15 @@
     return Statement(Kind.WRITE)
 
 
+def _deallocate(body: Tree) -> Statement:
+    return Statement(Kind.DEALLOCATE, body.get("name", ""))
+
+
+def _discard(body: Tree) -> Statement:
+    everything = body.get("target") == "DISCARD_ALL"
+    return Statement(Kind.DISCARD if everything else Kind.PIN)
+
+
 def _explain(body: Tree) -> Statement:
     return _statement(body["query"])._replace(kind=Kind.WRITE)
 
@@ -198,11 +209,11 @@
     "NotifyStmt": _refused("NOTIFY"),
     "PrepareStmt": _pinned,
     "ExecuteStmt": _pinned,
-    "DeallocateStmt": _pinned,
+    "DeallocateStmt": _deallocate,
     "DeclareCursorStmt": _pinned,
     "FetchStmt": _pinned,
     "ClosePortalStmt": _pinned,
-    "DiscardStmt": _pinned,
+    "DiscardStmt": _discard,
     "LoadStmt": _pinned,
 }
 
