--- a/src/rattanhollow/backend/_connection.py
+++ b/src/rattanhollow/backend/_connection.py
@@ -1,6 +1,7 @@
 """One connection to a backend server."""
 
 import itertools
+import select
 import time
 from typing import NamedTuple
 
@@ -61,8 +62,11 @@
     is in doubt: it is closed then, never handed on.
     """
 
-    def __init__(self, wire: Wire, member: Member, database: str) -> None:
+    def __init__(
+        self, wire: Wire, descriptor: int, member: Member, database: str
+    ) -> None:
         self.wire = wire
+        self._descriptor = descriptor
         self.member = member
         self.database = database
         self.serial = next(_serials)
@@ -74,6 +78,16 @@
         self.usable = True
         self.idle_since_s = time.monotonic()
 
+    @property
+    def quiet(self) -> bool:
+        """Whether an idle connection is as it should be: open, with nothing to read.
+
+        A server that ended it has sent an end, or an error, by then.
+        """
+        poll = select.poll()
+        poll.register(self._descriptor, select.POLLIN)
+        return not self.wire.has_frames and not poll.poll(0)
+
     async def command(self, sql: str, timeout_ms: int) -> Result[Answer, str]:
         """Run a command of the proxy's own and return its whole answer.
 
@@ -139,7 +153,8 @@
 ) -> Result[BackendConnection, str]:
     tune_socket(stream)
     wire = Wire(stream, FRAME_LIMIT_BYTES)
-    connection = BackendConnection(wire, member, database)
+    descriptor = stream.socket.fileno()
+    connection = BackendConnection(wire, descriptor, member, database)
     await wire.send(startup({"user": credentials.user, "database": database}))
     while True:
         frame = await wire.read_frame()
--- a/src/rattanhollow/backend/_pool.py
+++ b/src/rattanhollow/backend/_pool.py
@@ -44,7 +44,10 @@
 
     def take_idle(self) -> BackendConnection | None:
         """Return a connection that needs no waiting and no probe, if there is one."""
-        if self._waiting or not self._idle or not self._fresh(self._idle[-1]):
+        if self._waiting or not self._idle:
+            return None
+        newest = self._idle[-1]
+        if not (newest.quiet and self._fresh(newest)):
             return None
         return self._idle.pop()
 
@@ -62,6 +65,9 @@
                 return Err("the backend server was withdrawn")
             if self._idle:
                 connection = self._idle.pop()
+                if not connection.quiet:
+                    await self.discard(connection)
+                    continue
                 if self._fresh(connection) or await self._alive(connection):
                     return Ok(connection)
                 continue
--- a/src/rattanhollow/proxy/_local.py
+++ b/src/rattanhollow/proxy/_local.py
@@ -83,9 +83,9 @@
     name = batch.statement.name.encode()
     if name:
         caller.statements.pop(name, None)
-    else:
-        caller.statements.clear()
-    return Ok(_wrapped(caller, batch, b"", command_complete("DEALLOCATE")))
+        return Ok(_wrapped(caller, batch, b"", command_complete("DEALLOCATE")))
+    caller.statements.clear()
+    return Ok(_wrapped(caller, batch, b"", command_complete("DEALLOCATE ALL")))
 
 
 def run_discard(caller: Caller, batch: Batch) -> Result[bytes, Refusal]:
--- a/src/rattanhollow/proxy/_serve.py
+++ b/src/rattanhollow/proxy/_serve.py
@@ -140,6 +140,8 @@
 ) -> Answered:
     statement = batch.statement
     kind = statement.kind
+    if batch.flushed and len(batch.frames) == 1:
+        return Ok(b"")
     if kind is Kind.REFUSED:
         return Err(not_run(f"{statement.name} is not carried", SQLSTATE_NOT_CARRIED))
     if kind is Kind.SET_OWN:
--- a/src/rattanhollow/proxy/_watch_primary.py
+++ b/src/rattanhollow/proxy/_watch_primary.py
@@ -61,6 +61,8 @@
         """Whether this host holds the primary of ``term`` for dead."""
         if self._bad_since_s is None or self._bad_term != term:
             return False
+        if self.group.primary is None:
+            return True
         bad_ms = (time.monotonic() - self._bad_since_s) * 1000
         return bad_ms >= self._parts.settings.suspect_after_ms
 
--- a/src/rattanhollow_standins/database/_group.py
+++ b/src/rattanhollow_standins/database/_group.py
@@ -169,6 +169,7 @@
         await connection.pass_gate()
         startup = await connection.read_startup()
         if isinstance(startup, tuple):
+            await trio.sleep(member.faults.cancel_delay_s)
             self._cancel(member, *startup)
             return
         await trio.sleep(self._timing.connect_s)
--- a/src/rattanhollow_standins/database/_member.py
+++ b/src/rattanhollow_standins/database/_member.py
@@ -42,8 +42,8 @@
     the same for some addresses, ``cut_members`` between members (by name);
     ``frozen`` stops it altogether.
     ``ship_lag_s`` and ``apply_lag_s`` delay replication. ``answer_delay_s``
-    delays answers; ``lose_commit_answers`` counts the next commits whose
-    connection is closed instead of answered.
+    delays answers, ``cancel_delay_s`` cancel requests; ``lose_commit_answers``
+    counts the next commits whose connection is closed instead of answered.
     """
 
     def __init__(self) -> None:
@@ -55,6 +55,7 @@
         self.apply_lag_s = 0.0
         self.answer_delay_s = 0.0
         self.lose_commit_answers = 0
+        self.cancel_delay_s = 0.0
 
 
 class StandInMember:
--- a/src/rattanhollow_standins/database/_session.py
+++ b/src/rattanhollow_standins/database/_session.py
@@ -21,6 +21,12 @@
     StandInMember,
 )
 
+COMMANDS = frozenset(
+    """
+    COMMIT END ROLLBACK ABORT BEGIN START SET RESET DISCARD SHOW DEALLOCATE
+    REPLICATION
+    """.split()
+)
 NO_ROWS = Rows([], [], [], "")
 _SLEEP = re.compile(r"^\s*select\s+pg_sleep\(\s*([0-9.]+)\s*\)\s*;?\s*$", re.IGNORECASE)
 _SET = re.compile(r"set\s+(?:session\s+)?\"?(\w+)\"?\s*(?:=|to)\s*(.+)", re.IGNORECASE)
@@ -56,6 +62,7 @@
             SqlError: it failed; an open transaction is in a failed state then.
 
         """
+        await self._lock_for(statement)
         async with self._slots:
             try:
                 return await self._run(statement)
@@ -89,13 +96,19 @@
             return await self._sleep(float(sleep[1])), b""
         return await self._data(statement), b""
 
+    async def _lock_for(self, statement: Statement) -> None:
+        """Wait for the lock that a write needs; outside the slots, or all hang."""
+        if self._writing or self.failed or self._member.role != "primary":
+            return
+        if first_word(statement.sql) in COMMANDS or not writes(statement.sql):
+            return
+        await self._member.writer.acquire()
+        self._writing = True
+
     async def _data(self, statement: Statement) -> Rows:
         changes = writes(statement.sql)
         if changes and self._member.role != "primary":
             raise SqlError(READ_ONLY, "cannot write: this server does not lead")
-        if changes and not self._writing:
-            await self._member.writer.acquire()
-            self._writing = True
         if changes and not self._open and not self._database.in_transaction:
             self._implicit = True
             self._begin()
--- a/src/rattanhollow_standins/fleet.py
+++ b/src/rattanhollow_standins/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import random
+from functools import partial
 from typing import NamedTuple
 
 import trio
@@ -53,7 +54,8 @@
     """The parts of a fleet; `run` runs them until cancelled.
 
     ``overrides`` are settings of the proxies by section and key; ``step_hook``
-    is called behind each step of an election with database and step.
+    is called behind each step of an election with database and step, while
+    ``coordinator`` is the number of the proxy that took it.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         self.group = DatabaseGroup(DATABASE, places, BACKEND_PASSWORD, timing)
         self.proxies: dict[int, Proxy] = {}
         self.step_hook = _no_hook
+        self.coordinator = -1
         self._guards = guards
         self._seed = seed
         self._rng = random.Random(seed)
@@ -150,13 +153,14 @@
                 self.settings(number),
                 guards=self._guards,
                 seed=self._seed * 1_000 + number,
-                step_hook=self._step,
+                step_hook=partial(self._step, number),
             )
             self.proxies[number] = proxy
             await proxy.run(task_status=task_status)
         self.proxies.pop(number, None)
 
-    async def _step(self, database: str, step: Step) -> None:
+    async def _step(self, number: int, database: str, step: Step) -> None:
+        self.coordinator = number
         await self.step_hook(database, step)
 
     def settings(self, number: int) -> ProxySettings:
