Connections are reset after whatever may leave session state

Cause: a SET outside a transaction left its setting on the pooled connection while the pool took it for clean (test_session_settings_follow_the_caller red). Also found by test_classify: a NUL ends the parser's text, not the frame, so bytes behind it went to the server unclassified. Ruled out: RESET ALL alone, since functions and DO blocks may leave temporary tables and locks; DISCARD ALL after each statement, a round trip each. Conclusion: statements that are not certainly clean mark their connection, and the next borrower has it discarded first.

--- a/src/rattanhollow/proxy/_batch.py
+++ b/src/rattanhollow/proxy/_batch.py
@@ -117,10 +117,13 @@
 
     """
     if frames[0].kind == QUERY:
-        text = cstrings(frames[0].payload)[0]
+        texts = cstrings(frames[0].payload)
+        if len(texts) != 1:
+            raise ProtocolViolation("Query with more than its text")
+        text = texts[0]
         return Batch(tuple(frames), classify(text), text)
     executed: list[Statement] = []
-    texts: list[str] = []
+    bound_texts: list[str] = []
     portals: dict[bytes, Statement] = {}
     for frame in frames:
         if frame.kind == PARSE:
@@ -133,11 +136,11 @@
             known = caller.statements.get(name)
             text = known.text if known else ""
             portals[portal] = classify(text) if known else Statement(Kind.WRITE)
-            texts.append(text)
+            bound_texts.append(text)
         elif frame.kind == EXECUTE:
             portal = frame.payload.split(b"\0", 1)[0]
             executed.append(portals.get(portal, Statement(Kind.WRITE)))
-    return Batch(tuple(frames), _together(executed), "".join(texts[:1]))
+    return Batch(tuple(frames), _together(executed), "".join(bound_texts[:1]))
 
 
 def _keep(caller: Caller, frame: Frame) -> PreparedStatement:
--- a/src/rattanhollow/proxy/_lend.py
+++ b/src/rattanhollow/proxy/_lend.py
@@ -29,22 +29,34 @@
 async def _apply_settings(
     caller: Caller, connection: BackendConnection, wanted: tuple[str, ...]
 ) -> Result[BackendConnection, str]:
-    sql = "; ".join(["RESET ALL", *wanted])
-    failure = "cancelled"
-    applied = False
+    # A former borrower may have left more than settings: all of it goes.
+    commands = ["; ".join(["RESET ALL", *wanted])]
+    if connection.settings == UNKNOWN_SETTINGS:
+        commands = ["DISCARD ALL", "; ".join(wanted)]
+        connection.statements.clear()
+    failure: str | None = "cancelled"
     try:
-        answer = await connection.command(sql, SETTINGS_TIMEOUT_MS)
-        applied = answer.is_ok() and answer.unwrap().error is None
-        failure = answer.err() or "the settings of the session were refused"
+        failure = await _run_all(connection, [sql for sql in commands if sql])
     finally:
-        if not applied:
+        if failure is not None:
             await caller.group.pool(connection.member).discard(connection)
-    if not applied:
+    if failure is not None:
         return Err(failure)
     connection.settings = wanted
     return Ok(connection)
 
 
+async def _run_all(connection: BackendConnection, commands: list[str]) -> str | None:
+    """Run commands until one fails; returns why."""
+    for sql in commands:
+        answer = await connection.command(sql, SETTINGS_TIMEOUT_MS)
+        if answer.is_err():
+            return answer.unwrap_err()
+        if answer.unwrap().error is not None:
+            return "the settings of the session were refused"
+    return None
+
+
 async def release(
     caller: Caller, connection: BackendConnection, status: bytes, service: Service
 ) -> None:
--- a/src/rattanhollow/proxy/_on_primary.py
+++ b/src/rattanhollow/proxy/_on_primary.py
@@ -9,7 +9,7 @@
 from rattanhollow.proxy._caller import IDLE, Caller
 from rattanhollow.proxy._confirm import confirm
 from rattanhollow.proxy._exchange import Broken, Outcome, Relay, exchange
-from rattanhollow.proxy._lend import drop, release, take
+from rattanhollow.proxy._lend import UNKNOWN_SETTINGS, drop, release, take
 from rattanhollow.proxy._service import Service
 from rattanhollow.sql import Kind
 from rattanhollow.verdict import Refusal, may_have_run, not_run
@@ -69,6 +69,8 @@
         await drop(caller, connection)
         return Err(_lost(caller, batch, in_transaction, answered.unwrap_err()))
     outcome: Outcome = answered.unwrap()
+    if not batch.statement.clean:
+        connection.settings = UNKNOWN_SETTINGS
     if batch.flushed:
         caller.pinned, caller.flushed = connection, True
         return Ok(outcome.tail)
--- a/src/rattanhollow/proxy/_serve.py
+++ b/src/rattanhollow/proxy/_serve.py
@@ -16,7 +16,7 @@
 from rattanhollow.proxy._batch import SYNC, Batch, read_batch, understand
 from rattanhollow.proxy._caller import FAILED, IDLE, Caller
 from rattanhollow.proxy._exchange import ERROR, CallerLost, Relay
-from rattanhollow.proxy._lend import UNKNOWN_SETTINGS, end_session
+from rattanhollow.proxy._lend import end_session
 from rattanhollow.proxy._local import run_deallocate, run_discard, run_set, run_show
 from rattanhollow.proxy._on_primary import run_on_primary, run_over
 from rattanhollow.proxy._on_replica import run_read
@@ -195,7 +195,6 @@
         return Err(not_run(reason, SQLSTATE_TRANSACTION_LOST))
     if kind is Kind.SET:
         _keep_setting(caller, batch, ran)
-        connection.settings = UNKNOWN_SETTINGS
     return ran
 
 
--- a/src/rattanhollow/sql/_classify.py
+++ b/src/rattanhollow/sql/_classify.py
@@ -14,9 +14,11 @@
 
 from rattanhollow.sql._known import (
     PINNING_FUNCTIONS,
+    PLAIN_STATEMENTS,
     READ_FUNCTIONS,
     READ_NODES,
     SEQUENCE_FUNCTIONS,
+    STATELESS_FUNCTIONS,
 )
 
 CACHED_STATEMENTS = 2_000
@@ -50,12 +52,14 @@
     """A classified text.
 
     ``name`` and ``value`` are those of a setting; ``name`` is what is not
-    carried where the kind is ``REFUSED``.
+    carried where the kind is ``REFUSED``. ``clean`` where it certainly leaves
+    no session state on its connection.
     """
 
     kind: Kind
     name: str = ""
     value: str = ""
+    clean: bool = False
 
 
 Tree = dict[str, Any]
@@ -87,6 +91,9 @@
 
     A text that the grammar refuses is unknown: the primary words the error.
     """
+    if "\0" in text:
+        # The parser would stop there, a server might not.
+        return Statement(Kind.UNKNOWN)
     try:
         parsed = msgspec.json.decode(pglast.parser.parse_sql_json(text))
         trees = [item["stmt"] for item in parsed.get("stmts", [])]
@@ -94,7 +101,7 @@
     except (pglast.Error, msgspec.DecodeError, UnicodeError, RecursionError):
         return Statement(Kind.UNKNOWN)
     if not statements:
-        return Statement(Kind.EMPTY)
+        return Statement(Kind.EMPTY, clean=True)
     if len(statements) == 1:
         return statements[0]
     return together(statements)
@@ -112,11 +119,12 @@
         return Statement(Kind.SEQUENCE_STATE)
     if kinds & {Kind.PIN, Kind.SET, Kind.DEALLOCATE, Kind.DISCARD}:
         return Statement(Kind.PIN)
+    clean = all(statement.clean for statement in statements)
     if kinds <= {Kind.READ, Kind.EMPTY}:
-        return Statement(Kind.READ)
+        return Statement(Kind.READ, clean=clean)
     if kinds <= {Kind.READ, Kind.EMPTY, Kind.WRITE}:
-        return Statement(Kind.WRITE)
-    return Statement(Kind.UNKNOWN)
+        return Statement(Kind.WRITE, clean=clean)
+    return Statement(Kind.UNKNOWN, clean=clean)
 
 
 def _statement(tree: Tree) -> Statement:
@@ -132,8 +140,9 @@
     if functions & SEQUENCE_FUNCTIONS:
         return Statement(Kind.SEQUENCE_STATE)
     if name == "SelectStmt" and _only_reads(tree, 0):
-        return Statement(Kind.READ)
-    return Statement(Kind.WRITE)
+        return Statement(Kind.READ, clean=True)
+    clean = name in PLAIN_STATEMENTS and functions <= STATELESS_FUNCTIONS
+    return Statement(Kind.WRITE, clean=clean)
 
 
 def _refused(what: str) -> Callable[[Tree], Statement]:
@@ -148,14 +157,21 @@
     kind = body["kind"]
     if kind in ("TRANS_STMT_BEGIN", "TRANS_STMT_START"):
         read_only = any(_is_read_only(option) for option in body.get("options", []))
-        return Statement(Kind.BEGIN_READ_ONLY if read_only else Kind.BEGIN)
+        begin = Kind.BEGIN_READ_ONLY if read_only else Kind.BEGIN
+        return Statement(begin, clean=True)
     if kind == "TRANS_STMT_COMMIT":
-        return Statement(Kind.REFUSED if body.get("chain") else Kind.COMMIT, "CHAIN")
+        return _end(Kind.COMMIT, body)
     if kind == "TRANS_STMT_ROLLBACK":
-        return Statement(Kind.REFUSED if body.get("chain") else Kind.ROLLBACK, "CHAIN")
+        return _end(Kind.ROLLBACK, body)
     if "PREPARE" in kind:
         return Statement(Kind.REFUSED, "two-phase commit")
-    return Statement(Kind.WRITE)
+    return Statement(Kind.WRITE, clean=True)
+
+
+def _end(kind: Kind, body: Tree) -> Statement:
+    if body.get("chain"):
+        return Statement(Kind.REFUSED, "AND CHAIN")
+    return Statement(kind, clean=True)
 
 
 def _is_read_only(option: Tree) -> bool:
@@ -172,7 +188,7 @@
             return Statement(Kind.REFUSED, f"this form of SET {name}")
         return Statement(Kind.SET_OWN, name, _constant(body["args"][0]))
     if body.get("is_local"):
-        return Statement(Kind.WRITE)
+        return Statement(Kind.WRITE, clean=True)
     if body["kind"] in ("VAR_SET_VALUE", "VAR_SET_DEFAULT", "VAR_RESET") and name:
         return Statement(Kind.SET, name)
     return Statement(Kind.PIN)
@@ -182,7 +198,7 @@
     name = body.get("name", "")
     if name.startswith(OWN_PREFIX):
         return Statement(Kind.SHOW_OWN, name)
-    return Statement(Kind.WRITE)
+    return Statement(Kind.WRITE, clean=True)
 
 
 def _deallocate(body: Tree) -> Statement:
--- a/src/rattanhollow/sql/_known.py
+++ b/src/rattanhollow/sql/_known.py
@@ -43,3 +43,13 @@
 )
 
 SEQUENCE_FUNCTIONS = frozenset({"currval", "lastval"})
+
+STATELESS_FUNCTIONS = READ_FUNCTIONS | {"nextval", "setval", "gen_random_uuid"}
+
+PLAIN_STATEMENTS = frozenset(
+    """
+    SelectStmt InsertStmt UpdateStmt DeleteStmt MergeStmt CreateStmt IndexStmt
+    AlterTableStmt DropStmt TruncateStmt CreateTableAsStmt ViewStmt RenameStmt
+    CommentStmt CreateSeqStmt AlterSeqStmt VacuumStmt LockStmt CheckPointStmt
+    """.split()
+)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -246,6 +246,7 @@
     b"Q" + struct.pack("!I", 3),
     b"Q" + struct.pack("!I", 0x7FFFFFFF),
     b"Q" + struct.pack("!I", 5) + b"x",
+    b"Q" + struct.pack("!I", 17) + b"SELECT 1\0x;y\0",
     b"Q" + struct.pack("!I", 6) + b"\xff\0",
     b"z" + struct.pack("!I", 4),
     b"P" + struct.pack("!I", 6) + b"ab" + b"S" + struct.pack("!I", 4),
