--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,22 @@
+"""Runs the benchmarks: ``python -m benchmarks [path]``."""
+
+import sys
+
+from benchmarks import path
+
+BENCHMARKS = {"path": path.run}
+
+
+def main() -> int:
+    """Run those named, or all."""
+    names = sys.argv[1:] or list(BENCHMARKS)
+    for name in names:
+        if name not in BENCHMARKS:
+            print(f"no benchmark {name}; there are {', '.join(BENCHMARKS)}")
+            return 2
+        BENCHMARKS[name]()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/rattanhollow_standins/run.py
+++ b/src/rattanhollow_standins/run.py
@@ -43,10 +43,22 @@
     content = read_file(file)
     if "[store]" in content:
         values = read_ini(str(file), content, STORE_LAYOUT)["store"]
-        trio.run(serve_store, ObjectTable(), values["address"], values["port"])
+        trio.run(_store, values["address"], values["port"])
         return
     values = read_ini(str(file), content, DATABASE_LAYOUT)["database"]
-    trio.run(_group(str(file), values).run)
+    trio.run(_database, _group(str(file), values))
+
+
+async def _store(address: str, port: int) -> None:
+    async with trio.open_nursery() as nursery:
+        await nursery.start(serve_store, ObjectTable(), address, port)
+        print("ready", flush=True)
+
+
+async def _database(group: DatabaseGroup) -> None:
+    async with trio.open_nursery() as nursery:
+        await nursery.start(group.run)
+        print("ready", flush=True)
 
 
 def _group(file: str, values: dict[str, Any]) -> DatabaseGroup:
