--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,10 +1,10 @@
-"""Runs the benchmarks: ``python -m benchmarks [path]``."""
+"""Runs the benchmarks: ``python -m benchmarks [path] [failover] [slopes]``."""
 
 import sys
 
-from benchmarks import path
+from benchmarks import failover, path, slopes
 
-BENCHMARKS = {"path": path.run}
+BENCHMARKS = {"path": path.run, "failover": failover.run, "slopes": slopes.run}
 
 
 def main() -> int:
