Hosts that the store has lost hear from other hosts, or stop

Cause: a key withdrawn while a host had lost the store worked on there (test_a_host_without_anybody_goes_on_without_the_check shows it). Ruled out: stopping whenever the store is silent (an outage would stop all); asking a majority of hosts (330 questions a round at 660 hosts): two in each zone are asked, most zones must answer. Conclusion: proved for three hosts in three zones.

--- a/src/rattanhollow/peer/__init__.py
+++ b/src/rattanhollow/peer/__init__.py
@@ -4,6 +4,10 @@
 from rattanhollow.peer._messages import (
     CancelAnswer,
     CancelQuestion,
+    ConfigurationAnswer,
+    ConfigurationQuestion,
+    FreshnessAnswer,
+    FreshnessQuestion,
     HostAnswer,
     HostQuestion,
     Message,
@@ -14,6 +18,10 @@
 __all__ = [
     "CancelAnswer",
     "CancelQuestion",
+    "ConfigurationAnswer",
+    "ConfigurationQuestion",
+    "FreshnessAnswer",
+    "FreshnessQuestion",
     "HostAnswer",
     "HostQuestion",
     "Message",
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -8,7 +8,7 @@
 from rattanhollow.records import RecordError, from_spec, to_spec
 
 PROTOCOL_VERSION = 1
-LARGEST_MESSAGE_BYTES = 65_536
+LARGEST_MESSAGE_BYTES = 2 << 20
 
 
 class SuspicionQuestion(NamedTuple):
@@ -60,6 +60,27 @@
     silent: bool
 
 
+class FreshnessQuestion(NamedTuple):
+    """Asks what a host knows of the configuration."""
+
+
+class FreshnessAnswer(NamedTuple):
+    """``version`` is the store's, ``heard_ms`` how long the store was silent."""
+
+    version: int
+    heard_ms: int
+
+
+class ConfigurationQuestion(NamedTuple):
+    """Asks for all configuration that a host has."""
+
+
+class ConfigurationAnswer(NamedTuple):
+    """``content`` is JSON: name, version and content of each object."""
+
+    content: bytes
+
+
 Message = (
     SuspicionQuestion
     | SuspicionAnswer
@@ -67,6 +88,10 @@
     | CancelAnswer
     | HostQuestion
     | HostAnswer
+    | FreshnessQuestion
+    | FreshnessAnswer
+    | ConfigurationQuestion
+    | ConfigurationAnswer
 )
 
 MESSAGE_TYPES: dict[str, Any] = {
@@ -76,6 +101,10 @@
     "cancel": CancelAnswer,
     "host?": HostQuestion,
     "host": HostAnswer,
+    "fresh?": FreshnessQuestion,
+    "fresh": FreshnessAnswer,
+    "configuration?": ConfigurationQuestion,
+    "configuration": ConfigurationAnswer,
 }
 _NAMES = {record: name for name, record in MESSAGE_TYPES.items()}
 
--- a/src/rattanhollow/proxy/_guards.py
+++ b/src/rattanhollow/proxy/_guards.py
@@ -14,6 +14,7 @@
     ``floor``: a read sees at least its session's floor. ``cancel_wait``: a
     connection that a cancel was sent for is kept until the cancel arrived.
     ``key_check``: open connections end when their key is withdrawn.
+    ``freshness``: a host that can't know the newest configuration stops.
     """
 
     write_confirmation: bool = True
@@ -21,6 +22,7 @@
     floor: bool = True
     cancel_wait: bool = True
     key_check: bool = True
+    freshness: bool = True
 
 
 ALL_GUARDS = Guards()
--- a/src/rattanhollow/proxy/_login.py
+++ b/src/rattanhollow/proxy/_login.py
@@ -154,6 +154,10 @@
     organisation = parameters.get("user", "")
     group = service.groups.get(parameters.get("database", organisation))
     key = await _check_key(wire, organisation, service)
+    if not service.is_fresh():
+        refusal = not_run("this host can't learn the newest configuration")
+        await refuse(login.stream, refusal)
+        return None
     if key is None:
         log_event("caller.refused", organisation=organisation, reason="bad key")
         refusal = not_run("no such organisation and key", SQLSTATE_BAD_LOGIN)
--- a/src/rattanhollow/proxy/_root.py
+++ b/src/rattanhollow/proxy/_root.py
@@ -29,6 +29,8 @@
 from rattanhollow.observe import Metrics, log_event, no_metrics, statsd_metrics
 from rattanhollow.peer import (
     CancelQuestion,
+    ConfigurationQuestion,
+    FreshnessQuestion,
     HostAnswer,
     HostQuestion,
     Message,
@@ -39,6 +41,7 @@
 )
 from rattanhollow.pgwire import Watchdog
 from rattanhollow.proxy._cancel import answer_cancel, cancel_anywhere
+from rattanhollow.proxy._freshness import Freshness, Reach
 from rattanhollow.proxy._guards import ALL_GUARDS, Guards
 from rattanhollow.proxy._hosts import (
     HostDirectory,
@@ -115,8 +118,12 @@
             metrics=metrics,
             rng=rng,
             watchdog=self._watchdog,
+            is_fresh=self._may_serve,
         )
         self._listener = Listener(self.service, tls_context(settings.listen))
+        self._configurations = Follower(CONFIGURATION_KIND, self._take_stored)
+        reach = Reach(self._own_record, self.hosts, self.peers, rng)
+        self.freshness = Freshness(self._configurations, reach)
         self._watches = GroupWatches(self.groups, self._watch_parts())
         self._drained = trio.Event()
 
@@ -126,13 +133,14 @@
         """Serve callers until cancelled, or until `drain` is through."""
         host = self.settings.host
         async with trio.open_nursery() as nursery:
-            configurations = Follower(CONFIGURATION_KIND, self._take_stored)
+            configurations = self._configurations
             states = Follower(GROUP_KIND, self._take_group)
             for follower in (configurations, states, self.hosts.follower):
                 nursery.start_soon(follow, self._store, follower, self._rng)
             nursery.start_soon(self._apply_configurations)
             nursery.start_soon(self._watches.run)
             nursery.start_soon(self._neighbours.run)
+            nursery.start_soon(self.freshness.run)
             nursery.start_soon(self.metrics.run)
             nursery.start_soon(self._watchdog.run)
             nursery.start_soon(self.peers.run, self.settings.peer.port)
@@ -259,6 +267,10 @@
         if isinstance(question, HostQuestion):
             silent = question.host != self.settings.host.name
             return HostAnswer(silent and self._neighbours.finds_silent(question))
+        if isinstance(question, FreshnessQuestion):
+            return self.freshness.answer()
+        if isinstance(question, ConfigurationQuestion):
+            return self.freshness.configuration()
         if isinstance(question, CancelQuestion):
             return await answer_cancel(self.service, question)
         return None
@@ -271,6 +283,9 @@
         state = group.state if group is not None else None
         return SuspicionAnswer(host.name, host.zone, suspects, state)
 
+    def _may_serve(self) -> bool:
+        return not self.service.guards.freshness or self.freshness.is_fresh()
+
     def _own_record(self) -> HostRecord:
         return self.registration.record
 
--- a/src/rattanhollow/proxy/_serve.py
+++ b/src/rattanhollow/proxy/_serve.py
@@ -136,6 +136,8 @@
     kind = statement.kind
     if batch.flushed and len(batch.frames) == 1:
         return Ok(b"")
+    if not service.is_fresh():
+        return Err(not_run("this host can't learn the newest configuration"))
     if kind is Kind.REFUSED:
         return Err(not_run(f"{statement.name} is not carried", SQLSTATE_NOT_CARRIED))
     if kind is Kind.SET_OWN:
--- a/src/rattanhollow/proxy/_service.py
+++ b/src/rattanhollow/proxy/_service.py
@@ -28,6 +28,7 @@
     metrics: Metrics
     rng: random.Random
     watchdog: Watchdog
+    is_fresh: Callable[[], bool]
 
     @property
     def answer_timeout_ms(self) -> int:
