Rate and burst over the fleet by shares that an owner grants

Cause: organisations had no rate. Ruled out: asking an owner for each request (a round trip each, and nothing works without the owner); a lease for each organisation (writes grow with organisations: shards are leased instead).

--- a/src/rattanhollow/configuration/_model.py
+++ b/src/rattanhollow/configuration/_model.py
@@ -28,12 +28,18 @@
 
 
 class Organisation(NamedTuple):
-    """A group of callers; ``max_age_ms`` is how old its reads may be, 0 for none."""
+    """A group of callers.
+
+    ``max_age_ms`` is how old its reads may be, 0 for none. ``rate_per_s`` and
+    ``burst`` bound its requests over the whole fleet; a rate of 0 is no bound.
+    """
 
     name: str
     keys: tuple[Key, ...] = ()
     scope: Scope = Scope.ORGANISATION
     max_age_ms: int = 0
+    rate_per_s: int = 0
+    burst: int = 0
 
 
 class Member(NamedTuple):
--- a/src/rattanhollow/configuration/_note.py
+++ b/src/rattanhollow/configuration/_note.py
@@ -23,6 +23,7 @@
 )
 VERBS = ("add", "change", "withdraw")
 HIGHEST_AGE_MS = 86_400_000
+HIGHEST_RATE = 10_000_000
 
 
 class NoteError(Exception):
@@ -134,12 +135,21 @@
     if change.verb == "withdraw":
         del organisations[change.name]
         return base._replace(organisations=organisations)
-    values = _values(file, change, {"scope": _scope, "max_age_ms": _age_ms})
+    values = _values(file, change, ORGANISATION_READERS)
     start = known or Organisation(change.name)
-    organisations[change.name] = start._replace(**values)
+    changed = start._replace(**values)
+    if changed.rate_per_s and not changed.burst:
+        raise NoteError(file, change.section, "burst", "a rate needs a burst")
+    organisations[change.name] = changed
     return base._replace(organisations=organisations)
 
 
+def _number(value: str) -> int:
+    if not value.isdigit() or int(value) > HIGHEST_RATE:
+        raise ValueError(f"{value!r} is not between 0 and {HIGHEST_RATE}")
+    return int(value)
+
+
 def _key(file: str, change: Change, base: Configuration) -> Configuration:
     owner_name, separator, key_name = change.name.partition("/")
     if not separator:
@@ -262,3 +272,11 @@
     if not 1 <= port <= 65_535:
         raise ValueError(f"port {port} is out of range")
     return Member(match["name"], address, port, match["zone"])
+
+
+ORGANISATION_READERS: dict[str, Callable[[str], Any]] = {
+    "scope": _scope,
+    "max_age_ms": _age_ms,
+    "rate_per_s": _number,
+    "burst": _number,
+}
--- a/src/rattanhollow/coordination/__init__.py
+++ b/src/rattanhollow/coordination/__init__.py
@@ -22,25 +22,34 @@
     group_state_spec,
     survival_of,
 )
+from rattanhollow.coordination._lease import LEASE_KIND, Lease
 from rattanhollow.coordination._position import ORIGIN, Position, parse_position
 from rattanhollow.coordination._read_index import IndexReading, ReadIndex
 from rattanhollow.coordination._rendezvous import ranked
+from rattanhollow.coordination._shares import Holding, Share, ShareOwner
 from rattanhollow.coordination._suspicion import Vote, agreed
+from rattanhollow.coordination._token_bucket import TokenBucket
 
 __all__ = [
     "GROUP_KIND",
+    "LEASE_KIND",
     "NO_GROUP",
     "ORIGIN",
     "ElectionFailure",
     "GroupControl",
     "GroupState",
+    "Holding",
     "IndexReading",
+    "Lease",
     "MemberStatus",
     "Position",
     "ReadIndex",
+    "Share",
+    "ShareOwner",
     "Step",
     "Succession",
     "Survival",
+    "TokenBucket",
     "Vote",
     "agreed",
     "elect",
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -81,6 +81,39 @@
     content: bytes
 
 
+class ShareAsk(NamedTuple):
+    """What a host needs of one organisation's rate, and the share that it uses."""
+
+    organisation: str
+    demand_per_s: float
+    number: int
+    rate_per_s: float
+    burst: float
+    valid_ms: int
+
+
+class ShareQuestion(NamedTuple):
+    """Asks an owner for shares; ``host`` is the asker's incarnation."""
+
+    host: str
+    asks: tuple[ShareAsk, ...]
+
+
+class ShareGrant(NamedTuple):
+    """A share of one organisation's rate."""
+
+    organisation: str
+    number: int
+    rate_per_s: float
+    burst: float
+
+
+class ShareAnswer(NamedTuple):
+    """The shares granted; what the asked host does not own is left out."""
+
+    grants: tuple[ShareGrant, ...]
+
+
 Message = (
     SuspicionQuestion
     | SuspicionAnswer
@@ -92,6 +125,8 @@
     | FreshnessAnswer
     | ConfigurationQuestion
     | ConfigurationAnswer
+    | ShareQuestion
+    | ShareAnswer
 )
 
 MESSAGE_TYPES: dict[str, Any] = {
@@ -105,6 +140,8 @@
     "fresh": FreshnessAnswer,
     "configuration?": ConfigurationQuestion,
     "configuration": ConfigurationAnswer,
+    "shares?": ShareQuestion,
+    "shares": ShareAnswer,
 }
 _NAMES = {record: name for name, record in MESSAGE_TYPES.items()}
 
--- a/src/rattanhollow/proxy/_guards.py
+++ b/src/rattanhollow/proxy/_guards.py
@@ -15,6 +15,7 @@
     connection that a cancel was sent for is kept until the cancel arrived.
     ``key_check``: open connections end when their key is withdrawn.
     ``freshness``: a host that can't know the newest configuration stops.
+    ``rates``: organisations are held to their rates.
     """
 
     write_confirmation: bool = True
@@ -23,6 +24,7 @@
     cancel_wait: bool = True
     key_check: bool = True
     freshness: bool = True
+    rates: bool = True
 
 
 ALL_GUARDS = Guards()
--- a/src/rattanhollow/proxy/_hosts.py
+++ b/src/rattanhollow/proxy/_hosts.py
@@ -72,6 +72,13 @@
         """Return a host by name."""
         return self._records.get(name)
 
+    def by_incarnation(self, incarnation: str) -> HostRecord | None:
+        """Return a host by its incarnation."""
+        for record in self._records.values():
+            if record.incarnation == incarnation:
+                return record
+        return None
+
     def knows_key(self, public_key: str) -> bool:
         """Whether a CURVE key belongs to a host of the fleet."""
         return any(item.public_key == public_key for item in self._records.values())
--- a/src/rattanhollow/proxy/_root.py
+++ b/src/rattanhollow/proxy/_root.py
@@ -35,6 +35,7 @@
     HostQuestion,
     Message,
     Peers,
+    ShareQuestion,
     SuspicionAnswer,
     SuspicionQuestion,
     new_peer_keys,
@@ -51,6 +52,7 @@
 )
 from rattanhollow.proxy._listen import Listener, tls_context
 from rattanhollow.proxy._login import Cancel
+from rattanhollow.proxy._rates import RateParts, Rates
 from rattanhollow.proxy._service import Callers, Service
 from rattanhollow.proxy._watch_all import GroupWatches
 from rattanhollow.proxy._watch_primary import WatchParts
@@ -119,12 +121,14 @@
             rng=rng,
             watchdog=self._watchdog,
             is_fresh=self._may_serve,
+            admit=self._admit,
         )
         self._listener = Listener(self.service, tls_context(settings.listen))
         self._configurations = Follower(CONFIGURATION_KIND, self._take_stored)
         reach = Reach(self._own_record, self.hosts, self.peers, rng)
         self.freshness = Freshness(self._configurations, reach)
         self._watches = GroupWatches(self.groups, self._watch_parts())
+        self.rates = Rates(self._rate_parts())
         self._drained = trio.Event()
 
     async def run(
@@ -141,6 +145,7 @@
             nursery.start_soon(self._watches.run)
             nursery.start_soon(self._neighbours.run)
             nursery.start_soon(self.freshness.run)
+            nursery.start_soon(self.rates.run)
             nursery.start_soon(self.metrics.run)
             nursery.start_soon(self._watchdog.run)
             nursery.start_soon(self.peers.run, self.settings.peer.port)
@@ -174,6 +179,7 @@
                         caller.ending = "not run: the host is leaving"
                         caller.session_scope.cancel()
                 await trio.sleep(DRAIN_POLL_S)
+        await self.rates.release()
         await self.registration.remove()
         log_event("proxy.drained", callers_cut=callers.connected)
         self._drained.set()
@@ -271,6 +277,8 @@
             return self.freshness.answer()
         if isinstance(question, ConfigurationQuestion):
             return self.freshness.configuration()
+        if isinstance(question, ShareQuestion):
+            return self.rates.answer(question)
         if isinstance(question, CancelQuestion):
             return await answer_cancel(self.service, question)
         return None
@@ -283,6 +291,19 @@
         state = group.state if group is not None else None
         return SuspicionAnswer(host.name, host.zone, suspects, state)
 
+    def _rate_parts(self) -> RateParts:
+        return RateParts(
+            configuration=lambda: self.configuration,
+            own=self._own_record,
+            hosts=self.hosts,
+            peers=self.peers,
+            store=self._store,
+            settings=self.settings.rates,
+        )
+
+    def _admit(self, organisation: str) -> bool:
+        return not self.service.guards.rates or self.rates.admit(organisation)
+
     def _may_serve(self) -> bool:
         return not self.service.guards.freshness or self.freshness.is_fresh()
 
--- a/src/rattanhollow/proxy/_serve.py
+++ b/src/rattanhollow/proxy/_serve.py
@@ -28,6 +28,7 @@
 SQLSTATE_NOT_CARRIED = "0A000"
 SQLSTATE_FAILED_TRANSACTION = "25P02"
 SQLSTATE_LEAVING = "57P01"
+SQLSTATE_OVER_RATE = "53400"
 SQLSTATE_TRANSACTION_LOST = "40001"
 FAREWELL_S = 1.0
 
@@ -138,6 +139,8 @@
         return Ok(b"")
     if not service.is_fresh():
         return Err(not_run("this host can't learn the newest configuration"))
+    if not service.admit(caller.organisation):
+        return Err(not_run("over the organisation's rate", SQLSTATE_OVER_RATE))
     if kind is Kind.REFUSED:
         return Err(not_run(f"{statement.name} is not carried", SQLSTATE_NOT_CARRIED))
     if kind is Kind.SET_OWN:
--- a/src/rattanhollow/proxy/_service.py
+++ b/src/rattanhollow/proxy/_service.py
@@ -29,6 +29,7 @@
     rng: random.Random
     watchdog: Watchdog
     is_fresh: Callable[[], bool]
+    admit: Callable[[str], bool]
 
     @property
     def answer_timeout_ms(self) -> int:
--- a/src/rattanhollow/settings/_proxy.py
+++ b/src/rattanhollow/settings/_proxy.py
@@ -97,6 +97,16 @@
     silent_after_ms: int
 
 
+class RateSettings(NamedTuple):
+    """How rates are shared; all hosts of a fleet must have the same."""
+
+    shards: int
+    hosts_at_most: int
+    lease_ms: int
+    share_valid_ms: int
+    ask_interval_ms: int
+
+
 class ShutdownSettings(NamedTuple):
     """How a host leaves."""
 
@@ -123,6 +133,7 @@
     reads: ReadSettings
     failover: FailoverSettings
     membership: MembershipSettings
+    rates: RateSettings
     shutdown: ShutdownSettings
     metrics: MetricsSettings
 
@@ -173,6 +184,13 @@
         "ask_timeout_ms": Field(_DURATION_MS, 1_000),
         "silent_after_ms": Field(_DURATION_MS, 20_000),
     },
+    "rates": {
+        "shards": Field(integer(1, 1_000), 8),
+        "hosts_at_most": Field(integer(1, 10_000), 16),
+        "lease_ms": Field(_DURATION_MS, 45_000),
+        "share_valid_ms": Field(_DURATION_MS, 75_000),
+        "ask_interval_ms": Field(_DURATION_MS, 500),
+    },
     "shutdown": {
         "announce_ms": Field(integer(0, HOUR_MS), 5_000),
         "drain_ms": Field(_DURATION_MS, 60_000),
@@ -193,6 +211,7 @@
     """
     values = read_ini(file, content, LAYOUT)
     _check_tls(file, values["listen"])
+    _check_rates(file, values["rates"])
     return ProxySettings(
         host=HostSettings(**values["host"]),
         listen=ListenSettings(**values["listen"]),
@@ -203,6 +222,7 @@
         reads=ReadSettings(**values["reads"]),
         failover=FailoverSettings(**values["failover"]),
         membership=MembershipSettings(**values["membership"]),
+        rates=RateSettings(**values["rates"]),
         shutdown=ShutdownSettings(**values["shutdown"]),
         metrics=MetricsSettings(**values["metrics"]),
     )
@@ -213,6 +233,12 @@
     return proxy_settings_from(str(file), read_file(file))
 
 
+def _check_rates(file: str, rates: dict[str, Any]) -> None:
+    if rates["share_valid_ms"] <= rates["lease_ms"]:
+        reason = "must be longer than lease_ms, or shares lapse with each owner"
+        raise SettingsError(file, "rates", "share_valid_ms", reason)
+
+
 def _check_tls(file: str, listen: dict[str, Any]) -> None:
     has_certificate = bool(listen["tls_certificate_file"])
     if has_certificate != bool(listen["tls_key_file"]):
--- /dev/null
+++ b/tests/test_rates.py
@@ -0,0 +1,229 @@
+"""Rate and burst over the fleet: a hard bound, whatever fails."""
+
+import random
+from typing import Any
+
+import pytest
+import trio
+
+from conftest import run_trio
+from rattanhollow.configuration import apply_note, read_note
+from rattanhollow.coordination import Holding, Lease, Share, ShareOwner, TokenBucket
+from rattanhollow.proxy import ALL_GUARDS
+from rattanhollow_standins.client import connect
+from rattanhollow_standins.fleet import Fleet
+from rattanhollow_standins.store import ObjectTable, local_store
+
+RATE, BURST = 100.0, 50.0
+VALID_S, LEASE_S = 4.0, 2.0
+TICK_S = 0.02
+HOSTS = 8
+SECONDS = 60
+
+
+class Clock:
+    """A clock that the test moves."""
+
+    def __init__(self) -> None:
+        self.now_s = 1_000.0
+
+    def __call__(self) -> float:
+        """Return the time."""
+        return self.now_s
+
+
+class Host:
+    """One host's bucket and the share that it holds."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.bucket = TokenBucket(clock)
+        self.share: Share | None = None
+        self.valid_until_s = 0.0
+
+    def admit(self, obey_validity: bool) -> bool:
+        """Admit one request."""
+        if obey_validity and self.clock() >= self.valid_until_s:
+            self.bucket.resize(0, 0)
+            self.share = None
+        return self.bucket.take()
+
+    def holding(self) -> Holding | None:
+        """Return what is reported to the owner."""
+        left_s = self.valid_until_s - self.clock()
+        if self.share is None or left_s <= 0:
+            return None
+        return Holding(self.share, int(left_s * 1000))
+
+    def adopt(self, share: Share, asked_at_s: float) -> None:
+        """Use a share."""
+        self.share = share
+        self.valid_until_s = asked_at_s + VALID_S
+        self.bucket.resize(share.rate_per_s, share.burst)
+
+
+def worst_excess(admitted: list[float]) -> float:
+    """Return by how much the worst window exceeds rate and burst."""
+    worst = 0.0
+    level, last_s = 0.0, admitted[0]
+    for at_s in admitted:
+        level = max(0.0, level - (at_s - last_s) * RATE) + 1
+        last_s = at_s
+        worst = max(worst, level - BURST)
+    return worst
+
+
+def storm(seed: int, obey_validity: bool = True, confirm_first: bool = True) -> float:
+    """Let hosts ask, die, pause and lose messages and owners; the worst excess."""
+    rng = random.Random(seed)
+    clock = Clock()
+    owner = ShareOwner(VALID_S, float("-inf"), clock)
+    hosts = [Host(clock) for _ in range(HOSTS)]
+    cut: dict[int, float] = {}
+    admitted: list[float] = []
+    for _ in range(int(SECONDS / TICK_S)):
+        clock.now_s += TICK_S
+        if rng.random() < 0.008:
+            until_s = clock.now_s + VALID_S if confirm_first else float("-inf")
+            owner = ShareOwner(VALID_S, until_s, clock)
+        if rng.random() < 0.004:
+            hosts[rng.randrange(HOSTS)] = Host(clock)
+        if rng.random() < 0.03:
+            cut[rng.randrange(HOSTS)] = clock.now_s + rng.uniform(0, 2 * VALID_S)
+        hot = int(clock.now_s) % HOSTS
+        for at, host in enumerate(hosts):
+            for _ in range(8 if at == hot else 1):
+                if host.admit(obey_validity):
+                    admitted.append(clock.now_s)
+            if rng.random() < 0.1 and cut.get(at, 0) < clock.now_s:
+                demand = 500.0 if at == hot else rng.uniform(0, 20)
+                asked_at_s = clock.now_s
+                name = f"{at}-{id(host)}"
+                share = owner.grant(name, demand, host.holding(), RATE, BURST)
+                if rng.random() < 0.8:
+                    host.adopt(share, asked_at_s)
+    return worst_excess(admitted)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_the_bound_is_hard(seed: int) -> None:
+    """No window sees more than rate and burst, through deaths, cuts and losses."""
+    assert storm(seed) <= 1e-6
+
+
+def test_the_bound_breaks_without_validity() -> None:
+    """Where holders use shares past their time, the same storm exceeds the rate."""
+    assert max(storm(seed, obey_validity=False) for seed in range(6)) > 5
+
+
+def test_the_bound_breaks_without_confirming_first() -> None:
+    """Where a new owner grants at once, the same storm exceeds the rate."""
+    assert max(storm(seed, confirm_first=False) for seed in range(6)) > 5
+
+
+def test_shares_follow_demand() -> None:
+    """A host with more demand gets more, once the others have confirmed less."""
+    clock = Clock()
+    owner = ShareOwner(VALID_S, float("-inf"), clock)
+    hosts = {name: Host(clock) for name in "abc"}
+    for turn in range(40):
+        clock.now_s += 0.1
+        for name, host in hosts.items():
+            demand = 90.0 if name == ("a" if turn < 20 else "b") else 1.0
+            share = owner.grant(name, demand, host.holding(), RATE, BURST)
+            host.adopt(share, clock())
+        if turn == 19:
+            assert hosts["a"].share.rate_per_s > 0.8 * RATE
+    assert hosts["b"].share.rate_per_s > 0.8 * RATE
+    total = sum(host.share.rate_per_s for host in hosts.values())
+    assert total <= RATE + 1e-6
+
+
+@pytest.mark.parametrize("fault", ["none", "pause", "answers lost", "down"])
+def test_a_lease_has_one_holder(fault: str) -> None:
+    """Two hosts never hold a lease at once, whatever the store or a pause does."""
+
+    async def main() -> None:
+        rng = random.Random(1)
+        clock = Clock()
+        table = ObjectTable()
+        store = local_store(table, timeout_s=0.001)
+        leases = [Lease(store, "x", f"h{n}", LEASE_S, clock=clock) for n in range(3)]
+        paused = [0.0] * 3
+        held = 0
+        for turn in range(400):
+            clock.now_s += 0.1
+            table.faults.down = fault == "down" and turn % 100 > 60
+            if fault == "answers lost":
+                table.faults.lose_answers = int(rng.random() < 0.3)
+            if fault == "pause" and rng.random() < 0.05:
+                paused[rng.randrange(3)] = clock.now_s + rng.uniform(0, 3 * LEASE_S)
+            for at, lease in enumerate(leases):
+                if paused[at] < clock.now_s and rng.random() < 0.5:
+                    await lease.step()
+            holders = [lease.is_held() for lease in leases]
+            assert sum(holders) <= 1
+            held += sum(holders)
+        assert held > 150
+
+    run_trio(main)
+
+
+def test_a_released_lease_is_taken_at_once() -> None:
+    """A holder that leaves makes nobody wait."""
+
+    async def main() -> None:
+        clock = Clock()
+        store = local_store(ObjectTable())
+        one, other = (Lease(store, "x", n, LEASE_S, clock=clock) for n in "ab")
+        await one.step()
+        await other.step()
+        assert (one.is_held(), other.is_held()) == (True, False)
+        assert not one.had_predecessor
+        await one.release()
+        await other.step()
+        assert (one.is_held(), other.is_held()) == (False, True)
+        assert other.had_predecessor
+
+    run_trio(main)
+
+
+async def hammer(fleet: Fleet) -> tuple[int, float, int]:
+    """Send far more than the rate through all proxies; admitted, time, wrong."""
+    note = "[note]\nid = r\nbase = 1\noperator = ann\n"
+    note += "[change organisation kirk]\nrate_per_s = 100\nburst = 40"
+    clients = [await connect(fleet.place(number % 3)) for number in range(6)]
+    (await apply_note(fleet.store(), read_note("r", note), "ann")).unwrap()
+    while any(p.configuration.version < 2 for p in fleet.proxies.values()):
+        await trio.sleep(0.02)
+    admitted = wrong = 0
+    began_s = trio.current_time()
+
+    async def one(client: Any) -> None:
+        nonlocal admitted, wrong
+        while trio.current_time() - began_s < 4:
+            result = await client.run("SELECT 1")
+            admitted += result.error is None
+            if result.error is not None:
+                wrong += result.error.sqlstate != "53400"
+            await trio.sleep(0.004)
+
+    async with trio.open_nursery() as nursery:
+        for client in clients:
+            nursery.start_soon(one, client)
+    return admitted, trio.current_time() - began_s, wrong
+
+
+def test_a_fleet_keeps_to_the_rate(with_fleet: Any) -> None:
+    """All hosts together admit no more than rate and burst, and most of it."""
+    admitted, took_s, wrong = with_fleet(hammer)
+    assert wrong == 0
+    assert admitted <= 100 * took_s + 40
+    assert admitted >= 50 * took_s
+
+
+def test_a_fleet_exceeds_the_rate_without_limits(with_fleet: Any) -> None:
+    """With the limits off, the same load exceeds the rate."""
+    guards = ALL_GUARDS._replace(rates=False)
+    admitted, took_s, _ = with_fleet(hammer, guards=guards)
+    assert admitted > 100 * took_s + 40
