--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,10 +1,15 @@
-"""Runs the benchmarks: ``python -m benchmarks [path] [failover] [slopes]``."""
+"""Runs the benchmarks: ``python -m benchmarks [path] [failover] [slopes] [rates]``."""
 
 import sys
 
-from benchmarks import failover, path, slopes
+from benchmarks import failover, path, rates, slopes
 
-BENCHMARKS = {"path": path.run, "failover": failover.run, "slopes": slopes.run}
+BENCHMARKS = {
+    "path": path.run,
+    "failover": failover.run,
+    "slopes": slopes.run,
+    "rates": rates.run,
+}
 
 
 def main() -> int:
--- a/src/rattanhollow/coordination/_shares.py
+++ b/src/rattanhollow/coordination/_shares.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-LEAST_WEIGHT = 0.02
+LEAST_WEIGHT = 0.05
 
 
 class Share(NamedTuple):
