Changed members take effect by an election that counts the earlier ones

Cause: found while reading: a commit held by a withdrawn primary and one other member is on one member of the new set, which an election of the new set alone may leave out; an acknowledged commit could be lost by a release note. Ruled out: refusing to withdraw a primary (it may be dead); confirming by the new set at once (hosts learn of a note at different times). What changed: a term records its members and copies; commits are confirmed by these; an election needs enough of both sets; a note keeps enough members. Conclusion: a change of members costs one election.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -65,7 +65,9 @@
     )
     (await apply_note(store, read_note("bench", note), "bench")).unwrap()
     succession = Succession(1, Position(0, 0))
-    state = GroupState(1, "m0", 1, "bench", "bench", (succession,))
+    state = GroupState(
+        1, "m0", 1, "bench", "bench", (succession,), ("m0", "m1", "m2"), 1
+    )
     spec = group_state_spec(state)
     (await store.put(GROUP_KIND, "bookings", spec, 0)).unwrap()
 
--- a/src/rattanhollow/backend/_group.py
+++ b/src/rattanhollow/backend/_group.py
@@ -82,6 +82,13 @@
         """The backend server that leads, as far as this host knows."""
         return self.database.member(self.state.primary)
 
+    @property
+    def settled(self) -> bool:
+        """Whether the term's members are those of the configuration."""
+        names = {member.name for member in self.database.members}
+        agreed = set(self.state.members) == names
+        return agreed and self.state.copies == self.database.copies
+
     @property
     def replicas(self) -> list[Member]:
         """All other backend servers."""
@@ -122,6 +129,8 @@
     async def take_database(self, database: Database) -> None:
         """Take a changed description; pools of members that left are closed."""
         self.database = database
+        self._changed.set()
+        self._changed = trio.Event()
         places = {member.name: member for member in database.members}
         for name in [name for name in self._pools if name not in places]:
             await self._pools.pop(name).close()
@@ -178,18 +187,23 @@
         self._avoided[member.name] = Avoided(avoided.pause_s, trying_until_s, True)
         return False
 
+    @property
+    def _copies(self) -> int:
+        """Return how many replicas confirm in this term, whatever is configured."""
+        return self.state.copies or self.database.copies
+
     async def _ask_index(
         self, connection: BackendConnection | None
     ) -> Result[Position, Refusal]:
         timeout_ms = self._settings.lead_timeout_ms
-        command = lead_command(self.database.copies, timeout_ms)
+        command = lead_command(self._copies, timeout_ms)
         return await self._ask_primary(connection, command, timeout_ms)
 
     async def _ask_confirmed(
         self, connection: BackendConnection | None
     ) -> Result[Position, Refusal]:
         timeout_ms = self._settings.confirm_timeout_ms
-        command = confirm_command(self.database.copies, timeout_ms)
+        command = confirm_command(self._copies, timeout_ms)
         return await self._ask_primary(connection, command, timeout_ms)
 
     async def _ask_primary(
--- a/src/rattanhollow/configuration/_note.py
+++ b/src/rattanhollow/configuration/_note.py
@@ -184,10 +184,23 @@
         raise NoteError(
             file, change.section, "copies", "must be below the number of members"
         )
+    if known is not None:
+        _check_overlap(file, change, known, changed)
     databases[change.name] = changed
     return base._replace(databases=databases)
 
 
+def _check_overlap(
+    file: str, change: Change, known: Database, changed: Database
+) -> None:
+    """Refuse to change so many members that acknowledged commits could be lost."""
+    stay = {m.name for m in known.members} & {m.name for m in changed.members}
+    needed = len(known.members) - known.copies
+    if len(stay) < needed:
+        reason = f"at least {needed} members must stay; change the others later"
+        raise NoteError(file, change.section, "members", reason)
+
+
 _HANDLERS: dict[str, Callable[[str, Change, Configuration], Configuration]] = {
     "organisation": _organisation,
     "key": _key,
--- a/src/rattanhollow/coordination/_election.py
+++ b/src/rattanhollow/coordination/_election.py
@@ -102,14 +102,16 @@
     await finished(Step.CLAIM)
 
     term = state.claimed_term
-    fenced = await _fence(database, term, control, fencing)
-    needed = len(database.members) - database.copies
-    if len(fenced) < needed:
-        reason = f"{len(fenced)} of {needed} members fenced"
+    fenced = await _fence(database, state, control, fencing)
+    if not enough_fenced(database, state, {status.name for status in fenced}):
+        reason = f"only {len(fenced)} members fenced"
         return Err(ElectionFailure(Step.FENCE, reason))
     await finished(Step.FENCE)
 
-    best = max(fenced, key=lambda status: (status.end, status.name))
+    def rank(status: MemberStatus) -> tuple[Position, bool, str]:
+        return status.end, status.name == state.primary, status.name
+
+    best = max(fenced, key=rank)
     promoted = await _command(database, best.name, control.promote, term)
     if promoted.is_err():
         return Err(ElectionFailure(Step.PROMOTE, promoted.unwrap_err()))
@@ -129,6 +131,21 @@
     return Ok(published.unwrap())
 
 
+def enough_fenced(
+    database: Database, state: GroupState, fenced: Collection[str]
+) -> bool:
+    """Whether every acknowledged commit is on a fenced member.
+
+    Commits of the published term were confirmed by its members, which need
+    not be those of ``database`` any more: enough of both must be fenced.
+    """
+    names = {member.name for member in database.members}
+    if len(names & set(fenced)) < len(names) - database.copies:
+        return False
+    earlier = set(state.members)
+    return len(earlier & set(fenced)) >= len(earlier) - state.copies
+
+
 async def follow_all(
     database: Database,
     term: int,
@@ -170,9 +187,10 @@
 
 
 async def _fence(
-    database: Database, term: int, control: GroupControl, fencing: bool
+    database: Database, state: GroupState, control: GroupControl, fencing: bool
 ) -> list[MemberStatus]:
     fenced: list[MemberStatus] = []
+    term = state.claimed_term
 
     async def one(member: Member) -> None:
         if fencing:
@@ -181,7 +199,7 @@
             answer = await control.status(member)
         if answer.is_ok():
             fenced.append(answer.unwrap())
-            if len(fenced) >= len(database.members) - database.copies:
+            if enough_fenced(database, state, {status.name for status in fenced}):
                 enough.set()
 
     enough = trio.Event()
@@ -227,7 +245,11 @@
             return Ok(None)
         successions = (*state.successions, succession)[-SUCCESSIONS_KEPT:]
         published = state._replace(
-            term=succession.term, primary=primary, successions=successions
+            term=succession.term,
+            primary=primary,
+            successions=successions,
+            members=tuple(member.name for member in database.members),
+            copies=database.copies,
         )
         return Ok(group_state_spec(published))
 
--- a/src/rattanhollow/coordination/_group.py
+++ b/src/rattanhollow/coordination/_group.py
@@ -21,7 +21,9 @@
     """Who leads a group.
 
     ``term`` and ``primary`` are what was published last; ``claimed_term`` is
-    at least as high, and belongs to the election ``claim_id``.
+    at least as high, and belongs to the election ``claim_id``. ``members`` and
+    ``copies`` are those by which the term's commits are confirmed: a change of
+    them takes effect with an election only.
     """
 
     term: int
@@ -30,6 +32,8 @@
     claim_id: str
     claimed_by: str
     successions: tuple[Succession, ...] = ()
+    members: tuple[str, ...] = ()
+    copies: int = 0
 
 
 NO_GROUP = GroupState(0, "", 0, "", "")
--- a/src/rattanhollow/proxy/_watch_primary.py
+++ b/src/rattanhollow/proxy/_watch_primary.py
@@ -71,6 +71,9 @@
         interval_s = self._parts.settings.probe_interval_ms / 1000
         while True:
             await trio.sleep(interval_s * self._parts.rng.uniform(0.8, 1.2))
+            if self.group.state.term and not self.group.settled:
+                await self._change_members()
+                continue
             await self._probe()
             if self.suspects(self.group.state.term):
                 await self._replace()
@@ -129,6 +132,15 @@
         zones = {record.zone for record in self._parts.hosts.staying()}
         return len(zones | {self._parts.own().zone})
 
+    async def _change_members(self) -> None:
+        """Bring changed members into force: by an election, without suspicion."""
+        state = self.group.state
+        await trio.sleep(self._turn() * TURN_MS / 1000)
+        if self.group.state != state or self.group.settled or self._other_claims():
+            return
+        log_event("group.members", database=self.group.database.name, term=state.term)
+        await self._elect(state.term)
+
     async def _votes(self, term: int) -> list[Vote]:
         own = self._parts.own()
         votes = [Vote(own.name, own.zone, self.suspects(term))]
