--- /dev/null
+++ b/src/rattanhollow/backend/_fair_queue.py
@@ -0,0 +1,51 @@
+"""A queue that serves organisations in turn, and each one's items in order."""
+
+from collections import OrderedDict, deque
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+class FairQueue(Generic[T]):
+    """One item of each organisation a round, however many any of them has."""
+
+    def __init__(self) -> None:
+        self._queues: OrderedDict[str, deque[T]] = OrderedDict()
+        self._length = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def add(self, organisation: str, item: T) -> None:
+        """Add an item behind those of its organisation."""
+        self._queues.setdefault(organisation, deque()).append(item)
+        self._length += 1
+
+    def pop(self) -> T:
+        """Take the first item of the organisation whose turn it is.
+
+        Raises:
+            IndexError: the queue is empty.
+
+        """
+        if not self._queues:
+            raise IndexError("the queue is empty")
+        organisation, items = self._queues.popitem(last=False)
+        item = items.popleft()
+        if items:
+            self._queues[organisation] = items
+        self._length -= 1
+        return item
+
+    def remove(self, organisation: str, item: T) -> None:
+        """Take out an item that no longer waits.
+
+        Raises:
+            ValueError: it is not in the queue.
+
+        """
+        items = self._queues.get(organisation, deque())
+        items.remove(item)
+        self._length -= 1
+        if not items:
+            del self._queues[organisation]
--- a/src/rattanhollow/proxy/_guards.py
+++ b/src/rattanhollow/proxy/_guards.py
@@ -15,7 +15,8 @@
     connection that a cancel was sent for is kept until the cancel arrived.
     ``key_check``: open connections end when their key is withdrawn.
     ``freshness``: a host that can't know the newest configuration stops.
-    ``rates``: organisations are held to their rates.
+    ``rates``: organisations are held to their rates. ``fairness``: waiting
+    organisations get connections in turn.
     """
 
     write_confirmation: bool = True
@@ -25,6 +26,7 @@
     key_check: bool = True
     freshness: bool = True
     rates: bool = True
+    fairness: bool = True
 
 
 ALL_GUARDS = Guards()
--- a/src/rattanhollow/proxy/_lend.py
+++ b/src/rattanhollow/proxy/_lend.py
@@ -28,7 +28,8 @@
     caller: Caller, member: Member, service: Service
 ) -> Result[BackendConnection, str]:
     """Return a connection to ``member`` with the caller's settings in force."""
-    taken = await caller.group.pool(member).take()
+    queue = caller.organisation if service.guards.fairness else ""
+    taken = await caller.group.pool(member).take(queue)
     if taken.is_err():
         return taken
     connection: BackendConnection = taken.unwrap()
