--- a/benchmarks/failover.py
+++ b/benchmarks/failover.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from rattanhollow.coordination import Step
+from rattanhollow.coordination import GROUP_KIND, Step
 from rattanhollow_standins.client import Client, connect
 from rattanhollow_standins.fleet import Fleet
 
@@ -38,6 +38,7 @@
     old = fleet.group.primary
     assert old is not None
     if lose_answer:
+        fleet.table.faults.lose_kind = GROUP_KIND
         fleet.table.faults.lose_answers = 1
     began_s = time.monotonic()
     old.faults.cut_callers = True
--- a/src/rattanhollow_standins/store/_local.py
+++ b/src/rattanhollow_standins/store/_local.py
@@ -66,8 +66,7 @@
             return Err(failure)
         if entry is None:
             return Err(StoreFailure(Trouble.CONFLICT, f"{kind}/{name}"))
-        if table.faults.lose_answers:
-            table.faults.lose_answers -= 1
+        if table.faults.loses_answer(kind):
             await trio.sleep(timeout_s)
             return Err(StoreFailure(Trouble.UNREACHABLE, "answer lost"))
         return Ok(_stored(kind, name, entry))
--- a/src/rattanhollow_standins/store/_objects.py
+++ b/src/rattanhollow_standins/store/_objects.py
@@ -29,7 +29,8 @@
     """What is wrong with the store now.
 
     ``down`` answers nothing; ``delay_s`` delays each answer; ``lose_answers``
-    counts the next writes that take effect but get no answer; ``silent_watch``
+    counts the next writes, of ``lose_kind`` if it is set, that take effect but
+    get no answer; ``silent_watch``
     keeps watches open without a word; ``cut_addresses`` are not answered.
     """
 
@@ -37,9 +38,17 @@
         self.down = False
         self.delay_s = 0.0
         self.lose_answers = 0
+        self.lose_kind = ""
         self.silent_watch = False
         self.cut_addresses: set[str] = set()
 
+    def loses_answer(self, kind: str) -> bool:
+        """Whether the answer to this write is lost; counts it if so."""
+        if not self.lose_answers or self.lose_kind not in ("", kind):
+            return False
+        self.lose_answers -= 1
+        return True
+
     def silent_for(self, address: str) -> bool:
         """Whether ``address`` gets no answer."""
         return self.down or address in self.cut_addresses
--- a/src/rattanhollow_standins/store/_server.py
+++ b/src/rattanhollow_standins/store/_server.py
@@ -92,8 +92,8 @@
         """Do what the faults ask for after the request took effect."""
         faults = self._table.faults
         await trio.sleep(faults.delay_s)
-        if request.method in ("POST", "PUT", "DELETE") and faults.lose_answers:
-            faults.lose_answers -= 1
+        is_write = request.method in ("POST", "PUT", "DELETE")
+        if is_write and faults.loses_answer(request.kind):
             await trio.sleep_forever()
         if faults.silent_for(self._peer):
             raise _Swallowed
--- a/tests/test_writes.py
+++ b/tests/test_writes.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from rattanhollow.coordination import Step
+from rattanhollow.coordination import GROUP_KIND, Step
 from rattanhollow.pgwire import ConnectionLost
 from rattanhollow.proxy import ALL_GUARDS
 from rattanhollow_standins.client import Client, Result, connect
@@ -240,6 +240,7 @@
                 fleet.table.faults.down = True
                 nursery.start_soon(recover)
             elif fault == "answer lost":
+                fleet.table.faults.lose_kind = GROUP_KIND
                 fleet.table.faults.lose_answers = 1
             else:
                 fleet.kill_proxy(fleet.coordinator)
