Names for codes and frame types in one place; endings carry their verdict

Ruled out: nothing measured changes; behaviour is the same but for the code of a protocol violation, which is now 08P01 where 57P01 was sent.

--- a/src/rattanhollow/backend/_connection.py
+++ b/src/rattanhollow/backend/_connection.py
@@ -22,15 +22,10 @@
     startup,
     tune_socket,
 )
+from rattanhollow.pgwire.kinds import AUTHENTICATION, ERROR, KEY_DATA, PARAMETER, READY
 
 FRAME_LIMIT_BYTES = 1 << 30
-POSITION_PARAMETER = "replication_position"
 
-AUTHENTICATION = ord("R")
-KEY_DATA = ord("K")
-PARAMETER = ord("S")
-ERROR = ord("E")
-READY = ord("Z")
 
 _serials = itertools.count(1)
 
--- /dev/null
+++ b/src/rattanhollow/pgwire/kinds.py
@@ -0,0 +1,21 @@
+"""The type bytes of frames: first those of callers, then those of servers."""
+
+QUERY = ord("Q")
+PARSE = ord("P")
+BIND = ord("B")
+DESCRIBE = ord("D")
+EXECUTE = ord("E")
+CLOSE = ord("C")
+SYNC = ord("S")
+FLUSH = ord("H")
+TERMINATE = ord("X")
+PASSWORD = ord("p")
+
+AUTHENTICATION = ord("R")
+KEY_DATA = ord("K")
+PARAMETER = ord("S")
+ERROR = ord("E")
+READY = ord("Z")
+COMMAND_COMPLETE = ord("C")
+PARSE_COMPLETE = ord("1")
+CLOSE_COMPLETE = ord("3")
--- a/src/rattanhollow/proxy/_batch.py
+++ b/src/rattanhollow/proxy/_batch.py
@@ -16,19 +16,20 @@
     parse_statement,
     rename_bind,
 )
+from rattanhollow.pgwire.kinds import (
+    BIND,
+    CLOSE,
+    DESCRIBE,
+    EXECUTE,
+    FLUSH,
+    PARSE,
+    QUERY,
+    SYNC,
+    TERMINATE,
+)
 from rattanhollow.proxy._caller import Caller, PreparedStatement
 from rattanhollow.sql import Kind, Statement, together
 
-QUERY = ord("Q")
-PARSE = ord("P")
-BIND = ord("B")
-DESCRIBE = ord("D")
-EXECUTE = ord("E")
-CLOSE = ord("C")
-SYNC = ord("S")
-FLUSH = ord("H")
-TERMINATE = ord("X")
-FUNCTION_CALL = ord("F")
 COPY_FRAMES = frozenset(b"dcf")
 BATCH_FRAMES = frozenset({PARSE, BIND, DESCRIBE, EXECUTE, CLOSE})
 LARGEST_BATCH_BYTES = 64 << 20
--- a/src/rattanhollow/proxy/_caller.py
+++ b/src/rattanhollow/proxy/_caller.py
@@ -8,9 +8,9 @@
 from rattanhollow.configuration import Key, Organisation, Scope
 from rattanhollow.coordination import ORIGIN, Position
 from rattanhollow.pgwire import Wire, parameter_status
+from rattanhollow.verdict import Refusal
 
 IDLE = b"I"
-IN_TRANSACTION = b"T"
 FAILED = b"E"
 TOKEN_SETTING = "rattanhollow.token"
 
@@ -29,11 +29,12 @@
 
     ``limits`` is what is configured for its organisation. ``floor`` is the
     position that its reads must see; ``exact`` is set once the caller brought
-    a token, so that no index is asked for. ``pinned`` is the connection that holds its transaction or its session state, ``term``
-    the term in which that began; ``running`` the one that works for it now.
-    ``relayed``
-    whether it was sent some of the answer to its request, ``busy`` whether
-    one is under way. ``ending`` is why the session must end, if it must.
+    a token, so that no index is asked for. ``pinned`` is the connection that
+    holds its transaction or its session state, ``term`` the term in which that
+    began; ``running`` is the connection that works for it now. ``relayed`` is
+    whether it was sent some of the answer to its request, ``busy`` whether one
+    is under way. ``ending`` is what it is told where the session
+    must end.
     """
 
     def __init__(
@@ -56,7 +57,7 @@
         self.running: BackendConnection | None = None
         self.process_id = 0
         self.secret = 0
-        self.ending: str = ""
+        self.ending: Refusal | None = None
         self.cancel_lock = trio.Lock()
         self.session_scope = trio.CancelScope()
         self.began_at_s = time.monotonic()
--- a/src/rattanhollow/proxy/_drain.py
+++ b/src/rattanhollow/proxy/_drain.py
@@ -3,6 +3,7 @@
 import trio
 
 from rattanhollow.proxy._service import Callers
+from rattanhollow.verdict import not_run, sqlstates
 
 POLL_S = 0.05
 
@@ -17,6 +18,7 @@
         while callers.connected:
             for caller in callers.all():
                 if caller.idle:
-                    caller.ending = "not run: the host is leaving"
+                    reason = "the host is leaving"
+                    caller.ending = not_run(reason, sqlstates.LEAVING)
                     caller.session_scope.cancel()
             await trio.sleep(POLL_S)
--- a/src/rattanhollow/proxy/_exchange.py
+++ b/src/rattanhollow/proxy/_exchange.py
@@ -16,14 +16,16 @@
     error_fields,
     parameter,
 )
+from rattanhollow.pgwire.kinds import (
+    CLOSE_COMPLETE,
+    COMMAND_COMPLETE,
+    ERROR,
+    PARAMETER,
+    PARSE_COMPLETE,
+    READY,
+)
 from rattanhollow.proxy._batch import Prepared
 
-PARSE_COMPLETE = ord("1")
-CLOSE_COMPLETE = ord("3")
-COMMAND_COMPLETE = ord("C")
-ERROR = ord("E")
-PARAMETER = ord("S")
-READY = ord("Z")
 COPY_ANSWERS = frozenset(b"GHW")
 ANSWER_ENDS = frozenset(b"123CIsTnE")
 POSITION_PREFIX = b"replication_position\0"
--- a/src/rattanhollow/proxy/_listen.py
+++ b/src/rattanhollow/proxy/_listen.py
@@ -9,7 +9,6 @@
 from rattanhollow.observe import log_event
 from rattanhollow.pgwire import ConnectionLost, ProtocolViolation, tune_socket
 from rattanhollow.proxy._login import (
-    SQLSTATE_TOO_MANY,
     Cancel,
     log_in,
     read_startup,
@@ -18,7 +17,7 @@
 from rattanhollow.proxy._serve import serve
 from rattanhollow.proxy._service import Service
 from rattanhollow.settings import ListenSettings
-from rattanhollow.verdict import not_run
+from rattanhollow.verdict import not_run, sqlstates
 
 ACCEPT_PAUSE_S = 0.1
 BACKLOG = 512
@@ -118,7 +117,7 @@
                 await on_cancel(startup)
                 return
             if service.callers.connected > limits.callers:
-                refusal = not_run("too many callers", SQLSTATE_TOO_MANY)
+                refusal = not_run("too many callers", sqlstates.TOO_MANY)
                 await refuse(startup.stream, refusal)
                 return
             caller = await log_in(startup, service)
--- a/src/rattanhollow/proxy/_local.py
+++ b/src/rattanhollow/proxy/_local.py
@@ -11,15 +11,14 @@
     ready_for_query,
     row_description,
 )
-from rattanhollow.proxy._batch import BIND, CLOSE, DESCRIBE, EXECUTE, PARSE, Batch
+from rattanhollow.pgwire.kinds import BIND, CLOSE, DESCRIBE, EXECUTE, PARSE
+from rattanhollow.proxy._batch import Batch
 from rattanhollow.proxy._caller import TOKEN_SETTING, Caller
-from rattanhollow.verdict import Refusal, not_run
+from rattanhollow.verdict import Refusal, not_run, sqlstates
 
 OWN_PREFIX = "rattanhollow."
 SCOPE_SETTING = "rattanhollow.scope"
 AGE_SETTING = "rattanhollow.max_age_ms"
-SQLSTATE_UNKNOWN_SETTING = "42704"
-SQLSTATE_BAD_VALUE = "22023"
 LARGEST_AGE_MS = 86_400_000
 
 _SIMPLE_ANSWERS = {
@@ -33,11 +32,11 @@
 def set_own(caller: Caller, name: str, value: str) -> Result[None, Refusal]:
     """Make one setting: a token, the scope, or the age that reads may have."""
     if name not in (TOKEN_SETTING, SCOPE_SETTING, AGE_SETTING):
-        return Err(not_run(f"no setting {name}", SQLSTATE_UNKNOWN_SETTING))
+        return Err(not_run(f"no setting {name}", sqlstates.UNKNOWN_SETTING))
     try:
         _set(caller, name, value)
     except ValueError as error:
-        return Err(not_run(f"{name}: {error}", SQLSTATE_BAD_VALUE))
+        return Err(not_run(f"{name}: {error}", sqlstates.BAD_VALUE))
     return Ok(None)
 
 
@@ -73,7 +72,7 @@
         AGE_SETTING: str(caller.max_age_ms),
     }
     if name not in values:
-        return Err(not_run(f"no setting {name}", SQLSTATE_UNKNOWN_SETTING))
+        return Err(not_run(f"no setting {name}", sqlstates.UNKNOWN_SETTING))
     rows = data_row([values[name].encode()]) + command_complete("SHOW")
     return Ok(_wrapped(caller, batch, row_description([name]), rows))
 
--- a/src/rattanhollow/proxy/_login.py
+++ b/src/rattanhollow/proxy/_login.py
@@ -21,10 +21,11 @@
     parameter_status,
     ready_for_query,
 )
+from rattanhollow.pgwire.kinds import PASSWORD
 from rattanhollow.proxy._caller import IDLE, Caller
 from rattanhollow.proxy._local import OWN_PREFIX, set_own
 from rattanhollow.proxy._service import Service
-from rattanhollow.verdict import Refusal, not_run
+from rattanhollow.verdict import Refusal, not_run, sqlstates
 
 TLS_REQUEST = 80_877_103
 GSS_REQUEST = 80_877_104
@@ -32,13 +33,7 @@
 PROTOCOL_3_0 = 196_608
 PROTOCOL_MAJOR = 3
 LARGEST_STARTUP_BYTES = 10_000
-PASSWORD = ord("p")
 
-SQLSTATE_BAD_LOGIN = "28P01"
-SQLSTATE_NO_DATABASE = "3D000"
-SQLSTATE_TOO_MANY = "53300"
-SQLSTATE_NOT_CARRIED = "0A000"
-SQLSTATE_TLS_NEEDED = "28000"
 
 REPORTED = {
     "server_version": "15.0",
@@ -97,7 +92,7 @@
         else:
             raise ProtocolViolation(f"unknown protocol {code}")
     if require_tls and not encrypted:
-        await refuse(stream, not_run("TLS is required", SQLSTATE_TLS_NEEDED))
+        await refuse(stream, not_run("TLS is required", sqlstates.TLS_NEEDED))
         raise ConnectionLost("no TLS")
     parts = cstrings(body)
     names, values = parts[0:-1:2], parts[1:-1:2]
@@ -145,7 +140,7 @@
     wire = Wire(login.stream, service.settings.limits.frame_bytes)
     parameters = login.parameters
     if parameters.get("replication", "false") not in ("false", "off", "0"):
-        refusal = not_run("replication mode is not carried", SQLSTATE_NOT_CARRIED)
+        refusal = not_run("replication mode is not carried", sqlstates.NOT_CARRIED)
         await refuse(login.stream, refusal)
         return None
     if login.minor_version:
@@ -159,11 +154,11 @@
         return None
     if key is None:
         log_event("caller.refused", organisation=organisation, reason="bad key")
-        refusal = not_run("no such organisation and key", SQLSTATE_BAD_LOGIN)
+        refusal = not_run("no such organisation and key", sqlstates.BAD_LOGIN)
         await refuse(login.stream, refusal)
         return None
     if group is None:
-        refusal = not_run("no such database", SQLSTATE_NO_DATABASE)
+        refusal = not_run("no such database", sqlstates.NO_DATABASE)
         await refuse(login.stream, refusal)
         return None
     limits = service.configuration().organisations[organisation]
--- a/src/rattanhollow/proxy/_on_primary.py
+++ b/src/rattanhollow/proxy/_on_primary.py
@@ -12,10 +12,8 @@
 from rattanhollow.proxy._lend import UNKNOWN_SETTINGS, drop, release, take, take_ready
 from rattanhollow.proxy._service import Service
 from rattanhollow.sql import Kind
-from rattanhollow.verdict import Refusal, may_have_run, not_run
+from rattanhollow.verdict import Refusal, may_have_run, not_run, sqlstates
 
-READ_ONLY_SQLSTATE = "25006"
-SQLSTATE_TRANSACTION_LOST = "40001"
 RETRY_PAUSE_S = 0.05
 
 MAY_END_TRANSACTION = frozenset({Kind.COMMIT, Kind.UNKNOWN, Kind.PIN})
@@ -150,7 +148,7 @@
         return False
     if outcome.position is not None:
         return False
-    return outcome.error.sqlstate == READ_ONLY_SQLSTATE and outcome.status == IDLE
+    return outcome.error.sqlstate == sqlstates.READ_ONLY and outcome.status == IDLE
 
 
 def _lost(
@@ -160,5 +158,5 @@
     caller.lose_transaction(ended=ends)
     if in_transaction and not ends:
         reason = f"the transaction was rolled back: {broken.reason}"
-        return not_run(reason, SQLSTATE_TRANSACTION_LOST)
+        return not_run(reason, sqlstates.TRANSACTION_LOST)
     return may_have_run(broken.reason)
--- a/src/rattanhollow/proxy/_on_replica.py
+++ b/src/rattanhollow/proxy/_on_replica.py
@@ -15,21 +15,17 @@
     parameter,
     query,
 )
+from rattanhollow.pgwire.kinds import ERROR, PARAMETER, READY
 from rattanhollow.proxy._batch import Batch, prepare
 from rattanhollow.proxy._caller import IDLE, Caller
 from rattanhollow.proxy._exchange import Outcome, Relay, receive_answer
 from rattanhollow.proxy._lend import drop, release, take, take_ready
 from rattanhollow.proxy._service import Service
-from rattanhollow.verdict import Refusal, may_have_run, not_run
+from rattanhollow.verdict import Refusal, may_have_run, not_run, sqlstates
 
 APPLIED_PARAMETER = "replication_applied"
 FLOOR_ANSWER_ALLOWANCE_MS = 500
 RETRY_PAUSE_S = 0.02
-READ_ONLY_SQLSTATE = "25006"
-
-ERROR = ord("E")
-PARAMETER = ord("S")
-READY = ord("Z")
 
 
 async def run_read(
@@ -224,7 +220,7 @@
 def _is_no_read(caller: Caller, outcome: Outcome) -> bool:
     if outcome.error is None or caller.relayed:
         return False
-    return outcome.error.sqlstate == READ_ONLY_SQLSTATE
+    return outcome.error.sqlstate == sqlstates.READ_ONLY
 
 
 def _count(caller: Caller, member: Member, service: Service) -> None:
--- a/src/rattanhollow/proxy/_root.py
+++ b/src/rattanhollow/proxy/_root.py
@@ -50,6 +50,7 @@
 from rattanhollow.settings import ProxySettings
 from rattanhollow.sql import classifier
 from rattanhollow.store import Follower, ObjectStore, Stored, follow, http_store
+from rattanhollow.verdict import Refusal, Verdict, sqlstates
 
 CONFIRM_TIMEOUT_MS = 2_000
 
@@ -232,8 +233,9 @@
                 caller.limits = limits
             known = configuration.has_key(caller.organisation, caller.key)
             if self.service.guards.key_check and not known:
-                verdict = "may have run" if caller.busy else "not run"
-                caller.ending = f"{verdict}: the key was withdrawn"
+                verdict = Verdict.MAY_HAVE_RUN if caller.busy else Verdict.NOT_RUN
+                reason = "the key was withdrawn"
+                caller.ending = Refusal(verdict, sqlstates.LEAVING, reason)
                 caller.session_scope.cancel()
 
     def _take_group(self, stored: Stored | None, name: str) -> None:
--- a/src/rattanhollow/proxy/_serve.py
+++ b/src/rattanhollow/proxy/_serve.py
@@ -13,23 +13,18 @@
     error_response,
     ready_for_query,
 )
-from rattanhollow.proxy._batch import SYNC, Batch, read_batch, understand
+from rattanhollow.pgwire.kinds import ERROR, SYNC
+from rattanhollow.proxy._batch import Batch, read_batch, understand
 from rattanhollow.proxy._caller import FAILED, IDLE, Caller
-from rattanhollow.proxy._exchange import ERROR, CallerLost, Relay
+from rattanhollow.proxy._exchange import CallerLost, Relay
 from rattanhollow.proxy._lend import end_session
 from rattanhollow.proxy._local import run_deallocate, run_discard, run_set, run_show
 from rattanhollow.proxy._on_primary import run_on_primary, run_over
 from rattanhollow.proxy._on_replica import run_read
 from rattanhollow.proxy._service import Service
 from rattanhollow.sql import Kind
-from rattanhollow.verdict import Refusal, not_run
-
-SQLSTATE_PROTOCOL = "08P01"
-SQLSTATE_NOT_CARRIED = "0A000"
-SQLSTATE_FAILED_TRANSACTION = "25P02"
-SQLSTATE_LEAVING = "57P01"
-SQLSTATE_OVER_RATE = "53400"
-SQLSTATE_TRANSACTION_LOST = "40001"
+from rattanhollow.verdict import Refusal, not_run, sqlstates
+
 FAREWELL_S = 1.0
 
 Answered = Result[bytes, Refusal]
@@ -40,13 +35,13 @@
     reason = "closed by the caller"
     # The key may have been withdrawn while the login was under way.
     if not service.configuration().has_key(caller.organisation, caller.key):
-        caller.ending = "not run: the key was withdrawn"
+        caller.ending = not_run("the key was withdrawn", sqlstates.LEAVING)
         caller.session_scope.cancel()
     try:
         with caller.session_scope:
             reason = await _requests(caller, service)
-        if caller.ending:
-            reason = caller.ending
+        if caller.ending is not None:
+            reason = caller.ending.message
     finally:
         await end_session(caller)
         with trio.move_on_after(FAREWELL_S, shield=True):
@@ -60,9 +55,10 @@
 
 
 async def _say_farewell(caller: Caller) -> None:
-    if not caller.ending:
+    ending = caller.ending
+    if ending is None:
         return
-    refusal = error_response(SQLSTATE_LEAVING, caller.ending, "FATAL")
+    refusal = error_response(ending.sqlstate, ending.message, "FATAL")
     try:
         await caller.wire.send(refusal)
     except ConnectionLost:
@@ -77,7 +73,7 @@
             frames = await _next_request(caller, service)
             caller.busy = True
             if frames is None:
-                return caller.ending or "closed by the caller"
+                return "closed by the caller"
             caller.relayed = False
             batch = understand(caller, frames, service.classify)
             answered = await _answer(caller, batch, service, relay)
@@ -87,7 +83,7 @@
         except (ConnectionLost, CallerLost):
             return "connection lost"
         except ProtocolViolation as error:
-            caller.ending = f"{SQLSTATE_PROTOCOL} not run: {error}"
+            caller.ending = not_run(str(error), sqlstates.PROTOCOL)
             return str(error)
 
 
@@ -118,13 +114,14 @@
     """Return the next request, or None where the session has to end."""
     if caller.status == IDLE and not caller.flushed:
         if service.callers.leaving and not caller.wire.has_frames:
-            caller.ending = "not run: the host is leaving"
+            caller.ending = not_run("the host is leaving", sqlstates.LEAVING)
             return None
         return await read_batch(caller.wire)
     idle_s = service.settings.limits.transaction_idle_ms / 1000
     with trio.move_on_after(idle_s):
         return await read_batch(caller.wire)
-    caller.ending = "not run: the transaction was idle for too long"
+    reason = "the transaction was idle for too long"
+    caller.ending = not_run(reason, sqlstates.LEAVING)
     return None
 
 
@@ -139,9 +136,9 @@
         return Err(not_run("this host can't learn the newest configuration"))
     name = caller.organisation
     if not service.admit(name) and not await service.admit_soon(name):
-        return Err(not_run("over the organisation's rate", SQLSTATE_OVER_RATE))
+        return Err(not_run("over the organisation's rate", sqlstates.OVER_RATE))
     if kind is Kind.REFUSED:
-        return Err(not_run(f"{statement.name} is not carried", SQLSTATE_NOT_CARRIED))
+        return Err(not_run(f"{statement.name} is not carried", sqlstates.NOT_CARRIED))
     if kind is Kind.SET_OWN:
         return run_set(caller, batch)
     if kind is Kind.SHOW_OWN:
@@ -155,7 +152,7 @@
         return _end_lost_transaction(caller, batch)
     if kind is Kind.SEQUENCE_STATE and caller.status == IDLE:
         reason = "currval and lastval outside a transaction are not carried"
-        return Err(not_run(reason, SQLSTATE_NOT_CARRIED))
+        return Err(not_run(reason, sqlstates.NOT_CARRIED))
     if caller.pinned is not None:
         return await _on_pinned(caller, batch, service, relay)
     if kind in (Kind.READ, Kind.BEGIN_READ_ONLY) and not batch.flushed:
@@ -183,14 +180,14 @@
         await end_session(caller)
         caller.lose_transaction(ended=kind in (Kind.COMMIT, Kind.ROLLBACK))
         reason = "the transaction was rolled back: the primary was replaced"
-        return Err(not_run(reason, SQLSTATE_TRANSACTION_LOST))
+        return Err(not_run(reason, sqlstates.TRANSACTION_LOST))
     if kind is Kind.PIN:
         caller.pinned_for_good = True
     deadline_s = service.deadline_s()
     ran = await run_over(caller, connection, batch, service, relay, deadline_s)
     if ran is None:
         reason = "the transaction was rolled back: the server leads no more"
-        return Err(not_run(reason, SQLSTATE_TRANSACTION_LOST))
+        return Err(not_run(reason, sqlstates.TRANSACTION_LOST))
     if kind is Kind.SET:
         _keep_setting(caller, batch, ran)
     return ran
@@ -200,10 +197,10 @@
     """Answer a caller whose transaction was lost until it has ended it."""
     if batch.statement.kind not in (Kind.COMMIT, Kind.ROLLBACK):
         reason = "the transaction was lost; end it first"
-        return Err(not_run(reason, SQLSTATE_FAILED_TRANSACTION))
+        return Err(not_run(reason, sqlstates.FAILED_TRANSACTION))
     if not batch.simple:
-        caller.ending = "not run: the transaction was lost"
-        return Err(not_run("the transaction was lost"))
+        caller.ending = not_run("the transaction was lost")
+        return Err(caller.ending)
     caller.status = IDLE
     return Ok(command_complete("ROLLBACK") + ready_for_query(IDLE))
 
--- a/src/rattanhollow/verdict/_verdict.py
+++ b/src/rattanhollow/verdict/_verdict.py
@@ -3,8 +3,7 @@
 import enum
 from typing import NamedTuple
 
-SQLSTATE_UNAVAILABLE = "57P03"
-SQLSTATE_UNKNOWN_OUTCOME = "08007"
+from rattanhollow.verdict import sqlstates
 
 
 class Verdict(enum.Enum):
@@ -32,16 +31,11 @@
         return f"{self.verdict.value}: {self.reason}"
 
 
-def not_run(reason: str, sqlstate: str = SQLSTATE_UNAVAILABLE) -> Refusal:
+def not_run(reason: str, sqlstate: str = sqlstates.UNAVAILABLE) -> Refusal:
     """Refuse a request of which no byte was executed; it may be repeated."""
     return Refusal(Verdict.NOT_RUN, sqlstate, reason)
 
 
 def may_have_run(reason: str) -> Refusal:
     """Refuse a request whose effect is unknown; the caller must check."""
-    return Refusal(Verdict.MAY_HAVE_RUN, SQLSTATE_UNKNOWN_OUTCOME, reason)
-
-
-def refused_by_backend(sqlstate: str, reason: str) -> Refusal:
-    """Refuse a request that a backend server turned down before execution."""
-    return Refusal(Verdict.NOT_RUN, sqlstate, reason)
+    return Refusal(Verdict.MAY_HAVE_RUN, sqlstates.UNKNOWN_OUTCOME, reason)
--- a/src/rattanhollow_standins/database/_group.py
+++ b/src/rattanhollow_standins/database/_group.py
@@ -74,10 +74,6 @@
         """Return a member by name."""
         return self.members.get(name)
 
-    def open_connections(self, name: str) -> int:
-        """Count the connections to a member."""
-        return len(self._connections[name])
-
     def silence_open(self, name: str) -> None:
         """Make all connections open now go silent for good; new ones work."""
         member = self.members[name]
