Reads wait longer at replicas, but not at those too far behind

Ruled out: 200 ms of wait (same share, no gain); a floor by organisation (needs an answer of every other proxy for each read).

--- a/src/rattanhollow/backend/_group.py
+++ b/src/rattanhollow/backend/_group.py
@@ -31,6 +31,7 @@
 
 ANSWER_ALLOWANCE_MS = 200
 AVOID_LOW_S = 0.5
+BEHIND_PAUSE_S = 1.0
 AVOID_HIGH_S = 5.0
 
 
@@ -74,6 +75,7 @@
         self._settings = settings
         self._rng = rng
         self._avoided: dict[str, Avoided] = {}
+        self._behind_until_s: dict[str, float] = {}
         self._pools: dict[str, Pool] = {}
         self._changed = trio.Event()
 
@@ -162,20 +164,27 @@
 
         The less loaded of two random ones comes first among those that were
         seen to have ``floor``; those that may lack it come behind. One that
-        failed lately is left out, but for one read that tries it again.
+        failed lately is left out, but for one read that tries it again, and so
+        is one that lately lacked a floor for longer than reads wait.
         """
         ready: list[Member] = []
         behind: list[Member] = []
         for member in self.replicas:
             if self._is_avoided(member):
                 continue
-            has_floor = self.applied.get(member.name, ORIGIN) >= floor
-            (ready if has_floor else behind).append(member)
+            if self.applied.get(member.name, ORIGIN) >= floor:
+                ready.append(member)
+            elif self._behind_until_s.get(member.name, 0.0) < time.monotonic():
+                behind.append(member)
         self._rng.shuffle(ready)
         if len(ready) > 1:
             ready[:2] = sorted(ready[:2], key=lambda m: self.pool(m).outstanding)
         return ready + behind
 
+    def saw_behind(self, member: Member) -> None:
+        """Let no read wait for a replica that is too far behind, for a while."""
+        self._behind_until_s[member.name] = time.monotonic() + BEHIND_PAUSE_S
+
     def _is_avoided(self, member: Member) -> bool:
         avoided = self._avoided.get(member.name)
         now_s = time.monotonic()
--- a/src/rattanhollow/proxy/_on_replica.py
+++ b/src/rattanhollow/proxy/_on_replica.py
@@ -125,6 +125,8 @@
     outcome = await _read_over(
         caller, batch, connection, floor, wait_ms, service, relay
     )
+    if outcome is None and wait_ms and connection.usable:
+        caller.group.saw_behind(member)
     if outcome is None and connection.usable:
         await release(caller, connection, IDLE, service)
         return None
--- a/src/rattanhollow/settings/_proxy.py
+++ b/src/rattanhollow/settings/_proxy.py
@@ -172,7 +172,7 @@
         "callers": Field(integer(1, 100_000), 5_000),
         "send_timeout_ms": Field(_DURATION_MS, 30_000),
     },
-    "reads": {"replica_wait_ms": Field(integer(0, HOUR_MS), 10)},
+    "reads": {"replica_wait_ms": Field(integer(0, HOUR_MS), 60)},
     "failover": {
         "probe_interval_ms": Field(_DURATION_MS, 250),
         "probe_timeout_ms": Field(_DURATION_MS, 500),
