A replica is too far behind only for the floor that it lacked; measures again

A read that needed the newest position kept reads with an older floor away for a second, and forgot what the replica had been seen to have.

--- a/src/rattanhollow/backend/_group.py
+++ b/src/rattanhollow/backend/_group.py
@@ -57,6 +57,13 @@
     trying: bool = False
 
 
+class Behind(NamedTuple):
+    """A floor that a replica lacked; not waited for until ``until_s``, monotonic."""
+
+    floor: Position
+    until_s: float
+
+
 class Group:
     """One database group.
 
@@ -75,7 +82,7 @@
         self._settings = settings
         self._rng = rng
         self._avoided: dict[str, Avoided] = {}
-        self._behind_until_s: dict[str, float] = {}
+        self._behind: dict[str, Behind] = {}
         self._pools: dict[str, Pool] = {}
         self._changed = trio.Event()
 
@@ -174,16 +181,23 @@
                 continue
             if self.applied.get(member.name, ORIGIN) >= floor:
                 ready.append(member)
-            elif self._behind_until_s.get(member.name, 0.0) < time.monotonic():
+            elif not self._is_behind(member, floor):
                 behind.append(member)
         self._rng.shuffle(ready)
         if len(ready) > 1:
             ready[:2] = sorted(ready[:2], key=lambda m: self.pool(m).outstanding)
         return ready + behind
 
-    def saw_behind(self, member: Member) -> None:
-        """Let no read wait for a replica that is too far behind, for a while."""
-        self._behind_until_s[member.name] = time.monotonic() + BEHIND_PAUSE_S
+    def saw_behind(self, member: Member, floor: Position) -> None:
+        """Let no read of ``floor`` or later wait for a replica, for a while."""
+        until_s = time.monotonic() + BEHIND_PAUSE_S
+        self._behind[member.name] = Behind(floor, until_s)
+
+    def _is_behind(self, member: Member, floor: Position) -> bool:
+        behind = self._behind.get(member.name)
+        if behind is None or behind.until_s < time.monotonic():
+            return False
+        return floor >= behind.floor
 
     def _is_avoided(self, member: Member) -> bool:
         avoided = self._avoided.get(member.name)
--- a/src/rattanhollow/proxy/_on_replica.py
+++ b/src/rattanhollow/proxy/_on_replica.py
@@ -126,7 +126,7 @@
         caller, batch, connection, floor, wait_ms, service, relay
     )
     if outcome is None and wait_ms and connection.usable:
-        caller.group.saw_behind(member)
+        caller.group.saw_behind(member, floor)
     if outcome is None and connection.usable:
         await release(caller, connection, IDLE, service)
         return None
@@ -176,6 +176,9 @@
         await connection.wire.send(check + prepared.data if together else check)
         has_floor = await _read_floor_answer(caller, connection)
         if not has_floor:
+            if wait_ms == 0:
+                # It was seen further than it is: what was seen is not true.
+                caller.group.saw_applied(connection.member, ORIGIN)
             if together:
                 await connection.read_until_ready()
             connection.wire.expire_never()
@@ -203,7 +206,6 @@
         for at, frame in enumerate(frames):
             if frame.kind == ERROR:
                 has_floor = False
-                caller.group.saw_applied(connection.member, ORIGIN)
             elif frame.kind == PARAMETER:
                 _take_parameter(caller, connection, frame)
             elif frame.kind == READY:
