Seams for a second protocol: statements, work, the platform's line wire and store

Cause: decisions are tied to PostgreSQL frames; the platform speaks lines. Adds wire-neutral statements, work between hosts, the adapter's codecs, links between hosts that tell whether a question was sent and find silent hosts. Hosts, freshness and rates move out of proxy, which imports PostgreSQL.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -28,6 +28,7 @@
     spec_of,
 )
 from rattanhollow.coordination import GroupState, Position, Succession, ranked
+from rattanhollow.membership import HostRecord
 from rattanhollow.peer import (
     PeerAddress,
     Peers,
@@ -37,7 +38,6 @@
 )
 from rattanhollow.peer._messages import encode
 from rattanhollow.pgwire import Watchdog, Wire
-from rattanhollow.proxy._hosts import HostRecord
 from rattanhollow.records import to_spec
 from rattanhollow.sql import classify
 from rattanhollow.store import Follower, follow, http_store
--- a/src/rattanhollow/backend/_connection.py
+++ b/src/rattanhollow/backend/_connection.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from rattanhollow.configuration import Member
+from rattanhollow.net import CALLER_KEEPALIVE, tune_socket
 from rattanhollow.pgwire import (
     ConnectionLost,
     Frame,
@@ -20,7 +21,6 @@
     password,
     query,
     startup,
-    tune_socket,
 )
 from rattanhollow.pgwire.kinds import AUTHENTICATION, ERROR, KEY_DATA, PARAMETER, READY
 
@@ -155,7 +155,7 @@
     database: str,
     credentials: Credentials,
 ) -> Result[BackendConnection, str]:
-    tune_socket(stream)
+    tune_socket(stream, CALLER_KEEPALIVE)
     wire = Wire(stream, FRAME_LIMIT_BYTES)
     descriptor = stream.socket.fileno()
     connection = BackendConnection(wire, descriptor, member, database)
--- a/src/rattanhollow/configuration/__init__.py
+++ b/src/rattanhollow/configuration/__init__.py
@@ -30,14 +30,23 @@
     parse_members,
     read_note,
 )
+from rattanhollow.configuration._routes import (
+    NO_ROUTES,
+    Consistency,
+    Route,
+    RouteTable,
+    Service,
+)
 
 __all__ = [
     "AUDIT_KIND",
     "CONFIGURATION_KIND",
     "CONFIGURATION_NAME",
     "EMPTY",
+    "NO_ROUTES",
     "Change",
     "Configuration",
+    "Consistency",
     "Database",
     "Key",
     "Member",
@@ -45,6 +54,9 @@
     "Organisation",
     "Outcome",
     "ReleaseNote",
+    "Route",
+    "RouteTable",
+    "Service",
     "Scope",
     "apply_note",
     "current_configuration",
--- /dev/null
+++ b/src/rattanhollow/membership/__init__.py
@@ -0,0 +1,24 @@
+"""The hosts of the fleet: their records, whether they live, what they know."""
+
+from rattanhollow.membership._freshness import Freshness, Reach
+from rattanhollow.membership._hosts import (
+    HOST_KIND,
+    REPORT_KIND,
+    HostDirectory,
+    HostRecord,
+    HostReport,
+    NeighbourWatch,
+    Registration,
+)
+
+__all__ = [
+    "HOST_KIND",
+    "REPORT_KIND",
+    "Freshness",
+    "HostDirectory",
+    "HostRecord",
+    "HostReport",
+    "NeighbourWatch",
+    "Reach",
+    "Registration",
+]
--- a/src/rattanhollow/proxy/_freshness.py
+++ b/src/rattanhollow/membership/_freshness.py
@@ -15,6 +15,7 @@
 import msgspec
 import trio
 
+from rattanhollow.membership._hosts import HostDirectory, HostRecord
 from rattanhollow.observe import log_event
 from rattanhollow.peer import (
     ConfigurationAnswer,
@@ -24,7 +25,6 @@
     Message,
     Peers,
 )
-from rattanhollow.proxy._hosts import HostDirectory, HostRecord
 from rattanhollow.store import Follower, Stored
 
 CHECK_INTERVAL_S = 0.5
--- /dev/null
+++ b/src/rattanhollow/net/_http_server.py
@@ -0,0 +1,73 @@
+"""A small HTTP/1.1 server for questions without a body: readiness, metrics."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import h11
+import trio
+
+RECEIVE_BYTES = 8_192
+REQUEST_TIMEOUT_S = 30.0
+
+
+class HttpReply(NamedTuple):
+    """What a question is answered with."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = "text/plain; charset=utf-8"
+
+
+Answer = Callable[[str, str], HttpReply]
+
+
+async def serve_http(listener: trio.SocketListener, answer: Answer) -> None:
+    """Answer each request by ``answer(method, path)``, until cancelled."""
+
+    async def serve_one(stream: trio.SocketStream) -> None:
+        try:
+            await _serve(stream, answer)
+        except (trio.BrokenResourceError, h11.ProtocolError, OSError):
+            return
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    await trio.serve_listeners(serve_one, [listener])
+
+
+async def _serve(stream: trio.SocketStream, answer: Answer) -> None:
+    http = h11.Connection(h11.SERVER)
+    reply = HttpReply(400)
+    while True:
+        event: Any = http.next_event()
+        if event is h11.NEED_DATA:
+            with trio.move_on_after(REQUEST_TIMEOUT_S) as waiting:
+                http.receive_data(await stream.receive_some(RECEIVE_BYTES))
+            if waiting.cancelled_caught:
+                return
+        elif isinstance(event, h11.Request):
+            reply = answer(event.method.decode(), event.target.decode())
+        elif isinstance(event, h11.EndOfMessage):
+            await _send(stream, http, reply)
+            if http.our_state is not h11.DONE:
+                return
+            http.start_next_cycle()
+        elif not isinstance(event, h11.Data):
+            return
+
+
+async def _send(
+    stream: trio.SocketStream, http: h11.Connection, reply: HttpReply
+) -> None:
+    response = h11.Response(
+        status_code=reply.status,
+        headers=[
+            ("Content-Type", reply.content_type),
+            ("Content-Length", str(len(reply.body))),
+        ],
+    )
+    data = http.send(response) or b""
+    if reply.body:
+        data += http.send(h11.Data(data=reply.body)) or b""
+    data += http.send(h11.EndOfMessage()) or b""
+    await stream.send_all(data)
--- a/src/rattanhollow/peer/__init__.py
+++ b/src/rattanhollow/peer/__init__.py
@@ -1,5 +1,6 @@
 """The protocol between proxies: typed messages over ZeroMQ, encrypted by CURVE."""
 
+from rattanhollow.peer._connection import AskFailure
 from rattanhollow.peer._link import PeerAddress, PeerKeys, Peers, new_peer_keys
 from rattanhollow.peer._messages import (
     CancelAnswer,
@@ -20,6 +21,7 @@
 )
 
 __all__ = [
+    "AskFailure",
     "CancelAnswer",
     "CancelQuestion",
     "ConfigurationAnswer",
--- a/src/rattanhollow/peer/_link.py
+++ b/src/rattanhollow/peer/_link.py
@@ -1,29 +1,34 @@
 """Asking other proxies, and answering them."""
 
-import itertools
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import trio
 import zmq
 import zmq.utils.z85
-from result import Err, Ok, Result
+from result import Err, Result
 
 from rattanhollow.observe import log_event
+from rattanhollow.peer._connection import AskFailure, PeerLink
 from rattanhollow.peer._messages import (
     LARGEST_MESSAGE_BYTES,
     Message,
     MessageRefused,
+    Ping,
+    Pong,
     decode,
     encode,
 )
 from rattanhollow.peer._socket import TrioSocket
 
 QUEUED_MESSAGES = 1_000
-HEARTBEAT_INTERVAL_MS = 2_000
-HEARTBEAT_TIMEOUT_MS = 6_000
-RECONNECT_MS = 100
-RECONNECT_HIGHEST_MS = 2_000
+# ZeroMQ's own heartbeats close a connection that has gone silent while idle.
+HEARTBEAT_INTERVAL_MS = 1_000
+HEARTBEAT_TIMEOUT_MS = 2_500
+# How long sent bytes may stay unacknowledged: the links are short ones.
+USER_TIMEOUT_MS = 2_000
+RECONNECT_MS = 50
+RECONNECT_HIGHEST_MS = 500
 AUTHENTICATION_ADDRESS = "inproc://zeromq.zap.01"
 
 
@@ -71,7 +76,8 @@
         self._keys = keys
         self._allowed = allowed
         self._handle = handle
-        self._links: dict[str, _Link] = {}
+        self._links: dict[str, PeerLink] = {}
+        self._peers: dict[str, PeerAddress] = {}
         self._nursery: trio.Nursery | None = None
 
     async def run(self, port: int) -> None:
@@ -87,7 +93,7 @@
         finally:
             self._nursery = None
             for link in self._links.values():
-                link.socket.close()
+                link.close()
             self._links.clear()
             server.close()
             authenticator.close()
@@ -95,23 +101,27 @@
 
     async def ask(
         self, peer: PeerAddress, question: Message, timeout_ms: int
-    ) -> Result[Message, str]:
-        """Ask another host; no answer in time is an ``Err``."""
+    ) -> Result[Message, AskFailure]:
+        """Ask another host; the ``Err`` says whether it may have heard."""
         if self._nursery is None:
-            return Err("the links are not up")
+            return Err(AskFailure("the links are not up", sent=False))
         link = self._link(peer, self._nursery)
-        with trio.move_on_after(timeout_ms / 1000):
-            return Ok(await link.ask(question))
-        return Err(f"{peer.name} did not answer in {timeout_ms} ms")
+        return await link.ask(question, timeout_ms)
 
-    def _link(self, peer: PeerAddress, nursery: trio.Nursery) -> "_Link":
+    def is_dark(self, peer: PeerAddress) -> bool:
+        """Whether a host that was asked lately leaves questions unanswered."""
         link = self._links.get(peer.name)
-        if link is not None and link.peer == peer:
+        return link is not None and self._peers[peer.name] == peer and link.dark
+
+    def _link(self, peer: PeerAddress, nursery: trio.Nursery) -> PeerLink:
+        link = self._links.get(peer.name)
+        if link is not None and self._peers[peer.name] == peer:
             return link
         if link is not None:
-            link.scope.cancel()
-        fresh = _Link(peer, TrioSocket(self._client_socket(peer)))
+            link.close()
+        fresh = PeerLink(peer.name, TrioSocket(self._client_socket(peer)))
         self._links[peer.name] = fresh
+        self._peers[peer.name] = peer
         nursery.start_soon(fresh.run)
         return fresh
 
@@ -124,6 +134,9 @@
 
     def _client_socket(self, peer: PeerAddress) -> zmq.Socket:
         socket = self._socket(zmq.DEALER)
+        # Nothing is kept for a connection that isn't there: a question that
+        # arrives late runs for nobody.
+        socket.setsockopt(zmq.IMMEDIATE, 1)
         socket.curve_serverkey = peer.public_key.encode()
         socket.connect(f"tcp://{self._address}:0;{peer.address}:{peer.port}")
         return socket
@@ -137,6 +150,7 @@
         socket.setsockopt(zmq.MAXMSGSIZE, LARGEST_MESSAGE_BYTES)
         socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
         socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        socket.setsockopt(zmq.TCP_MAXRT, USER_TIMEOUT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_HIGHEST_MS)
         return socket
@@ -160,6 +174,9 @@
                 except MessageRefused as error:
                     log_event("peer.refused", reason=error)
                     continue
+                if isinstance(question, Ping):
+                    server.send([sender, encode(number, Pong())])
+                    continue
                 nursery.start_soon(self._reply, server, sender, number, question)
 
     async def _reply(
@@ -168,44 +185,3 @@
         answer = await self._handle(question)
         if answer is not None:
             server.send([sender, encode(number, answer)])
-
-
-class _Link:
-    """The questions to one other host that are under way."""
-
-    def __init__(self, peer: PeerAddress, socket: TrioSocket) -> None:
-        self.peer = peer
-        self.socket = socket
-        self.scope = trio.CancelScope()
-        self._numbers = itertools.count(1)
-        self._waiting: dict[int, trio.MemorySendChannel[Message]] = {}
-
-    async def run(self) -> None:
-        """Hand out answers until the link is given up."""
-        try:
-            with self.scope:
-                while True:
-                    self._take((await self.socket.receive())[0])
-        finally:
-            self.socket.close()
-
-    def _take(self, data: bytes) -> None:
-        try:
-            number, answer = decode(data)
-        except MessageRefused as error:
-            log_event("peer.refused", peer=self.peer.name, reason=error)
-            return
-        waiting = self._waiting.get(number)
-        if waiting is not None:
-            waiting.send_nowait(answer)
-
-    async def ask(self, question: Message) -> Message:
-        """Send a question and wait for its answer; the caller bounds the wait."""
-        number = next(self._numbers)
-        send, receive = trio.open_memory_channel[Message](1)
-        self._waiting[number] = send
-        try:
-            self.socket.send([encode(number, question)])
-            return await receive.receive()
-        finally:
-            del self._waiting[number]
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -5,12 +5,20 @@
 import msgspec
 
 from rattanhollow.coordination import GroupState
-from rattanhollow.records import RecordError, from_spec, to_spec
+from rattanhollow.serving import Done, ProofAnswer, ProofQuestion, Work
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 LARGEST_MESSAGE_BYTES = 2 << 20
 
 
+class Ping(NamedTuple):
+    """Asks for a sign of life."""
+
+
+class Pong(NamedTuple):
+    """A sign of life."""
+
+
 class SuspicionQuestion(NamedTuple):
     """Asks whether a host holds the primary of ``term`` for dead."""
 
@@ -115,7 +123,9 @@
 
 
 Message = (
-    SuspicionQuestion
+    Ping
+    | Pong
+    | SuspicionQuestion
     | SuspicionAnswer
     | CancelQuestion
     | CancelAnswer
@@ -127,9 +137,15 @@
     | ConfigurationAnswer
     | ShareQuestion
     | ShareAnswer
+    | Work
+    | Done
+    | ProofQuestion
+    | ProofAnswer
 )
 
 MESSAGE_TYPES: dict[str, Any] = {
+    "ping?": Ping,
+    "ping": Pong,
     "suspicion?": SuspicionQuestion,
     "suspicion": SuspicionAnswer,
     "cancel?": CancelQuestion,
@@ -142,8 +158,15 @@
     "configuration": ConfigurationAnswer,
     "shares?": ShareQuestion,
     "shares": ShareAnswer,
+    "work?": Work,
+    "work": Done,
+    "proof?": ProofQuestion,
+    "proof": ProofAnswer,
 }
 _NAMES = {record: name for name, record in MESSAGE_TYPES.items()}
+_DECODERS = {
+    name: msgspec.msgpack.Decoder(record) for name, record in MESSAGE_TYPES.items()
+}
 
 
 class Envelope(NamedTuple):
@@ -152,7 +175,11 @@
     version: int
     number: int
     type: str
-    body: dict
+    body: msgspec.Raw
+
+
+_ENVELOPE = msgspec.msgpack.Decoder(Envelope)
+_ENCODER = msgspec.msgpack.Encoder()
 
 
 class MessageRefused(ValueError):
@@ -161,13 +188,14 @@
 
 def encode(number: int, message: Message) -> bytes:
     """Return ``message`` as bytes."""
-    name = _NAMES[type(message)]
-    envelope = Envelope(PROTOCOL_VERSION, number, name, to_spec(message))
-    return msgspec.msgpack.encode(to_spec(envelope))
+    body = msgspec.Raw(_ENCODER.encode(message))
+    return _ENCODER.encode(
+        Envelope(PROTOCOL_VERSION, number, _NAMES[type(message)], body)
+    )
 
 
 def decode(data: bytes) -> tuple[int, Message]:
-    """Return number and message; unknown fields are ignored.
+    """Return number and message.
 
     Raises:
         MessageRefused: too large, no message, another version or type.
@@ -176,11 +204,11 @@
     if len(data) > LARGEST_MESSAGE_BYTES:
         raise MessageRefused(f"{len(data)} bytes are too many")
     try:
-        envelope = from_spec(Envelope, msgspec.msgpack.decode(data))
+        envelope = _ENVELOPE.decode(data)
         if envelope.version != PROTOCOL_VERSION:
             raise MessageRefused(f"version {envelope.version} is not understood")
         if envelope.type not in MESSAGE_TYPES:
             raise MessageRefused(f"type {envelope.type!r} is not understood")
-        return envelope.number, from_spec(MESSAGE_TYPES[envelope.type], envelope.body)
-    except (msgspec.DecodeError, RecordError) as error:
+        return envelope.number, _DECODERS[envelope.type].decode(envelope.body)
+    except msgspec.DecodeError as error:
         raise MessageRefused(str(error)) from None
--- a/src/rattanhollow/pgwire/__init__.py
+++ b/src/rattanhollow/pgwire/__init__.py
@@ -33,7 +33,7 @@
     rows_as_text,
 )
 from rattanhollow.pgwire._watchdog import Watchdog
-from rattanhollow.pgwire._wire import ConnectionLost, Wire, tune_socket
+from rattanhollow.pgwire._wire import ConnectionLost, Wire
 
 __all__ = [
     "ConnectionLost",
@@ -69,5 +69,4 @@
     "rows_as_text",
     "startup",
     "terminate",
-    "tune_socket",
 ]
--- a/src/rattanhollow/pgwire/_wire.py
+++ b/src/rattanhollow/pgwire/_wire.py
@@ -1,7 +1,6 @@
 """A stream of frames over a trio stream."""
 
 import math
-import socket
 import time
 from collections import deque
 
@@ -10,10 +9,6 @@
 from rattanhollow.pgwire._frames import Frame, FrameReader
 
 RECEIVE_BYTES = 65_536
-KEEPALIVE_IDLE_S = 10
-KEEPALIVE_INTERVAL_S = 5
-KEEPALIVE_PROBES = 3
-USER_TIMEOUT_MS = 20_000
 LOST = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
@@ -21,15 +16,6 @@
     """The connection ended, or broke, before the awaited frame came."""
 
 
-def tune_socket(stream: trio.SocketStream) -> None:
-    """Set keepalive and user timeout, so that a vanished peer is noticed."""
-    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-
 class Wire:
     """A connection that carries frames both ways.
 
--- /dev/null
+++ b/src/rattanhollow/platform/_caller.py
@@ -0,0 +1,204 @@
+"""The caller's end of the line protocol."""
+
+from typing import NamedTuple
+
+import trio
+
+from rattanhollow.platform import _words as words
+from rattanhollow.platform._lines import LineReader, LineTooLong, line
+from rattanhollow.statements import (
+    Answer,
+    Begin,
+    Commit,
+    Completed,
+    Execute,
+    Forget,
+    Prepare,
+    Read,
+    Reason,
+    Refused,
+    Request,
+    Rollback,
+    SessionState,
+    SetValue,
+    Statement,
+    Write,
+)
+
+RECEIVE_BYTES = 16_384
+LOST = (trio.BrokenResourceError, trio.ClosedResourceError)
+
+_CODES = {
+    Reason.BUSY: "BUSY",
+    Reason.OVER_RATE: "BUSY",
+    Reason.ABORTED: "ABORTED",
+    Reason.NOT_LEADER: "READONLY",
+    Reason.BEHIND: "LAGGING",
+    Reason.IN_DOUBT: "INDOUBT",
+    Reason.TIMED_OUT: "TIMEOUT",
+    Reason.FAILED: "FAILED",
+    Reason.MALFORMED: "MALFORMED",
+    Reason.NO_STATEMENT: "NOSTMT",
+    Reason.NO_KEY: "NOAUTH",
+    Reason.NO_ROUTE: "NODB",
+}
+_STATES = {SessionState.IDLE: "I", SessionState.OPEN: "T", SessionState.FAILED: "E"}
+
+
+class Opening(NamedTuple):
+    """The first line of a session: the route's name and the caller's key.
+
+    The key is empty where the caller showed none.
+    """
+
+    route: str
+    key: str
+
+
+class Farewell(NamedTuple):
+    """The caller ended the session; ``reason`` says how."""
+
+    reason: str
+
+
+class BadLine(NamedTuple):
+    """A line that is no request; ``framing_lost`` where no other can follow."""
+
+    id: str
+    framing_lost: bool
+
+
+Received = Opening | Request | Farewell | BadLine
+
+
+class CallerConnection:
+    """One caller's connection; one task reads and answers."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self._reader = LineReader()
+        self._lines: list[str] = []
+        self._opened = False
+
+    @property
+    def mid_request(self) -> bool:
+        """Whether a request, or a part of one, has arrived and isn't answered."""
+        return bool(self._lines) or self._reader.pending_bytes > 0
+
+    async def receive(self) -> Received:
+        """Return the next thing that the caller says; the first is an `Opening`."""
+        while not self._lines:
+            try:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+            except LOST as error:
+                return Farewell(f"lost: {error}")
+            if not data:
+                return Farewell("closed")
+            try:
+                self._lines = self._reader.feed(bytes(data))
+            except LineTooLong:
+                return BadLine("", framing_lost=True)
+        text = self._lines.pop(0)
+        if self._opened:
+            return parse_request(text)
+        self._opened = True
+        return parse_opening(text)
+
+    async def welcome(self) -> bool:
+        """Tell the caller that its session has begun; False where it is gone."""
+        return await self._send(line(words.READY, "I", words.NOTHING))
+
+    async def answer(self, answer: Answer, state: SessionState) -> bool:
+        """Send an answer; False where the caller is gone."""
+        return await self._send(encode_answer(answer, state))
+
+    async def refuse(self, refused: Refused) -> bool:
+        """Send an error that ends the session; False where the caller is gone."""
+        return await self._send(_error(refused))
+
+    async def close(self) -> None:
+        """Close at once."""
+        await trio.aclose_forcefully(self._stream)
+
+    async def _send(self, data: bytes) -> bool:
+        try:
+            await self._stream.send_all(data)
+        except LOST:
+            return False
+        return True
+
+
+def parse_opening(text: str) -> Opening | BadLine:
+    """Return what the first line of a session says."""
+    word, _, rest = text.partition(" ")
+    route, _, key = rest.partition(" ")
+    if word != words.CONNECT or not route or " " in key:
+        return BadLine("", framing_lost=True)
+    return Opening(route, key)
+
+
+def parse_request(text: str) -> Request | Farewell | BadLine:
+    """Return what a later line of a session says."""
+    word, _, rest = text.partition(" ")
+    if word == words.RELEASE and not rest:
+        return Farewell("released")
+    if word != words.QUERY:
+        return BadLine("", framing_lost=True)
+    request_id, _, statement_text = rest.partition(" ")
+    if not request_id:
+        return BadLine("", framing_lost=True)
+    statement = parse_statement(statement_text)
+    # An identifier of ours would make a caller's statement look like our own.
+    if statement is None or request_id == words.OWN_ID:
+        return BadLine(request_id, framing_lost=False)
+    return Request(request_id, statement)
+
+
+def parse_statement(text: str) -> Statement | None:
+    """Return the statement that ``text`` spells, None where it is none."""
+    word, _, rest = text.partition(" ")
+    if word == words.BEGIN and rest in ("", words.READ):
+        return Begin(read_only=rest == words.READ)
+    if word == words.COMMIT and not rest:
+        return Commit()
+    if word == words.ROLLBACK and not rest:
+        return Rollback()
+    if word == words.READ and rest and " " not in rest:
+        return Read(text)
+    if word == words.WRITE and " " in rest:
+        return Write(text)
+    return _parse_session_statement(word, rest)
+
+
+def _parse_session_statement(word: str, rest: str) -> Statement | None:
+    name, _, more = rest.partition(" ")
+    if not name:
+        return None
+    if word == words.SET:
+        return SetValue(name, more)
+    if word == words.EXECUTE and more:
+        return Execute(name, more)
+    if word == words.DEALLOC and not more:
+        return Forget(name)
+    if word == words.PREPARE:
+        kind, _, shape = more.partition(" ")
+        if kind in (words.READ, words.WRITE) and shape:
+            return Prepare(name, kind == words.WRITE, shape)
+    return None
+
+
+def encode_answer(answer: Answer, state: SessionState) -> bytes:
+    """Return the lines of an answer, with the state of the session behind it."""
+    ready = line(words.READY, _STATES[state], words.NOTHING)
+    if isinstance(answer, Completed):
+        rows = [line(words.ROW, row) for row in answer.rows]
+        complete = line(words.COMPLETE, answer.proof or words.NOTHING)
+        return b"".join([*rows, complete, ready])
+    return _error(answer) + ready
+
+
+def _error(refused: Refused) -> bytes:
+    detail = refused.detail or refused.reason.value
+    if refused.retry_after_ms:
+        detail = f"retry_after_ms={refused.retry_after_ms} {detail}"
+    return line(words.ERROR, _CODES[refused.reason], detail)
--- /dev/null
+++ b/src/rattanhollow/platform/_entries.py
@@ -0,0 +1,190 @@
+"""What operators and backend servers write into the platform's store."""
+
+from typing import Any
+
+from result import Err, Ok, Result
+
+from rattanhollow.configuration import (
+    Consistency,
+    Key,
+    Organisation,
+    Route,
+    RouteTable,
+    Service,
+    digest_of,
+)
+from rattanhollow.platform import _words as words
+from rattanhollow.serving import BackendServer
+from rattanhollow.store import Stored
+
+SERVER_KIND = "servers"
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+
+_STATES = ("ready", "draining")
+_ROLES = (words.PRIMARY, "replica")
+_CONSISTENCY = {
+    words.PRIMARY: Consistency.NEWEST,
+    "bounded_staleness": Consistency.BOUNDED,
+    "read_your_writes": Consistency.SESSION,
+}
+_DEFAULT_TRANSACTION_IDLE_MS = 3_000
+
+
+class _Unusable(ValueError):
+    """An entry that can't be used; the text says why."""
+
+
+def read_server(stored: Stored) -> Result[BackendServer, str]:
+    """Return the backend server that an entry describes, or why it describes none."""
+    spec = stored.spec
+    try:
+        address, port = _address(_text(spec, "address"))
+        server = BackendServer(
+            id=stored.name,
+            service=_text(spec, "service"),
+            address=address,
+            port=port,
+            zone=_text(spec, "zone"),
+            # How many statements it runs at the same time.
+            slots=_whole(spec, "slots"),
+            draining=_one_of(spec, "state", _STATES) == "draining",
+            # Its own opinion of itself: a deposed primary may still hold it.
+            leads=_one_of(spec, "db_role", _ROLES) == words.PRIMARY,
+            cold_ms=_whole(spec, "cold_left_ms"),
+            # The Unix time of its start, in milliseconds.
+            born_ms=_whole(spec, "born"),
+            version=stored.version,
+        )
+    except _Unusable as error:
+        return Err(str(error))
+    if server.slots < 1:
+        return Err("slots: none")
+    return Ok(server)
+
+
+def read_routes(spec: dict[str, Any]) -> Result[RouteTable, str]:
+    """Return the configuration, or why it can't be used."""
+    try:
+        organisations = [_organisation(item) for item in _list(spec, "tenants")]
+        routes = [_route(item) for item in _list(spec, "routes")]
+        services = [_service(item) for item in _list(spec, "services")]
+        table = RouteTable(
+            version=_whole(spec, "version"),
+            routes={route.name: route for route in routes},
+            services={service.name: service for service in services},
+            organisations={item.name: item for item in organisations},
+            owners={
+                key.digest: item.name for item in organisations for key in item.keys
+            },
+            transaction_idle_ms=_transaction_idle_ms(spec),
+        )
+    except _Unusable as error:
+        return Err(str(error))
+    unknown = [r.name for r in routes if r.service not in table.services]
+    if unknown:
+        return Err(f"routes: {unknown[0]} names a service that isn't there")
+    return Ok(table)
+
+
+def _route(item: Any) -> Route:
+    consistency = _one_of(item, "kind", tuple(_CONSISTENCY))
+    return Route(
+        # The name of the database that callers ask for, not of a machine.
+        name=_text(item, "host"),
+        service=_text(item, "service"),
+        consistency=_CONSISTENCY[consistency],
+        statement_timeout_ms=_whole(item, "timeout_ms"),
+        target_ms=_whole(item, "target_latency_ms"),
+        priority=_whole(item, "priority"),
+        max_age_ms=_whole(item, "max_stale_ms", default=0),
+        open=_flag(item, "anonymous"),
+    )
+
+
+def _service(item: Any) -> Service:
+    return Service(
+        name=_text(item, "name"),
+        # Of all callers together, at each server.
+        connections=_whole(item, "max_conns"),
+        copies=_whole(item, "sync_replicas", default=0),
+    )
+
+
+def _organisation(item: Any) -> Organisation:
+    keys = _list(item, "api_keys")
+    if not all(isinstance(key, str) and key for key in keys):
+        raise _Unusable("api_keys: expected texts")
+    return Organisation(
+        name=_text(item, "name"),
+        keys=tuple(Key(str(n), digest_of(key)) for n, key in enumerate(keys)),
+        rate_per_s=_rate(item, "rate_per_s"),
+        burst=_rate(item, "burst"),
+    )
+
+
+def _transaction_idle_ms(spec: Any) -> int:
+    limits = spec.get("limits")
+    if not isinstance(limits, dict):
+        return _DEFAULT_TRANSACTION_IDLE_MS
+    return _whole(limits, "tx_idle_ms", default=_DEFAULT_TRANSACTION_IDLE_MS)
+
+
+def _field(item: Any, name: str) -> Any:
+    if not isinstance(item, dict):
+        raise _Unusable(f"expected a table with {name}")
+    return item.get(name)
+
+
+def _text(item: Any, name: str) -> str:
+    value = _field(item, name)
+    if not isinstance(value, str) or not value:
+        raise _Unusable(f"{name}: expected a text, got {value!r}")
+    return value
+
+
+def _whole(item: Any, name: str, default: int | None = None) -> int:
+    value = _field(item, name)
+    if value is None and default is not None:
+        return default
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise _Unusable(f"{name}: expected a whole number, got {value!r}")
+    return value
+
+
+def _rate(item: Any, name: str) -> int:
+    """Return a rate in whole operations; a fraction is not granted."""
+    value = _field(item, name)
+    if value is None:
+        return 0
+    if not isinstance(value, int | float) or isinstance(value, bool) or value < 0:
+        raise _Unusable(f"{name}: expected a number, got {value!r}")
+    return int(value)
+
+
+def _flag(item: Any, name: str) -> bool:
+    value = _field(item, name)
+    if value is not None and not isinstance(value, bool):
+        raise _Unusable(f"{name}: expected true or false, got {value!r}")
+    return bool(value)
+
+
+def _one_of(item: Any, name: str, known: tuple[str, ...]) -> str:
+    value = _text(item, name)
+    if value not in known:
+        raise _Unusable(f"{name}: unknown value {value!r}")
+    return value
+
+
+def _list(item: Any, name: str) -> list[Any]:
+    value = _field(item, name)
+    if not isinstance(value, list):
+        raise _Unusable(f"{name}: expected a list, got {value!r}")
+    return value
+
+
+def _address(text: str) -> tuple[str, int]:
+    address, _, port = text.rpartition(":")
+    if not address or not port.isdigit():
+        raise _Unusable(f"address: {text!r} is no address and port")
+    return address, int(port)
--- /dev/null
+++ b/src/rattanhollow/platform/_lines.py
@@ -0,0 +1,58 @@
+"""Lines of the platform's protocol: split from a stream of bytes, and built."""
+
+from rattanhollow.platform._words import LINE_BYTES_AT_MOST, LINE_END
+
+
+class LineTooLong(ValueError):
+    """More bytes than a line may have, without an end: framing is lost."""
+
+
+class LineReader:
+    """Splits bytes into lines, however they are cut into pieces.
+
+    A line that isn't UTF-8, or holds a control character, is returned as an empty
+    text, which no rule of the protocol accepts: nothing may be smuggled past this
+    reader to one that takes a lone line feed for a line's end.
+    """
+
+    def __init__(self) -> None:
+        self._pending = bytearray()
+
+    @property
+    def pending_bytes(self) -> int:
+        """How many bytes of an unfinished line were received."""
+        return len(self._pending)
+
+    def feed(self, data: bytes) -> list[str]:
+        """Take bytes and return the lines that they complete.
+
+        Raises:
+            LineTooLong: a line is longer than the protocol allows.
+
+        """
+        self._pending += data
+        if LINE_END not in self._pending:
+            self._check_length(len(self._pending))
+            return []
+        *lines, rest = self._pending.split(LINE_END)
+        self._pending = rest
+        for line in lines:
+            self._check_length(len(line))
+        return [_text(line) for line in lines]
+
+    def _check_length(self, length: int) -> None:
+        if length > LINE_BYTES_AT_MOST:
+            raise LineTooLong(f"{length} bytes without a line's end")
+
+
+def _text(line: bytearray) -> str:
+    try:
+        text = line.decode()
+    except UnicodeDecodeError:
+        return ""
+    return text if text.isprintable() else ""
+
+
+def line(*fields: str) -> bytes:
+    """Return one line of ``fields``, separated by blanks."""
+    return " ".join(fields).encode() + LINE_END
--- /dev/null
+++ b/src/rattanhollow/platform/_objects.py
@@ -0,0 +1,150 @@
+"""The platform's object store, as the store that the product knows."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+from result import Err, Ok, Result
+
+from rattanhollow.net import HttpAnswer, HttpClient
+from rattanhollow.store import (
+    Event,
+    EventType,
+    Listing,
+    ObjectStore,
+    Stored,
+    StoreFailure,
+    Trouble,
+)
+
+CALL_TIMEOUT_S = 1.5
+# The page allows 30 s. A longer wait saves calls; what a silent watch misses is
+# heard from other hosts.
+WATCH_WAIT_MS = 20_000
+# Answers come in milliseconds, also at the end of a wait.
+WATCH_ALLOWANCE_S = 2.0
+
+_TROUBLES = {404: Trouble.NOT_FOUND, 409: Trouble.CONFLICT, 410: Trouble.GONE}
+
+
+def object_store(client: HttpClient) -> ObjectStore:
+    """Return the store that ``client`` calls."""
+
+    async def call(
+        method: str, path: str, body: Any = None, timeout_s: float = CALL_TIMEOUT_S
+    ) -> Result[Any, StoreFailure]:
+        content = b"" if body is None else msgspec.json.encode(body)
+        answered = await client.call(method, f"/objects/{path}", timeout_s, content)
+        if answered.is_err():
+            return Err(StoreFailure(Trouble.UNREACHABLE, answered.unwrap_err()))
+        return _decode(answered.unwrap())
+
+    async def get(kind: str, name: str) -> Result[Stored, StoreFailure]:
+        answer = await call("GET", f"{kind}/{quote(name)}")
+        return answer.and_then(lambda body: _one(kind, body))
+
+    async def list_kind(kind: str) -> Result[Listing, StoreFailure]:
+        items: list[Stored] = []
+        path = kind
+        while True:
+            answer = await call("GET", path)
+            page = answer.and_then(lambda body: _page(kind, body))
+            if page.is_err():
+                return Err(page.unwrap_err())
+            found, more, version = page.unwrap()
+            items += found
+            if not (more and found):
+                return Ok(Listing(version, items))
+            path = f"{kind}?after={quote(found[-1].name)}"
+
+    async def put(
+        kind: str, name: str, spec: dict[str, Any], version: int
+    ) -> Result[Stored, StoreFailure]:
+        meta: dict[str, Any] = {"name": name}
+        if version == 0:
+            answer = await call("POST", kind, {"meta": meta, "spec": spec})
+        else:
+            meta["revision"] = version
+            body = {"meta": meta, "spec": spec}
+            answer = await call("PUT", f"{kind}/{quote(name)}", body)
+        return answer.and_then(lambda body: _one(kind, body))
+
+    async def delete(kind: str, name: str, version: int) -> Result[None, StoreFailure]:
+        path = f"{kind}/{quote(name)}?revision={version}"
+        return (await call("DELETE", path)).map(lambda _: None)
+
+    async def watch(
+        kind: str, version: int
+    ) -> AsyncIterator[Result[Event, StoreFailure]]:
+        path = f"{kind}?watch={version}&wait_ms={WATCH_WAIT_MS}"
+        timeout_s = WATCH_WAIT_MS / 1000 + WATCH_ALLOWANCE_S
+        answer = await call("GET", path, timeout_s=timeout_s)
+        events = answer.and_then(lambda body: _events(kind, body))
+        if events.is_err():
+            yield Err(events.unwrap_err())
+            return
+        for event in events.unwrap():
+            yield Ok(event)
+
+    return ObjectStore(get, list_kind, put, delete, watch)
+
+
+def _decode(answer: HttpAnswer) -> Result[Any, StoreFailure]:
+    if answer.status not in (200, 201):
+        trouble = _TROUBLES.get(answer.status)
+        if trouble is None:
+            # 429 and 5xx: the call was not made; another one may be.
+            retried = answer.status == 429 or answer.status >= 500
+            trouble = Trouble.TURNED_AWAY if retried else Trouble.REFUSED
+        detail = answer.body[:200].decode(errors="replace")
+        return Err(StoreFailure(trouble, f"{answer.status} {detail}"))
+    try:
+        return Ok(msgspec.json.decode(answer.body) if answer.body else None)
+    except msgspec.DecodeError as error:
+        return Err(StoreFailure(Trouble.UNREACHABLE, f"no JSON: {error}"))
+
+
+def _stored(kind: str, body: Any) -> Stored:
+    meta = body["meta"]
+    spec = body["spec"]
+    # What other writers left there may be of any shape; the readers of each kind
+    # refuse what they can't use.
+    content = spec if isinstance(spec, dict) else {}
+    return Stored(kind, str(meta["name"]), int(meta["revision"]), content)
+
+
+def _one(kind: str, body: Any) -> Result[Stored, StoreFailure]:
+    try:
+        return Ok(_stored(kind, body))
+    except (KeyError, TypeError, ValueError) as error:
+        return Err(_shape(error))
+
+
+def _page(kind: str, body: Any) -> Result[tuple[list[Stored], bool, int], StoreFailure]:
+    try:
+        items = [_stored(kind, item) for item in body["items"]]
+        return Ok((items, bool(body["more"]), int(body["at"])))
+    except (KeyError, TypeError, ValueError) as error:
+        return Err(_shape(error))
+
+
+def _events(kind: str, body: Any) -> Result[list[Event], StoreFailure]:
+    """Return the events, and a bookmark at the version to go on from."""
+    try:
+        events = [
+            Event(
+                EventType.DELETED if item["deleted"] else EventType.CHANGED,
+                _stored(kind, item["object"]),
+            )
+            for item in body["events"]
+        ]
+        at = Stored(kind, "", int(body["at"]), {})
+    except (KeyError, TypeError, ValueError) as error:
+        return Err(_shape(error))
+    return Ok([*events, Event(EventType.BOOKMARK, at)])
+
+
+def _shape(error: Exception) -> StoreFailure:
+    reason = f"unexpected shape: {type(error).__name__} {error}"
+    return StoreFailure(Trouble.UNREACHABLE, reason)
--- a/src/rattanhollow/proxy/_answer_peers.py
+++ b/src/rattanhollow/proxy/_answer_peers.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from rattanhollow.backend import Groups
+from rattanhollow.membership import Freshness, HostRecord, NeighbourWatch
 from rattanhollow.peer import (
     CancelQuestion,
     ConfigurationQuestion,
@@ -15,11 +16,9 @@
     SuspicionQuestion,
 )
 from rattanhollow.proxy._cancel import answer_cancel
-from rattanhollow.proxy._freshness import Freshness
-from rattanhollow.proxy._hosts import HostRecord, NeighbourWatch
-from rattanhollow.proxy._rates import Rates
 from rattanhollow.proxy._service import Service
 from rattanhollow.proxy._watch_all import GroupWatches
+from rattanhollow.rates import Rates
 
 
 class Answerers(NamedTuple):
--- a/src/rattanhollow/proxy/_cancel.py
+++ b/src/rattanhollow/proxy/_cancel.py
@@ -3,10 +3,10 @@
 import trio
 
 from rattanhollow.backend import BackendConnection
+from rattanhollow.membership import HostDirectory
 from rattanhollow.peer import CancelAnswer, CancelQuestion, Peers
 from rattanhollow.pgwire import cancel_request
 from rattanhollow.proxy._caller import Caller
-from rattanhollow.proxy._hosts import HostDirectory
 from rattanhollow.proxy._login import Cancel
 from rattanhollow.proxy._service import Service
 
--- a/src/rattanhollow/proxy/_listen.py
+++ b/src/rattanhollow/proxy/_listen.py
@@ -6,8 +6,9 @@
 
 import trio
 
+from rattanhollow.net import CALLER_KEEPALIVE, tune_socket
 from rattanhollow.observe import log_event
-from rattanhollow.pgwire import ConnectionLost, ProtocolViolation, tune_socket
+from rattanhollow.pgwire import ConnectionLost, ProtocolViolation
 from rattanhollow.proxy._login import (
     Cancel,
     log_in,
@@ -95,7 +96,7 @@
         callers = self._service.callers
         callers.connected += 1
         try:
-            tune_socket(stream)
+            tune_socket(stream, CALLER_KEEPALIVE)
             await self._session(stream, on_cancel)
         except (ConnectionLost, ProtocolViolation, OSError) as error:
             log_event("caller.lost", reason=error)
--- a/src/rattanhollow/proxy/_root.py
+++ b/src/rattanhollow/proxy/_root.py
@@ -26,26 +26,27 @@
     Step,
     group_state_from_spec,
 )
+from rattanhollow.membership import (
+    Freshness,
+    HostDirectory,
+    HostRecord,
+    NeighbourWatch,
+    Reach,
+    Registration,
+)
 from rattanhollow.observe import Metrics, log_event, no_metrics, statsd_metrics
 from rattanhollow.peer import Message, Peers, new_peer_keys
 from rattanhollow.pgwire import Watchdog
 from rattanhollow.proxy._answer_peers import Answerers, answer_peer
 from rattanhollow.proxy._cancel import cancel_anywhere
 from rattanhollow.proxy._drain import send_callers_away
-from rattanhollow.proxy._freshness import Freshness, Reach
 from rattanhollow.proxy._guards import ALL_GUARDS, Guards
-from rattanhollow.proxy._hosts import (
-    HostDirectory,
-    HostRecord,
-    NeighbourWatch,
-    Registration,
-)
 from rattanhollow.proxy._listen import Listener, tls_context
 from rattanhollow.proxy._login import Cancel
-from rattanhollow.proxy._rates import RateParts, Rates
 from rattanhollow.proxy._service import Callers, Service
 from rattanhollow.proxy._watch_all import GroupWatches
 from rattanhollow.proxy._watch_primary import WatchParts
+from rattanhollow.rates import RateParts, Rates
 from rattanhollow.records import RecordError
 from rattanhollow.settings import ProxySettings
 from rattanhollow.sql import classifier
--- a/src/rattanhollow/proxy/_watch_all.py
+++ b/src/rattanhollow/proxy/_watch_all.py
@@ -6,7 +6,7 @@
 
 from rattanhollow.backend import Group, Groups
 from rattanhollow.coordination import ranked
-from rattanhollow.proxy._hosts import HostRecord
+from rattanhollow.membership import HostRecord
 from rattanhollow.proxy._watch_primary import PrimaryWatch, WatchParts
 
 SETTLE_S = 0.05
--- a/src/rattanhollow/proxy/_watch_primary.py
+++ b/src/rattanhollow/proxy/_watch_primary.py
@@ -17,9 +17,9 @@
     elect,
     follow_all,
 )
+from rattanhollow.membership import HostDirectory, HostRecord
 from rattanhollow.observe import Metrics, log_event
 from rattanhollow.peer import Peers, SuspicionAnswer, SuspicionQuestion
-from rattanhollow.proxy._hosts import HostDirectory, HostRecord
 from rattanhollow.settings import FailoverSettings
 from rattanhollow.store import ObjectStore
 
--- /dev/null
+++ b/src/rattanhollow/rates/__init__.py
@@ -0,0 +1,5 @@
+"""The rate and burst of each organisation, kept over the whole fleet."""
+
+from rattanhollow.rates._rates import RateParts, Rates
+
+__all__ = ["RateParts", "Rates"]
--- a/src/rattanhollow/proxy/_rates.py
+++ b/src/rattanhollow/rates/_rates.py
@@ -24,8 +24,8 @@
     TokenBucket,
     ranked,
 )
+from rattanhollow.membership import HostDirectory, HostRecord
 from rattanhollow.peer import Peers, ShareAnswer, ShareAsk, ShareGrant, ShareQuestion
-from rattanhollow.proxy._hosts import HostDirectory, HostRecord
 from rattanhollow.settings import RateSettings
 from rattanhollow.store import Follower, ObjectStore, Stored, StoreFailure, Trouble
 
--- a/src/rattanhollow/store/__init__.py
+++ b/src/rattanhollow/store/__init__.py
@@ -1,4 +1,6 @@
-"""The platform's object store: its interface, its HTTP adapter, its watch."""
+"""The platform's object store: interface, HTTP adapter, update, followed copies."""
+
+from typing import Any
 
 from rattanhollow.store._api import (
     Event,
@@ -10,7 +12,6 @@
     Trouble,
 )
 from rattanhollow.store._follow import Follower, follow
-from rattanhollow.store._http import http_store
 from rattanhollow.store._update import update
 
 __all__ = [
@@ -19,10 +20,19 @@
     "Follower",
     "Listing",
     "ObjectStore",
-    "StoreFailure",
     "Stored",
+    "StoreFailure",
     "Trouble",
     "follow",
     "http_store",
     "update",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    """Import the HTTP adapter when it is first used: its client is large."""
+    if name != "http_store":
+        raise AttributeError(name)
+    from rattanhollow.store._http import http_store
+
+    return http_store
--- a/src/rattanhollow/store/_api.py
+++ b/src/rattanhollow/store/_api.py
@@ -14,6 +14,7 @@
     CONFLICT = "conflict"
     GONE = "version too old to watch from"
     REFUSED = "refused"
+    TURNED_AWAY = "not done; the same call may succeed later"
     UNREACHABLE = "unreachable, or no answer in time"
 
 
--- a/src/rattanhollow/store/_update.py
+++ b/src/rattanhollow/store/_update.py
@@ -50,6 +50,6 @@
         failure = written.unwrap_err()
         if failure.trouble is Trouble.REFUSED:
             return Err(failure)
-        if failure.trouble is Trouble.UNREACHABLE:
+        if failure.trouble is not Trouble.CONFLICT:
             await pause(RETRY_PAUSE_S)
     return Err(failure)
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from rattanhollow.proxy._hosts import HOST_KIND, HostRecord
+from rattanhollow.membership import HOST_KIND, HostRecord
 from rattanhollow.proxy._watch_all import watchers_of
 from rattanhollow_standins.client import connect
 from rattanhollow_standins.fleet import Fleet
