--- a/src/rattanhollow/backend/_pool.py
+++ b/src/rattanhollow/backend/_pool.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from rattanhollow.backend._connection import BackendConnection
-from rattanhollow.backend._fair_queue import FairQueue
+from rattanhollow.serving import FairQueue
 
 PROBE_TIMEOUT_MS = 500
 
--- a/src/rattanhollow/coordination/_read_index.py
+++ b/src/rattanhollow/coordination/_read_index.py
@@ -91,6 +91,10 @@
             current.done.set()
         return current.answer
 
+    def saw(self, asked_at_s: float, position: Position) -> None:
+        """Note a log end that was proven beside this index's own questions."""
+        self._remember(IndexReading(asked_at_s, position))
+
     def _remember(self, reading: IndexReading) -> None:
         last = self._readings[-1] if self._readings else None
         if last and reading.asked_at_s - last.asked_at_s < READING_SPACING_S:
--- /dev/null
+++ b/src/rattanhollow/host/__init__.py
@@ -0,0 +1,6 @@
+"""A host of the fleet: wiring, start and stop."""
+
+from rattanhollow.host._ends import Ends
+from rattanhollow.host._root import Host, build_host
+
+__all__ = ["Ends", "Host", "build_host"]
--- /dev/null
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -0,0 +1,32 @@
+"""Answering the questions of other hosts."""
+
+from typing import NamedTuple
+
+from rattanhollow.membership import HostRecord, NeighbourWatch
+from rattanhollow.peer import HostAnswer, HostQuestion, Message, ShareQuestion
+from rattanhollow.rates import Rates
+from rattanhollow.serving import ProofQuestion, Serving, Work
+
+
+class Answerers(NamedTuple):
+    """The parts that know the answers."""
+
+    serving: Serving
+    neighbours: NeighbourWatch
+    rates: Rates
+
+
+async def answer_peer(
+    question: Message, own: HostRecord, parts: Answerers
+) -> Message | None:
+    """Return the answer of host ``own``, None where it has none."""
+    if isinstance(question, Work):
+        return await parts.serving.work(question)
+    if isinstance(question, ProofQuestion):
+        return await parts.serving.prove(question.server)
+    if isinstance(question, ShareQuestion):
+        return parts.rates.answer(question)
+    if isinstance(question, HostQuestion):
+        is_other = question.host != own.name
+        return HostAnswer(is_other and parts.neighbours.finds_silent(question))
+    return None
--- /dev/null
+++ b/src/rattanhollow/host/_ends.py
@@ -0,0 +1,32 @@
+"""The protocols that a host speaks, as the composition root takes them."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import trio
+from result import Result
+
+from rattanhollow.configuration import RouteTable
+from rattanhollow.serving import BackendEnd, BackendServer
+from rattanhollow.session import CallerConnection
+from rattanhollow.store import ObjectStore, Stored
+
+
+class Ends(NamedTuple):
+    """Everything outside the host.
+
+    ``caller(stream)`` speaks with a caller. ``promote(service, server, holder,
+    fencing_token)`` answers with the status of the order.
+    """
+
+    caller: Callable[[trio.SocketStream], CallerConnection]
+    backend: BackendEnd
+    store: ObjectStore
+    promote: Callable[[str, str, str, int], Awaitable[Result[int, str]]]
+    read_routes: Callable[[dict[str, Any]], Result[RouteTable, str]]
+    read_server: Callable[[Stored], Result[BackendServer, str]]
+    configuration_kind: str
+    configuration_name: str
+    server_kind: str
+    readiness_path: str
+    metrics_path: str
--- /dev/null
+++ b/src/rattanhollow/host/_root.py
@@ -0,0 +1,221 @@
+"""The composition root of a host: builds it from its settings and runs it."""
+
+import random
+import secrets
+from functools import partial
+
+import trio
+
+from rattanhollow.configuration import NO_ROUTES, RouteTable
+from rattanhollow.host._answer_peers import Answerers, answer_peer
+from rattanhollow.host._clock import now_s
+from rattanhollow.host._ends import Ends
+from rattanhollow.host._stop import stop_serving
+from rattanhollow.membership import (
+    HostDirectory,
+    HostRecord,
+    NeighbourWatch,
+    Registration,
+)
+from rattanhollow.net import (
+    CALLER_KEEPALIVE,
+    HttpReply,
+    listen_at,
+    serve_http,
+    tune_socket,
+)
+from rattanhollow.observe import log_event
+from rattanhollow.peer import Message, Peers, new_peer_keys
+from rattanhollow.rates import RateParts, Rates
+from rattanhollow.routing import (
+    AgentParts,
+    Agents,
+    Floors,
+    Places,
+    Router,
+    RouterParts,
+    ServerDirectory,
+)
+from rattanhollow.serving import ProofAnswer, Serving
+from rattanhollow.session import (
+    ServeParts,
+    SessionParts,
+    Sessions,
+    serve_caller,
+)
+from rattanhollow.settings import LineHostSettings
+from rattanhollow.store import Follower, Stored, follow
+
+OVER_RATE_RETRY_MS = 250
+
+
+class Host:
+    """A running host; built by `build_host`."""
+
+    def __init__(
+        self, settings: LineHostSettings, ends: Ends, rng: random.Random
+    ) -> None:
+        place = settings.place
+        self.settings = settings
+        self.routes: RouteTable = NO_ROUTES
+        self.ready = False
+        self.sessions = Sessions()
+        self.hosts = HostDirectory(lambda: None)
+        self.directory = ServerDirectory(ends.read_server)
+        self._ends = ends
+        self._rng = rng
+        self._incarnation = secrets.token_hex(4)
+        keys = new_peer_keys()
+        record = HostRecord(
+            name=place.name,
+            address=place.address,
+            zone=place.zone,
+            peer_port=settings.listen.peer_port,
+            public_key=keys.public.decode(),
+            incarnation=self._incarnation,
+        )
+        self.registration = Registration(ends.store, record, rng, reports=False)
+        self.peers = Peers(place.address, keys, self.hosts.knows_key, self._answer_peer)
+        self._neighbours = NeighbourWatch(
+            self._own, self.hosts, self.peers, ends.store, settings.membership
+        )
+        self.serving = Serving(
+            ends.backend,
+            self.directory.find,
+            self._connections_of,
+            lambda: self.routes.transaction_idle_ms,
+            now_s,
+        )
+        places = Places(place.zone, place.regions)
+        self.agents = Agents(
+            AgentParts(self._own, self.hosts, self.peers, self.serving, places)
+        )
+        self.floors = Floors(self._prove, now_s)
+        self.rates = Rates(
+            RateParts(
+                organisations=lambda: self.routes.organisations,
+                own=self._own,
+                hosts=self.hosts,
+                peers=self.peers,
+                store=ends.store,
+                settings=settings.rates,
+            )
+        )
+        self._places = places
+        self._stopped = trio.Event()
+
+    async def run(self) -> None:
+        """Serve until cancelled, or until `stop` is through."""
+        settings = self.settings
+        configurations = Follower(self._ends.configuration_kind, self._take_routes)
+        servers = Follower(self._ends.server_kind, self.directory.take)
+        followers = [
+            configurations,
+            servers,
+            self.hosts.follower,
+            self.rates.follower,
+        ]
+        readiness = await listen_at(*settings.listen.readiness)
+        async with trio.open_nursery() as nursery:
+            for follower in followers:
+                nursery.start_soon(follow, self._ends.store, follower, self._rng)
+            nursery.start_soon(serve_http, readiness, self._answer_readiness)
+            nursery.start_soon(self.peers.run, settings.listen.peer_port)
+            nursery.start_soon(self.registration.run)
+            nursery.start_soon(self._neighbours.run)
+            nursery.start_soon(self.serving.run)
+            nursery.start_soon(self.rates.run)
+            serve = partial(self._serve_caller, self._serve_parts(nursery))
+            callers = await listen_at(*settings.listen.callers)
+            await configurations.listed.wait()
+            await servers.listed.wait()
+            nursery.start_soon(trio.serve_listeners, serve, [callers])
+            self.ready = True
+            log_event("host.ready", host=settings.place.name)
+            await self._stopped.wait()
+            nursery.cancel_scope.cancel()
+
+    async def stop(self) -> None:
+        """Leave without cutting a request, within the time of the settings."""
+        self.ready = False
+        await stop_serving(self.sessions, self.registration, self.settings.stop_s)
+        log_event("host.stopped", host=self.settings.place.name)
+        self._stopped.set()
+
+    def _serve_parts(self, nursery: trio.Nursery) -> ServeParts:
+        router = Router(
+            RouterParts(
+                directory=self.directory,
+                agents=self.agents,
+                floors=self.floors,
+                places=self._places,
+                clock=now_s,
+                nursery=nursery,
+                name=self._incarnation,
+            )
+        )
+        session = SessionParts(lambda: self.routes, self._admit, router, now_s)
+        return ServeParts(session, self.sessions, lambda: self.routes.version > 0)
+
+    async def _serve_caller(self, parts: ServeParts, stream: trio.SocketStream) -> None:
+        tune_socket(stream, CALLER_KEEPALIVE)
+        await serve_caller(self._ends.caller(stream), parts)
+
+    def _admit(self, organisation: str) -> int:
+        return 0 if self.rates.admit(organisation) else OVER_RATE_RETRY_MS
+
+    def _own(self) -> HostRecord:
+        return self.registration.record
+
+    def _connections_of(self, service: str) -> int:
+        known = self.routes.services.get(service)
+        return known.connections if known is not None else 1
+
+    async def _prove(self, service: str) -> ProofAnswer:
+        leader = self.directory.leader(service)
+        if leader is None:
+            return ProofAnswer(None, "no primary is known")
+        answer = await self.agents.prove(leader)
+        if answer.position is not None:
+            self.directory.saw_leader(service, leader.id)
+        elif answer.denied:
+            self.directory.saw_no_leader(leader.id)
+        return answer
+
+    def _take_routes(self, stored: Stored | None, name: str) -> None:
+        if name != self._ends.configuration_name:
+            return
+        if stored is None:
+            log_event("configuration.missing", name=name)
+            return
+        read = self._ends.read_routes(stored.spec)
+        if read.is_err():
+            log_event("configuration.unreadable", reason=read.unwrap_err())
+            return
+        offered = read.unwrap()
+        if offered.version <= self.routes.version:
+            return
+        self.routes = offered
+        log_event(
+            "configuration.in_force",
+            version=offered.version,
+            routes=len(offered.routes),
+            keys=len(offered.owners),
+        )
+        for session in self.sessions.all():
+            if not session.busy and not session.may_go_on():
+                session.scope.cancel()
+
+    def _answer_readiness(self, method: str, path: str) -> HttpReply:
+        if path != self._ends.readiness_path:
+            return HttpReply(404)
+        return HttpReply(200 if self.ready else 503)
+
+    async def _answer_peer(self, question: Message) -> Message | None:
+        parts = Answerers(self.serving, self._neighbours, self.rates)
+        return await answer_peer(question, self._own(), parts)
+
+
+def build_host(settings: LineHostSettings, ends: Ends, seed: int | None = None) -> Host:
+    """Return a host built from ``settings``, over the protocols of ``ends``."""
+    return Host(settings, ends, random.Random(seed))
--- a/src/rattanhollow/membership/_hosts.py
+++ b/src/rattanhollow/membership/_hosts.py
@@ -96,12 +96,17 @@
 
 
 class Registration:
-    """Keeps this host's own record and report in the store."""
+    """Keeps this host's own record in the store, and its report if ``reports``."""
 
     def __init__(
-        self, store: ObjectStore, record: HostRecord, rng: random.Random
+        self,
+        store: ObjectStore,
+        record: HostRecord,
+        rng: random.Random,
+        reports: bool = True,
     ) -> None:
         self.record = record
+        self._reports = reports
         self._store = store
         self._rng = rng
         self._version = 0
@@ -126,7 +131,8 @@
         """Delete record and report; a host that dies instead is found silent."""
         self._removed = True
         name = self.record.name
-        for kind in (HOST_KIND, REPORT_KIND):
+        kinds = (HOST_KIND, REPORT_KIND) if self._reports else (HOST_KIND,)
+        for kind in kinds:
             found = await self._store.get(kind, name)
             if found.is_ok():
                 await self._store.delete(kind, name, found.unwrap().version)
@@ -135,9 +141,10 @@
         """Write record and report now and after each change, until cancelled."""
         while not self._removed:
             self._due = trio.Event()
-            report = HostReport(self.record.name, self._version)
             done = await self._write(HOST_KIND, to_spec(self.record))
-            done = done and await self._write(REPORT_KIND, to_spec(report))
+            if done and self._reports:
+                report = HostReport(self.record.name, self._version)
+                done = await self._write(REPORT_KIND, to_spec(report))
             if not done:
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
--- /dev/null
+++ b/src/rattanhollow/platform/__init__.py
@@ -0,0 +1,37 @@
+"""The users' platform: its names, formats and calls, translated to ours.
+
+Decides nothing: what comes over the wire is decoded once, into types of the
+product, and what the product says is encoded.
+"""
+
+from rattanhollow.platform._backend import line_backend
+from rattanhollow.platform._caller import LineCaller
+from rattanhollow.platform._entries import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    SERVER_KIND,
+    read_routes,
+    read_server,
+)
+from rattanhollow.platform._environment import (
+    METRICS_PATH,
+    READINESS_PATH,
+    SETTINGS_VARIABLE,
+)
+from rattanhollow.platform._objects import object_store
+from rattanhollow.platform._promotion import promotion_call
+
+__all__ = [
+    "CONFIGURATION_KIND",
+    "CONFIGURATION_NAME",
+    "METRICS_PATH",
+    "READINESS_PATH",
+    "SERVER_KIND",
+    "SETTINGS_VARIABLE",
+    "LineCaller",
+    "line_backend",
+    "object_store",
+    "promotion_call",
+    "read_routes",
+    "read_server",
+]
--- a/src/rattanhollow/platform/_caller.py
+++ b/src/rattanhollow/platform/_caller.py
@@ -1,11 +1,10 @@
 """The caller's end of the line protocol."""
 
-from typing import NamedTuple
-
 import trio
 
 from rattanhollow.platform import _words as words
 from rattanhollow.platform._lines import LineReader, LineTooLong, line
+from rattanhollow.session import BadLine, Farewell, Opening, Received
 from rattanhollow.statements import (
     Answer,
     Begin,
@@ -45,33 +44,7 @@
 _STATES = {SessionState.IDLE: "I", SessionState.OPEN: "T", SessionState.FAILED: "E"}
 
 
-class Opening(NamedTuple):
-    """The first line of a session: the route's name and the caller's key.
-
-    The key is empty where the caller showed none.
-    """
-
-    route: str
-    key: str
-
-
-class Farewell(NamedTuple):
-    """The caller ended the session; ``reason`` says how."""
-
-    reason: str
-
-
-class BadLine(NamedTuple):
-    """A line that is no request; ``framing_lost`` where no other can follow."""
-
-    id: str
-    framing_lost: bool
-
-
-Received = Opening | Request | Farewell | BadLine
-
-
-class CallerConnection:
+class LineCaller:
     """One caller's connection; one task reads and answers."""
 
     def __init__(self, stream: trio.SocketStream) -> None:
@@ -97,7 +70,7 @@
             try:
                 self._lines = self._reader.feed(bytes(data))
             except LineTooLong:
-                return BadLine("", framing_lost=True)
+                return BadLine(framing_lost=True)
         text = self._lines.pop(0)
         if self._opened:
             return parse_request(text)
@@ -133,7 +106,7 @@
     word, _, rest = text.partition(" ")
     route, _, key = rest.partition(" ")
     if word != words.CONNECT or not route or " " in key:
-        return BadLine("", framing_lost=True)
+        return BadLine(framing_lost=True)
     return Opening(route, key)
 
 
@@ -143,14 +116,14 @@
     if word == words.RELEASE and not rest:
         return Farewell("released")
     if word != words.QUERY:
-        return BadLine("", framing_lost=True)
+        return BadLine(framing_lost=True)
     request_id, _, statement_text = rest.partition(" ")
     if not request_id:
-        return BadLine("", framing_lost=True)
+        return BadLine(framing_lost=True)
     statement = parse_statement(statement_text)
     # An identifier of ours would make a caller's statement look like our own.
     if statement is None or request_id == words.OWN_ID:
-        return BadLine(request_id, framing_lost=False)
+        return BadLine(framing_lost=False)
     return Request(request_id, statement)
 
 
--- a/src/rattanhollow/proxy/_root.py
+++ b/src/rattanhollow/proxy/_root.py
@@ -274,7 +274,7 @@
 
     def _rate_parts(self) -> RateParts:
         return RateParts(
-            configuration=lambda: self.configuration,
+            organisations=lambda: self.configuration.organisations,
             own=self._own_record,
             hosts=self.hosts,
             peers=self.peers,
--- a/src/rattanhollow/rates/_rates.py
+++ b/src/rattanhollow/rates/_rates.py
@@ -14,7 +14,7 @@
 import trio
 from result import Err, Ok, Result
 
-from rattanhollow.configuration import Configuration, Organisation
+from rattanhollow.configuration import Organisation
 from rattanhollow.coordination import (
     LEASE_KIND,
     Holding,
@@ -40,7 +40,7 @@
 class RateParts(NamedTuple):
     """What the limits need of the rest of the host."""
 
-    configuration: Callable[[], Configuration]
+    organisations: Callable[[], dict[str, Organisation]]
     own: Callable[[], HostRecord]
     hosts: HostDirectory
     peers: Peers
@@ -95,7 +95,7 @@
         return False
 
     def _take(self, organisation: str) -> bool:
-        limits = self._parts.configuration().organisations.get(organisation)
+        limits = self._parts.organisations().get(organisation)
         if limits is None or not limits.rate_per_s:
             return limits is not None
         local = self._local.get(organisation)
@@ -130,7 +130,7 @@
 
     def _grant(self, host: str, ask: ShareAsk) -> ShareGrant | None:
         lease = self._leases[self._shard(ask.organisation)]
-        limits = self._parts.configuration().organisations.get(ask.organisation)
+        limits = self._parts.organisations().get(ask.organisation)
         if limits is None or not lease.is_held():
             return None
         if self._owner_terms.get(ask.organisation) != lease.terms_held:
@@ -165,7 +165,7 @@
             per_s = local.asked / interval_s
             local.demand_per_s += SMOOTHING * (per_s - local.demand_per_s)
             local.asked = 0
-            limits = self._parts.configuration().organisations.get(name)
+            limits = self._parts.organisations().get(name)
             if limits is not None and limits.rate_per_s:
                 self._reserve(local, limits)
                 _fit_share(local, limits)
@@ -206,7 +206,7 @@
             local.share = Share(grant.number, grant.rate_per_s, grant.burst)
             # From the moment of asking: the owner counts from later on.
             local.valid_until_s = asked_at_s + valid_s
-            limits = self._parts.configuration().organisations.get(grant.organisation)
+            limits = self._parts.organisations().get(grant.organisation)
             if limits is not None:
                 local.share_of = (limits.rate_per_s, limits.burst)
                 _fit_share(local, limits)
--- /dev/null
+++ b/src/rattanhollow/routing/_agents.py
@@ -0,0 +1,142 @@
+"""Reaching backend servers through the hosts that serve them."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from rattanhollow.coordination import ranked
+from rattanhollow.membership import HostDirectory, HostRecord
+from rattanhollow.peer import Peers
+from rattanhollow.routing._places import Places
+from rattanhollow.serving import (
+    BackendServer,
+    Done,
+    Fate,
+    Obstacle,
+    ProofAnswer,
+    ProofQuestion,
+    Serving,
+    Work,
+    not_run,
+    unknown,
+)
+
+# What the way to another host and back may take beyond the work itself.
+WAY_MS = 150
+# Hosts that are tried for one server before it is held to be out of reach.
+HOSTS_TRIED = 3
+PROOF_TIMEOUT_MS = 600
+
+
+class AgentParts(NamedTuple):
+    """What reaching servers needs of the rest of the host."""
+
+    own: Callable[[], HostRecord]
+    hosts: HostDirectory
+    peers: Peers
+    serving: Serving
+    places: Places
+
+
+class Ran(NamedTuple):
+    """The answer to work, the host that gave it, and the transaction it named."""
+
+    done: Done
+    host: str
+    transaction: str
+
+
+class Agents:
+    """Finds the host that serves a backend server, and hands work to it."""
+
+    def __init__(self, parts: AgentParts) -> None:
+        self._parts = parts
+        self._ranked: dict[tuple[str, str], list[str]] = {}
+        self._ranked_for: tuple[HostRecord, ...] = ()
+
+    async def run(self, server: BackendServer, work: Work) -> Ran:
+        """Run work at a server, through the first host that reaches it."""
+        detail = "no host is left to serve it"
+        for record in self.hosts_for(server)[:HOSTS_TRIED]:
+            done = await self.run_at(record.name, work)
+            not_served = done.obstacle in (Obstacle.NOT_SERVED, Obstacle.HOST_LOST)
+            if done.fate is not Fate.NOT_RUN or not not_served:
+                return Ran(done, record.name, work.transaction)
+            detail = f"{record.name}: {done.detail}"
+        return Ran(not_run(Obstacle.NOT_SERVED, detail), "", work.transaction)
+
+    async def run_at(self, host: str, work: Work) -> Done:
+        """Run work through one host."""
+        if host == self._parts.own().name:
+            return await self._parts.serving.work(work)
+        record = self._parts.hosts.find(host)
+        if record is None:
+            return not_run(Obstacle.HOST_LOST, f"{host} is gone")
+        asked = await self._parts.peers.ask(record.peer, work, work.budget_ms + WAY_MS)
+        answer = asked.ok()
+        if isinstance(answer, Done):
+            return answer
+        failure = asked.err()
+        if failure is not None and not failure.sent:
+            return not_run(Obstacle.HOST_LOST, failure.reason)
+        reason = failure.reason if failure is not None else "an unexpected answer"
+        return unknown(Obstacle.HOST_LOST, reason)
+
+    async def prove(self, server: BackendServer) -> ProofAnswer:
+        """Return a log position that ``server`` proves as the primary."""
+        answer = ProofAnswer(None, "no host is left to ask")
+        for record in self.hosts_for(server)[:HOSTS_TRIED]:
+            if record.name == self._parts.own().name:
+                answer = await self._parts.serving.prove(server.id)
+            else:
+                question = ProofQuestion(server.id)
+                asked = await self._parts.peers.ask(
+                    record.peer, question, PROOF_TIMEOUT_MS
+                )
+                found = asked.ok()
+                if not isinstance(found, ProofAnswer):
+                    continue
+                answer = found
+            if answer.position is not None:
+                return answer
+        return answer
+
+    def hosts_for(self, server: BackendServer) -> list[HostRecord]:
+        """Return the hosts that may serve a server, the first choice first.
+
+        Hosts of the server's availability zone go first, then those of its
+        region, then all others; a host that leaves, or doesn't answer, is
+        passed over.
+        """
+        records = self._candidates()
+        names = self._rank(server.id, server.zone, records)
+        by_name = {record.name: record for record in records}
+        own = self._parts.own().name
+        return [
+            by_name[name]
+            for name in names
+            if name == own or not self._parts.peers.is_dark(by_name[name].peer)
+        ]
+
+    def _candidates(self) -> tuple[HostRecord, ...]:
+        own = self._parts.own()
+        others = [h for h in self._parts.hosts.staying() if h.name != own.name]
+        return tuple(others if own.leaving else [*others, own])
+
+    def _rank(
+        self, server_id: str, zone: str, records: tuple[HostRecord, ...]
+    ) -> list[str]:
+        if records != self._ranked_for:
+            self._ranked_for = records
+            self._ranked.clear()
+        key = (server_id, zone)
+        if key not in self._ranked:
+            by_distance: dict[int, list[str]] = {0: [], 1: [], 2: []}
+            for record in records:
+                distance = self._parts.places.distance(zone, record.zone)
+                by_distance[distance].append(record.name)
+            self._ranked[key] = [
+                name
+                for distance in sorted(by_distance)
+                for name in ranked(server_id, by_distance[distance])
+            ]
+        return self._ranked[key]
--- a/src/rattanhollow/serving/__init__.py
+++ b/src/rattanhollow/serving/__init__.py
@@ -11,6 +11,9 @@
     Reply,
     ServerStatus,
 )
+from rattanhollow.serving._fair_queue import FairQueue
+from rattanhollow.serving._served import Served, ServingParts
+from rattanhollow.serving._serving import Serving
 from rattanhollow.serving._work import (
     Done,
     Fate,
@@ -31,6 +34,7 @@
     "CommandKind",
     "Connection",
     "Done",
+    "FairQueue",
     "Fate",
     "Lost",
     "Obstacle",
@@ -39,7 +43,10 @@
     "ProofQuestion",
     "Reply",
     "Scope",
+    "Served",
     "ServerStatus",
+    "Serving",
+    "ServingParts",
     "Work",
     "WorkKind",
     "not_run",
--- /dev/null
+++ b/src/rattanhollow/serving/_served.py
@@ -0,0 +1,559 @@
+"""One backend server that this host serves to the fleet."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+from result import Err, Result
+
+from rattanhollow.observe import log_event
+from rattanhollow.serving._connections import ConnectionPool, ServerConnection
+from rattanhollow.serving._end import (
+    BackendEnd,
+    BackendServer,
+    Command,
+    CommandKind,
+    Lost,
+    OpenFailure,
+    Reply,
+)
+from rattanhollow.serving._slots import LOWEST_PRIORITY, SlotQueue
+from rattanhollow.serving._work import (
+    Done,
+    Fate,
+    Obstacle,
+    ProofAnswer,
+    Scope,
+    Work,
+    WorkKind,
+    not_run,
+    unknown,
+)
+from rattanhollow.statements import Reason, SessionState
+
+# A connection idle for longer may have gone silent: it is tried before use.
+PROBE_AFTER_IDLE_S = 1.0
+PROBE_TIMEOUT_S = 0.25
+# A new connection waits for a slot of the server and occupies it for tens of ms.
+OPEN_TIMEOUT_S = 0.8
+# Work that waits for a connection looks again this often.
+CONNECTION_WAIT_S = 0.02
+# A server that says nothing for this long while work is due is looked at.
+SILENT_AFTER_S = 0.4
+LOOK_INTERVAL_S = 0.1
+RETRY_UNREACHABLE_S = 0.25
+# Connections left to hosts that look at the server without serving it.
+CONNECTIONS_SPARED = 2
+# Whom a backend server is told of where no organisation's work is done.
+NOBODY = "-"
+
+_BEGINNING = {
+    Scope.PROVEN: CommandKind.BEGIN,
+    Scope.BEGIN: CommandKind.BEGIN,
+    Scope.BEGIN_READ_ONLY: CommandKind.BEGIN_READ_ONLY,
+}
+_KINDS = {
+    WorkKind.READ: CommandKind.READ,
+    WorkKind.WRITE: CommandKind.WRITE,
+    WorkKind.EXECUTE: CommandKind.EXECUTE,
+    WorkKind.COMMIT: CommandKind.COMMIT,
+}
+
+
+class ServingParts(NamedTuple):
+    """What serving needs of the rest of the host; ``clock`` gives seconds."""
+
+    end: BackendEnd
+    nursery: trio.Nursery
+    clock: Callable[[], float]
+
+
+class _Ticket:
+    """A task that waits for a slot; ``granted`` once it has one."""
+
+    def __init__(self) -> None:
+        self.turn = trio.Event()
+        self.granted = False
+
+
+class _Transaction:
+    """A caller's open transaction, on a connection of its own."""
+
+    def __init__(self, connection: ServerConnection, read_only: bool) -> None:
+        self.connection = connection
+        self.read_only = read_only
+        self.wrote = False
+        self.running = False
+        self.used_at_s = 0.0
+
+
+class _SessionPlan(NamedTuple):
+    """Commands that bring a connection into a session's state, and that state."""
+
+    commands: list[Command]
+    values: dict[str, str]
+    prepared: dict[tuple[bool, str], str]
+
+
+class _Stop(Exception):
+    """Work that ends before the server replied to it."""
+
+    def __init__(self, done: Done) -> None:
+        super().__init__(done.detail)
+        self.done = done
+
+
+class Served:
+    """Runs work at one backend server; ``reachable`` while it answers."""
+
+    def __init__(
+        self, server: BackendServer, connections: int, parts: ServingParts
+    ) -> None:
+        self.server = server
+        self.reachable = True
+        self.unreachable_since_s = 0.0
+        self._parts = parts
+        self._pool = ConnectionPool(max(1, connections - CONNECTIONS_SPARED))
+        self._slots: SlotQueue[_Ticket] = SlotQueue(server.slots)
+        self._transactions: dict[str, _Transaction] = {}
+        self._exchanges: dict[ServerConnection, float] = {}
+        self._due = trio.Event()
+        self._heard_at_s = parts.clock()
+        self._scope = trio.CancelScope()
+        self._closed = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing runs, waits or is open here."""
+        return not (self._transactions or self._exchanges or self._slots.waiting)
+
+    @property
+    def wait_ms(self) -> int:
+        """How long new work of the lowest priority would wait now."""
+        return int(self._slots.wait_ms(LOWEST_PRIORITY))
+
+    async def run(self, work: Work) -> Done:
+        """Run one piece of work."""
+        if work.kind is WorkKind.ROLLBACK:
+            return self._roll_back(work.transaction)
+        if not self.reachable or self._closed:
+            return not_run(Obstacle.NOT_SERVED, f"{self.server.id} is unreachable")
+        transaction = None
+        if work.scope is Scope.WITHIN:
+            transaction = self._transactions.get(work.transaction)
+            if transaction is None or transaction.running:
+                return not_run(Obstacle.NO_TRANSACTION, "it is not open here")
+            transaction.running = True
+        try:
+            done = await self._run(work, transaction)
+        except _Stop as stop:
+            done = stop.done
+        finally:
+            if transaction is not None:
+                transaction.running = False
+                transaction.used_at_s = self._parts.clock()
+        return done._replace(wait_ms=self.wait_ms)
+
+    async def prove(self) -> ProofAnswer:
+        """Return the log's end, proven by a plain transaction that began."""
+        if not self.reachable or self._closed:
+            return ProofAnswer(None, f"{self.server.id} is unreachable")
+        connection = self._pool.take_any()
+        if connection is None:
+            try:
+                connection = await self._open(NOBODY, OPEN_TIMEOUT_S)
+            except _Stop as stop:
+                return ProofAnswer(None, stop.done.detail)
+        begun = await self._exchange(
+            connection, [Command(CommandKind.BEGIN)], PROBE_TIMEOUT_S
+        )
+        if begun.is_err():
+            return ProofAnswer(None, begun.unwrap_err().reason)
+        self._finish(connection)
+        reply = begun.unwrap()[0]
+        if reply.reason is not None:
+            denied = reply.reason is Reason.NOT_LEADER
+            return ProofAnswer(None, f"{reply.reason.name} {reply.detail}", denied)
+        return ProofAnswer(reply.position)
+
+    async def watch(self) -> None:
+        """Notice that the server has gone silent, and that it is back."""
+        with self._scope:
+            while True:
+                if self.reachable and not self._exchanges:
+                    self._due = trio.Event()
+                    await self._due.wait()
+                await trio.sleep(
+                    LOOK_INTERVAL_S if self.reachable else RETRY_UNREACHABLE_S
+                )
+                await self._look()
+
+    def expire(self, idle_s: float) -> None:
+        """Roll back transactions that were idle for longer."""
+        now_s = self._parts.clock()
+        for name, transaction in list(self._transactions.items()):
+            idle = not transaction.running
+            if idle and now_s - transaction.used_at_s > idle_s:
+                log_event("transaction.expired", transaction=name)
+                self._roll_back(name)
+
+    def close(self) -> None:
+        """Give all connections up; what runs ends as lost."""
+        self._closed = True
+        self._scope.cancel()
+        for connection in self._pool.take_all_idle():
+            connection.link.abort()
+        for connection in list(self._exchanges):
+            connection.link.abort()
+        for transaction in self._transactions.values():
+            transaction.connection.link.abort()
+        self._transactions.clear()
+
+    async def _run(self, work: Work, transaction: _Transaction | None) -> Done:
+        deadline_s = self._parts.clock() + work.budget_ms / 1000
+        while True:
+            await self._take_slot(work, deadline_s)
+            if transaction is not None or self._pool.can_lend():
+                break
+            self._free_slot(None)
+            await self._wait_for_connection(deadline_s)
+        began_s = self._parts.clock()
+        replied = False
+        try:
+            if transaction is not None:
+                connection = transaction.connection
+            else:
+                connection = await self._connection(work)
+            reply = await self._run_on(connection, work, transaction, deadline_s)
+            replied = True
+        finally:
+            cost_ms = (self._parts.clock() - began_s) * 1000
+            self._free_slot(cost_ms if replied else None)
+        return self._settle(work, connection, transaction, reply)
+
+    async def _take_slot(self, work: Work, deadline_s: float) -> None:
+        if self._slots.take():
+            return
+        wait_ms = self._slots.wait_ms(work.priority)
+        if self._parts.clock() + wait_ms / 1000 > deadline_s:
+            raise _Stop(not_run(Obstacle.OVERLOADED, "the queue", int(wait_ms)))
+        ticket = _Ticket()
+        self._slots.wait(ticket, work.organisation, work.priority)
+        try:
+            with trio.move_on_at(self._at(deadline_s)):
+                await ticket.turn.wait()
+        except trio.Cancelled:
+            self._leave_queue(ticket, work)
+            raise
+        if not ticket.turn.is_set():
+            self._leave_queue(ticket, work)
+            raise _Stop(not_run(Obstacle.OVERLOADED, "the queue", int(wait_ms)))
+        if not ticket.granted:
+            raise _Stop(not_run(Obstacle.NOT_SERVED, "it became unreachable"))
+
+    def _leave_queue(self, ticket: _Ticket, work: Work) -> None:
+        if ticket.granted:
+            self._free_slot(None)
+        elif not ticket.turn.is_set():
+            self._slots.give_up(ticket, work.organisation, work.priority)
+
+    def _free_slot(self, cost_ms: float | None) -> None:
+        self._slots.release(cost_ms)
+        ticket = self._slots.next()
+        if ticket is not None:
+            ticket.granted = True
+            ticket.turn.set()
+
+    def _at(self, deadline_s: float) -> float:
+        return trio.current_time() + deadline_s - self._parts.clock()
+
+    async def _wait_for_connection(self, deadline_s: float) -> None:
+        while not self._pool.can_lend():
+            if self._parts.clock() >= deadline_s:
+                detail = "all connections are in transactions"
+                raise _Stop(not_run(Obstacle.OVERLOADED, detail))
+            await trio.sleep(CONNECTION_WAIT_S)
+
+    async def _connection(self, work: Work) -> ServerConnection:
+        """Return a connection of the organisation; opens one if need be."""
+        while True:
+            connection = self._pool.take(work.organisation, dict(work.values))
+            if connection is None:
+                return await self._open(work.organisation or NOBODY, OPEN_TIMEOUT_S)
+            if await self._is_sound(connection):
+                return connection
+
+    async def _is_sound(self, connection: ServerConnection) -> bool:
+        """Whether an idle connection still works; one that doesn't is dropped."""
+        if not connection.link.quiet:
+            self._drop(connection)
+            return False
+        idle_s = self._parts.clock() - connection.idle_since_s
+        if idle_s < PROBE_AFTER_IDLE_S:
+            return True
+        probe = [Command(CommandKind.BEGIN_READ_ONLY), Command(CommandKind.ROLLBACK)]
+        return (await self._exchange(connection, probe, PROBE_TIMEOUT_S)).is_ok()
+
+    async def _open(self, organisation: str, timeout_s: float) -> ServerConnection:
+        evicted = self._pool.reserve()
+        if evicted is not None:
+            evicted.link.abort()
+        opened = None
+        try:
+            with trio.move_on_after(timeout_s):
+                opened = await self._parts.end.open(self.server, organisation)
+        finally:
+            if opened is None or opened.is_err():
+                self._pool.closed()
+        if opened is not None and opened.is_ok():
+            self._heard_at_s = self._parts.clock()
+            return ServerConnection(opened.unwrap(), organisation)
+        failure = OpenFailure.UNREACHABLE if opened is None else opened.unwrap_err()
+        log_event("server.not_opened", server=self.server.id, reason=failure.value)
+        if failure is OpenFailure.TOO_MANY:
+            self._pool.limit = max(1, self._pool.open_count)
+        overloaded = failure in (OpenFailure.TOO_MANY, OpenFailure.BUSY)
+        obstacle = Obstacle.OVERLOADED if overloaded else Obstacle.NOT_SERVED
+        raise _Stop(not_run(obstacle, failure.value))
+
+    async def _exchange(
+        self, connection: ServerConnection, commands: list[Command], timeout_s: float
+    ) -> Result[list[Reply], Lost]:
+        """Run commands; after an ``Err`` the connection is gone."""
+        self._exchanges[connection] = self._parts.clock()
+        self._due.set()
+        answered: Result[list[Reply], Lost] = Err(Lost("no answer in time"))
+        try:
+            with trio.move_on_after(timeout_s):
+                answered = await connection.link.run_all(commands)
+        finally:
+            del self._exchanges[connection]
+            if answered.is_err():
+                self._drop(connection)
+        if answered.is_ok():
+            self._heard_at_s = self._parts.clock()
+        return answered
+
+    async def _run_on(
+        self,
+        connection: ServerConnection,
+        work: Work,
+        transaction: _Transaction | None,
+        deadline_s: float,
+    ) -> Reply:
+        """Bring the connection into the session's state and run the statement.
+
+        A reply to BEGIN that refuses stands for the reply to the statement.
+        """
+        plan = _plan_session(connection, work)
+        commands = plan.commands
+        if work.scope in _BEGINNING:
+            read_only = work.scope is Scope.BEGIN_READ_ONLY
+            floor = work.floor if read_only else None
+            commands.append(Command(_BEGINNING[work.scope], floor=floor))
+        if commands:
+            remaining_s = deadline_s - self._parts.clock()
+            prepared = await self._exchange(connection, commands, remaining_s)
+            if prepared.is_err():
+                detail = f"before the statement: {prepared.unwrap_err().reason}"
+                self._forget(work)
+                raise _Stop(not_run(Obstacle.LOST, detail))
+            refused = [r for r in prepared.unwrap() if r.reason is not None]
+            if refused and work.scope in _BEGINNING:
+                return refused[-1]._replace(rows=(), proof="")
+            if refused:
+                self._drop(connection)
+                self._forget(work)
+                detail = f"before the statement: {refused[0].detail}"
+                raise _Stop(not_run(Obstacle.LOST, detail))
+            connection.values = plan.values
+            connection.prepared = plan.prepared
+        remaining_s = deadline_s - self._parts.clock()
+        command = _statement_command(connection, work)
+        answered = await self._exchange(connection, [command], remaining_s)
+        if answered.is_err():
+            self._forget(work)
+            lost = answered.unwrap_err()
+            if not lost.sent:
+                raise _Stop(not_run(Obstacle.LOST, lost.reason))
+            raise _Stop(unknown(Obstacle.LOST, lost.reason))
+        return answered.unwrap()[0]
+
+    def _settle(
+        self,
+        work: Work,
+        connection: ServerConnection,
+        transaction: _Transaction | None,
+        reply: Reply,
+    ) -> Done:
+        """Decide what becomes of connection and transaction, and answer."""
+        success = reply.reason is None
+        writes = _writes(work)
+        still_open = False
+        if work.scope in (Scope.ALONE, Scope.PROVEN):
+            led = success and (work.scope is Scope.PROVEN or writes)
+        else:
+            if transaction is None:
+                read_only = work.scope is Scope.BEGIN_READ_ONLY
+                transaction = _Transaction(connection, read_only)
+            transaction.wrote = transaction.wrote or (success and writes)
+            still_open = success and reply.state is SessionState.OPEN
+            # A commit that wrote nothing is accepted by a deposed primary too.
+            proves = work.kind is not WorkKind.COMMIT or transaction.wrote
+            led = success and proves and not transaction.read_only
+        if work.scope in (Scope.BEGIN, Scope.BEGIN_READ_ONLY, Scope.WITHIN):
+            self._keep(work.transaction, transaction, still_open)
+        if not still_open:
+            if reply.state is SessionState.IDLE:
+                self._give_back(connection)
+            else:
+                self._finish(connection)
+        if reply.reason is Reason.NO_STATEMENT:
+            connection.prepared.clear()
+        return Done(
+            Fate.DONE if success else Fate.REFUSED,
+            rows=reply.rows,
+            proof=reply.proof,
+            reason=reply.reason,
+            detail=reply.detail,
+            position=reply.position,
+            led=led,
+            open=still_open,
+        )
+
+    def _keep(
+        self, name: str, transaction: _Transaction | None, still_open: bool
+    ) -> None:
+        if still_open and transaction is not None and not self._closed:
+            transaction.used_at_s = self._parts.clock()
+            self._transactions[name] = transaction
+        else:
+            self._transactions.pop(name, None)
+
+    def _forget(self, work: Work) -> None:
+        """Forget the transaction whose connection was lost."""
+        self._transactions.pop(work.transaction, None)
+
+    def _roll_back(self, name: str) -> Done:
+        transaction = self._transactions.pop(name, None)
+        if transaction is None:
+            return Done(Fate.DONE)
+        if transaction.running:
+            transaction.connection.link.abort()
+        else:
+            self._finish(transaction.connection)
+        return Done(Fate.DONE)
+
+    def _finish(self, connection: ServerConnection) -> None:
+        """Roll back what is open on a connection, in the background."""
+        self._parts.nursery.start_soon(self._end_transaction, connection)
+
+    async def _end_transaction(self, connection: ServerConnection) -> None:
+        rollback = [Command(CommandKind.ROLLBACK)]
+        ended = await self._exchange(connection, rollback, OPEN_TIMEOUT_S)
+        if ended.is_err():
+            return
+        if ended.unwrap()[0].state is SessionState.IDLE:
+            self._give_back(connection)
+        else:
+            self._drop(connection)
+
+    def _give_back(self, connection: ServerConnection) -> None:
+        if self._closed:
+            self._drop(connection)
+        else:
+            self._pool.give_back(connection, self._parts.clock())
+
+    def _drop(self, connection: ServerConnection) -> None:
+        if connection.dropped:
+            return
+        connection.dropped = True
+        connection.link.abort()
+        self._pool.closed()
+
+    async def _look(self) -> None:
+        """Find out whether a server that says nothing still answers."""
+        now_s = self._parts.clock()
+        if self.reachable:
+            oldest_s = min(self._exchanges.values(), default=now_s)
+            if now_s - max(oldest_s, self._heard_at_s) < SILENT_AFTER_S:
+                return
+        answers = await self._answers()
+        if answers and not self.reachable:
+            self.reachable = True
+            log_event("server.back", server=self.server.id)
+        elif not answers and self.reachable:
+            self._lose()
+
+    async def _answers(self) -> bool:
+        connection = self._pool.take_any()
+        if connection is not None:
+            probe = [
+                Command(CommandKind.BEGIN_READ_ONLY),
+                Command(CommandKind.ROLLBACK),
+            ]
+            answered = await self._exchange(connection, probe, PROBE_TIMEOUT_S)
+            if answered.is_ok():
+                self._give_back(connection)
+                return True
+        try:
+            connection = await self._open(NOBODY, OPEN_TIMEOUT_S)
+        except _Stop as stop:
+            return stop.done.obstacle is Obstacle.OVERLOADED
+        self._give_back(connection)
+        return True
+
+    def _lose(self) -> None:
+        """Give up on a server that doesn't answer, until it does again."""
+        self.reachable = False
+        self.unreachable_since_s = self._parts.clock()
+        log_event(
+            "server.unreachable",
+            server=self.server.id,
+            exchanges=len(self._exchanges),
+            transactions=len(self._transactions),
+        )
+        for connection in [*self._exchanges, *self._pool.take_all_idle()]:
+            connection.link.abort()
+        for transaction in self._transactions.values():
+            if not transaction.running:
+                self._drop(transaction.connection)
+        self._transactions.clear()
+        for ticket in self._slots.drain():
+            ticket.turn.set()
+
+
+def _plan_session(connection: ServerConnection, work: Work) -> _SessionPlan:
+    """Return what brings a connection into the session's state."""
+    values = dict(work.values)
+    held, prepared = connection.values, dict(connection.prepared)
+    commands = []
+    if not held.keys() <= values.keys():
+        commands.append(Command(CommandKind.FORGET_SESSION))
+        held, prepared = {}, {}
+    commands += [
+        Command(CommandKind.SET, text=value, name=name)
+        for name, value in values.items()
+        if held.get(name) != value
+    ]
+    key = (work.shape_writes, work.shape)
+    if work.kind is WorkKind.EXECUTE and key not in prepared:
+        kind = CommandKind.PREPARE_READ
+        if work.shape_writes:
+            kind = CommandKind.PREPARE_WRITE
+        name = prepared[key] = connection.new_name()
+        commands.append(Command(kind, text=work.shape, name=name))
+    return _SessionPlan(commands, values, prepared)
+
+
+def _statement_command(connection: ServerConnection, work: Work) -> Command:
+    name, floor = "", None
+    if work.kind is WorkKind.EXECUTE:
+        name = connection.prepared[(work.shape_writes, work.shape)]
+    if work.scope is Scope.ALONE and not _writes(work):
+        floor = work.floor
+    return Command(_KINDS[work.kind], work.text, name, work.request_id, floor)
+
+
+def _writes(work: Work) -> bool:
+    return work.kind is WorkKind.WRITE or work.shape_writes
--- /dev/null
+++ b/src/rattanhollow/serving/_serving.py
@@ -0,0 +1,104 @@
+"""All backend servers that this host serves to the fleet."""
+
+from collections.abc import Callable
+
+import trio
+
+from rattanhollow.serving._end import BackendEnd, BackendServer
+from rattanhollow.serving._served import Served, ServingParts
+from rattanhollow.serving._work import (
+    Done,
+    Obstacle,
+    ProofAnswer,
+    Work,
+    not_run,
+)
+
+EXPIRE_INTERVAL_S = 0.5
+
+
+class Serving:
+    """Serves a backend server from the first work for it that arrives.
+
+    ``find(id)`` gives a server as the store describes it, ``connections(service)``
+    how many connections each of its servers takes, ``idle_ms()`` how long a
+    transaction may stay idle.
+    """
+
+    def __init__(
+        self,
+        end: BackendEnd,
+        find: Callable[[str], BackendServer | None],
+        connections: Callable[[str], int],
+        idle_ms: Callable[[], int],
+        clock: Callable[[], float],
+    ) -> None:
+        self._end = end
+        self._find = find
+        self._connections = connections
+        self._idle_ms = idle_ms
+        self._clock = clock
+        self._served: dict[str, Served] = {}
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            while True:
+                await trio.sleep(EXPIRE_INTERVAL_S)
+                self.refresh()
+                for served in self._served.values():
+                    served.expire(self._idle_ms() / 1000)
+
+    def served(self) -> list[Served]:
+        """Return the servers served now."""
+        return list(self._served.values())
+
+    def find(self, server_id: str) -> Served | None:
+        """Return a server that is served now."""
+        return self._served.get(server_id)
+
+    def refresh(self) -> None:
+        """Give up servers that are gone, or that started anew."""
+        for server_id, served in list(self._served.items()):
+            known = self._find(server_id)
+            if known is None and not served.idle:
+                continue
+            if known is None or known.born_ms != served.server.born_ms:
+                self._give_up(server_id)
+            else:
+                served.server = known
+
+    async def work(self, work: Work) -> Done:
+        """Run work at the backend server that it names."""
+        served = self.serve(work.server)
+        if served is None:
+            return not_run(Obstacle.NOT_SERVED, f"no server {work.server} is known")
+        return await served.run(work)
+
+    async def prove(self, server_id: str) -> ProofAnswer:
+        """Return a log position that a primary has proven."""
+        served = self.serve(server_id)
+        if served is None:
+            return ProofAnswer(None, f"no server {server_id} is known")
+        return await served.prove()
+
+    def serve(self, server_id: str) -> Served | None:
+        """Return a server, served from now on if it is known."""
+        served = self._served.get(server_id)
+        known = self._find(server_id)
+        if served is not None:
+            if known is None or known.born_ms == served.server.born_ms:
+                return served
+            self._give_up(server_id)
+        if known is None or self._nursery is None:
+            return None
+        parts = ServingParts(self._end, self._nursery, self._clock)
+        served = Served(known, self._connections(known.service), parts)
+        self._served[server_id] = served
+        self._nursery.start_soon(served.watch)
+        return served
+
+    def _give_up(self, server_id: str) -> None:
+        self._served.pop(server_id).close()
--- a/src/rattanhollow/serving/_work.py
+++ b/src/rattanhollow/serving/_work.py
@@ -130,8 +130,11 @@
 
 
 class ProofAnswer(NamedTuple):
-    """``position`` was proven ``age_ms`` before the answer; None: no proof."""
+    """``position`` was proven behind the question; None: no proof.
+
+    ``denied`` where the server said that it doesn't lead.
+    """
 
     position: Position | None
-    age_ms: int
     detail: str = ""
+    denied: bool = False
--- /dev/null
+++ b/src/rattanhollow/session/__init__.py
@@ -0,0 +1,25 @@
+"""Callers' sessions, whichever protocol they speak."""
+
+from rattanhollow.session._end import (
+    BadLine,
+    CallerConnection,
+    Farewell,
+    Opening,
+    Received,
+)
+from rattanhollow.session._serve import ServeParts, idle, serve_caller
+from rattanhollow.session._session import Session, SessionParts, Sessions
+
+__all__ = [
+    "BadLine",
+    "CallerConnection",
+    "Farewell",
+    "Opening",
+    "Received",
+    "ServeParts",
+    "Session",
+    "SessionParts",
+    "Sessions",
+    "idle",
+    "serve_caller",
+]
--- /dev/null
+++ b/src/rattanhollow/session/_serve.py
@@ -0,0 +1,124 @@
+"""Serving one caller: from its first line to the end of its connection."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+
+from rattanhollow.configuration import digest_of
+from rattanhollow.observe import log_event
+from rattanhollow.session._end import (
+    BadLine,
+    CallerConnection,
+    Farewell,
+    Opening,
+)
+from rattanhollow.session._session import Session, SessionParts, Sessions
+from rattanhollow.statements import Answer, Reason, Refused, Request, SessionState
+
+# Callers give up on a session that doesn't begin within seconds.
+OPENING_TIMEOUT_S = 10.0
+
+
+class ServeParts(NamedTuple):
+    """What serving callers needs; ``may_serve()`` tells whether this host may."""
+
+    session: SessionParts
+    sessions: Sessions
+    may_serve: Callable[[], bool]
+
+
+async def serve_caller(connection: CallerConnection, parts: ServeParts) -> None:
+    """Serve a caller until it, an operator or the host ends the session."""
+    try:
+        session = await _open(connection, parts)
+        if session is None:
+            return
+        session.mid_request = lambda: connection.mid_request
+        number = parts.sessions.add(session)
+        try:
+            with session.scope:
+                await _serve(connection, session)
+        finally:
+            parts.sessions.remove(number)
+            session.abandon()
+    finally:
+        with trio.CancelScope(shield=True):
+            await connection.close()
+
+
+async def _open(connection: CallerConnection, parts: ServeParts) -> Session | None:
+    opening = None
+    with trio.move_on_after(OPENING_TIMEOUT_S):
+        opening = await connection.receive()
+    if opening is None or isinstance(opening, Farewell):
+        return None
+    if not isinstance(opening, Opening):
+        await connection.refuse(Refused(Reason.MALFORMED))
+        return None
+    session = _admit(opening, parts)
+    if isinstance(session, Refused):
+        log_event("session.refused", route=opening.route, reason=session.reason.name)
+        await connection.refuse(session)
+        return None
+    return session if await connection.welcome() else None
+
+
+def _admit(opening: Opening, parts: ServeParts) -> Session | Refused:
+    if not parts.may_serve():
+        return Refused(Reason.BUSY, "this host can't learn the newest configuration")
+    routes = parts.session.routes()
+    route = routes.routes.get(opening.route)
+    if route is None:
+        return Refused(Reason.NO_ROUTE)
+    digest = digest_of(opening.key) if opening.key else ""
+    owner = routes.organisation_of(digest)
+    if owner is None and not route.open:
+        return Refused(Reason.NO_KEY)
+    if owner is None:
+        return Session(opening.route, "", "", parts.session)
+    return Session(opening.route, digest, owner, parts.session)
+
+
+async def _serve(connection: CallerConnection, session: Session) -> None:
+    while True:
+        received = await connection.receive()
+        if isinstance(received, Farewell):
+            return
+        session.busy = True
+        if not isinstance(received, Request):
+            bad = Refused(Reason.MALFORMED)
+            if isinstance(received, BadLine) and received.framing_lost:
+                await connection.refuse(bad)
+                return
+            if not await connection.answer(bad, session.state):
+                return
+        else:
+            answer = await session.handle(received)
+            _log_refusal(received, answer, session)
+            if isinstance(answer, Refused) and answer.ends:
+                await connection.refuse(answer)
+                return
+            if not await connection.answer(answer, session.state):
+                return
+        session.busy = False
+
+
+def _log_refusal(request: Request, answer: Answer, session: Session) -> None:
+    if isinstance(answer, Refused):
+        log_event(
+            "request.refused",
+            request=request.id,
+            statement=type(request.statement).__name__,
+            organisation=session.organisation,
+            reason=answer.reason.name,
+            detail=answer.detail,
+            retry_after_ms=answer.retry_after_ms,
+            state=session.state.name,
+        )
+
+
+def idle(session: Session) -> bool:
+    """Whether a session can be closed without breaking anything off."""
+    in_request = session.busy or session.mid_request()
+    return not in_request and session.state is SessionState.IDLE
--- /dev/null
+++ b/src/rattanhollow/session/_session.py
@@ -0,0 +1,256 @@
+"""One caller's session: what it has set, prepared and opened."""
+
+import enum
+import itertools
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+
+from rattanhollow.configuration import Route, RouteTable
+from rattanhollow.coordination import Position
+from rattanhollow.routing import Demand, Outcome, Placement, Router
+from rattanhollow.serving import Scope, Work, WorkKind
+from rattanhollow.statements import (
+    Answer,
+    Begin,
+    Commit,
+    Completed,
+    Execute,
+    Forget,
+    Prepare,
+    Read,
+    Reason,
+    Refused,
+    Request,
+    Rollback,
+    SessionState,
+    SetValue,
+    Write,
+)
+
+
+class SessionParts(NamedTuple):
+    """What a session needs of the rest of the host.
+
+    ``routes()`` is the configuration in force, ``admit(organisation)`` counts
+    one operation: 0 where it is within the rate, else when to come back, in ms.
+    """
+
+    routes: Callable[[], RouteTable]
+    admit: Callable[[str], int]
+    router: Router
+    clock: Callable[[], float]
+
+
+class _Prepared(NamedTuple):
+    writes: bool
+    shape: str
+
+
+class _Transaction(enum.Enum):
+    """How far a transaction has come."""
+
+    BEGUN = "no statement ran yet"
+    PLACED = "open at a backend server"
+    FAILED = "can only be rolled back"
+
+
+class Session:
+    """The state of a session, and its statements.
+
+    ``organisation`` is empty on a route that is open to all.
+    """
+
+    def __init__(
+        self, route: str, key_digest: str, organisation: str, parts: SessionParts
+    ) -> None:
+        self.organisation = organisation
+        self.scope = trio.CancelScope()
+        self.busy = False
+        self.mid_request: Callable[[], bool] = lambda: False
+        self._route_name = route
+        self._key_digest = key_digest
+        self._parts = parts
+        self._values: dict[str, str] = {}
+        self._prepared: dict[str, _Prepared] = {}
+        self._floor: Position | None = None
+        self._transaction: _Transaction | None = None
+        self._read_only = False
+        self._route: Route | None = None
+        self._placement: Placement | None = None
+
+    @property
+    def state(self) -> SessionState:
+        """What the caller is told of its transaction."""
+        if self._transaction is None:
+            return SessionState.IDLE
+        if self._transaction is _Transaction.FAILED:
+            return SessionState.FAILED
+        return SessionState.OPEN
+
+    def may_go_on(self) -> bool:
+        """Whether the caller's key still is one of its organisation."""
+        if not self._key_digest:
+            return True
+        owner = self._parts.routes().organisation_of(self._key_digest)
+        return owner == self.organisation
+
+    async def handle(self, request: Request) -> Answer:
+        """Run one statement."""
+        if not self.may_go_on():
+            self.abandon()
+            return Refused(Reason.NO_KEY, ends=True)
+        statement = request.statement
+        if isinstance(statement, Rollback):
+            self.abandon()
+            return Completed()
+        if self._transaction is _Transaction.FAILED:
+            detail = "the transaction can only be rolled back"
+            return Refused(Reason.MALFORMED, detail)
+        if isinstance(statement, SetValue):
+            self._values[statement.name] = statement.value
+            return Completed()
+        if isinstance(statement, Prepare):
+            shape = _Prepared(statement.writes, statement.shape)
+            self._prepared[statement.name] = shape
+            return Completed()
+        if isinstance(statement, Forget):
+            self._prepared.pop(statement.name, None)
+            return Completed()
+        if isinstance(statement, Begin):
+            return self._begin(statement)
+        return await self._run(request)
+
+    def abandon(self) -> None:
+        """Roll back what is open, without waiting for it."""
+        if self._placement is not None:
+            work = Work("", self.organisation, "", WorkKind.ROLLBACK, Scope.WITHIN)
+            self._parts.router.abandon(work, self._placement)
+        self._end_transaction()
+
+    def _end_transaction(self) -> None:
+        self._transaction = None
+        self._placement = None
+
+    def _begin(self, statement: Begin) -> Answer:
+        if self._transaction is not None:
+            return Refused(Reason.MALFORMED, "a transaction is open")
+        route = self._admitted_route()
+        if isinstance(route, Refused):
+            return route
+        self._route = route
+        self._read_only = statement.read_only
+        self._transaction = _Transaction.BEGUN
+        return Completed()
+
+    def _admitted_route(self) -> Route | Refused:
+        """Return the route of an operation that begins, and count it."""
+        route = self._parts.routes().routes.get(self._route_name)
+        if route is None or not (self._key_digest or route.open):
+            return Refused(Reason.NO_ROUTE)
+        if self.organisation:
+            retry_after_ms = self._parts.admit(self.organisation)
+            if retry_after_ms:
+                return Refused(Reason.OVER_RATE, retry_after_ms=retry_after_ms)
+        return route
+
+    async def _run(self, request: Request) -> Answer:
+        if self._transaction is None:
+            if isinstance(request.statement, Commit):
+                return Refused(Reason.MALFORMED, "no transaction is open")
+            route = self._admitted_route()
+            if isinstance(route, Refused):
+                return route
+            self._route = route
+        work = self._work(request)
+        if work is None:
+            return Refused(Reason.NO_STATEMENT)
+        assert self._route is not None
+        timeout_s = self._route.statement_timeout_ms / 1000
+        deadline_s = self._parts.clock() + timeout_s
+        demand = Demand(self._route, work, self._floor, deadline_s)
+        outcome = await self._route_work(demand)
+        self._take(outcome, work)
+        return outcome.answer
+
+    def _work(self, request: Request) -> Work | None:
+        """Return the work that a statement means, None for an unknown name."""
+        statement = request.statement
+        assert self._route is not None
+        work = Work(
+            server="",
+            organisation=self.organisation,
+            request_id=request.id,
+            kind=WorkKind.COMMIT,
+            scope=Scope.ALONE,
+            values=tuple(self._values.items()),
+            priority=self._route.priority,
+            target_ms=self._route.target_ms,
+        )
+        if isinstance(statement, Read):
+            return work._replace(kind=WorkKind.READ, text=statement.text)
+        if isinstance(statement, Write):
+            return work._replace(kind=WorkKind.WRITE, text=statement.text)
+        if isinstance(statement, Execute):
+            prepared = self._prepared.get(statement.name)
+            if prepared is None:
+                return None
+            return work._replace(
+                kind=WorkKind.EXECUTE,
+                text=statement.arguments,
+                shape=prepared.shape,
+                shape_writes=prepared.writes,
+            )
+        return work
+
+    async def _route_work(self, demand: Demand) -> Outcome:
+        router = self._parts.router
+        if self._placement is not None:
+            return await router.within(demand, self._placement)
+        if self._transaction is not None:
+            return await router.begin(demand, self._read_only)
+        if demand.work.kind is WorkKind.WRITE or demand.work.shape_writes:
+            return await router.write(demand)
+        return await router.read(demand)
+
+    def _take(self, outcome: Outcome, work: Work) -> None:
+        """Bring the session into the state behind a statement."""
+        if outcome.committed is not None:
+            floor = self._floor or outcome.committed
+            self._floor = max(floor, outcome.committed)
+        if self._transaction is None:
+            return
+        if work.kind is WorkKind.COMMIT:
+            self._end_transaction()
+        elif outcome.open:
+            self._placement = outcome.placement
+            self._transaction = _Transaction.PLACED
+        else:
+            self._placement = None
+            self._transaction = _Transaction.FAILED
+
+
+class Sessions:
+    """The sessions of this host."""
+
+    def __init__(self) -> None:
+        self._sessions: dict[int, Session] = {}
+        self._numbers = itertools.count(1)
+
+    def __len__(self) -> int:
+        return len(self._sessions)
+
+    def add(self, session: Session) -> int:
+        """Add a session and return its number."""
+        number = next(self._numbers)
+        self._sessions[number] = session
+        return number
+
+    def remove(self, number: int) -> None:
+        """Remove a session."""
+        self._sessions.pop(number, None)
+
+    def all(self) -> list[Session]:
+        """Return all sessions."""
+        return list(self._sessions.values())
--- a/src/rattanhollow/settings/__init__.py
+++ b/src/rattanhollow/settings/__init__.py
@@ -1,5 +1,11 @@
 """Settings in INI, checked before anything starts."""
 
+from rattanhollow.settings._host import (
+    Endpoint,
+    LineHostSettings,
+    line_host_settings_from,
+    read_line_host_settings,
+)
 from rattanhollow.settings._ini import (
     Field,
     Section,
@@ -28,6 +34,10 @@
 )
 
 __all__ = [
+    "Endpoint",
+    "LineHostSettings",
+    "line_host_settings_from",
+    "read_line_host_settings",
     "BackendSettings",
     "FailoverSettings",
     "Field",
--- /dev/null
+++ b/src/rattanhollow/settings/_host.py
@@ -0,0 +1,162 @@
+"""The settings of a host that serves callers and backend servers in lines."""
+
+from pathlib import Path
+from typing import NamedTuple
+
+from rattanhollow.settings._ini import (
+    Field,
+    Section,
+    integer,
+    ip_address,
+    read_file,
+    read_ini,
+    text,
+)
+from rattanhollow.settings._proxy import (
+    HIGHEST_PORT,
+    HOUR_MS,
+    MembershipSettings,
+    RateSettings,
+)
+
+_PORT = integer(1, HIGHEST_PORT)
+_DURATION_MS = integer(1, HOUR_MS)
+_DURATION_S = integer(1, HOUR_MS // 1000)
+
+
+class Endpoint(NamedTuple):
+    """An IP number and a port."""
+
+    address: str
+    port: int
+
+
+class PlaceSettings(NamedTuple):
+    """Which host this is; ``regions`` gives the region of each zone."""
+
+    name: str
+    address: str
+    zone: str
+    regions: dict[str, str]
+
+
+class ListenAddresses(NamedTuple):
+    """Where this host answers callers, the balancer, operators and other hosts."""
+
+    callers: Endpoint
+    readiness: Endpoint
+    metrics_port: int
+    peer_port: int
+
+
+class Upstreams(NamedTuple):
+    """The platform's store, and where promotions are ordered."""
+
+    store: Endpoint
+    promotion: Endpoint | None
+
+
+class LineHostSettings(NamedTuple):
+    """All settings of a host.
+
+    ``stop_s`` is how long a stop may take, ``configuration_ms`` how soon an
+    accepted configuration has to be in force, ``heartbeat_ms`` how often
+    backend servers describe themselves.
+    """
+
+    place: PlaceSettings
+    listen: ListenAddresses
+    upstreams: Upstreams
+    stop_s: int
+    configuration_ms: int
+    heartbeat_ms: int
+    membership: MembershipSettings
+    rates: RateSettings
+
+
+def endpoint(value: str) -> Endpoint:
+    """Read ``address:port``."""
+    address, separator, port = value.rpartition(":")
+    if not separator:
+        raise ValueError(f"{value!r} is not address:port")
+    return Endpoint(ip_address(address), _PORT(port))
+
+
+def optional_endpoint(value: str) -> Endpoint | None:
+    """Read ``address:port``, or nothing."""
+    return endpoint(value) if value else None
+
+
+def regions(value: str) -> dict[str, str]:
+    """Read ``zone:region`` pairs, separated by commas."""
+    found = {}
+    for pair in value.split(","):
+        zone, separator, region = pair.strip().partition(":")
+        if not (zone and separator and region):
+            raise ValueError(f"{pair!r} is not zone:region")
+        found[zone] = region
+    return found
+
+
+LAYOUT: dict[str, Section] = {
+    "host": {
+        "name": Field(text),
+        "address": Field(ip_address),
+        "zone": Field(text),
+        "regions": Field(regions),
+    },
+    "listen": {
+        "callers": Field(endpoint),
+        "readiness": Field(endpoint),
+        "metrics_port": Field(_PORT),
+        "peer_port": Field(_PORT),
+    },
+    "platform": {
+        "store": Field(endpoint),
+        "promotion": Field(optional_endpoint, None),
+    },
+    "bounds": {
+        "stop_s": Field(_DURATION_S, 6),
+        "configuration_ms": Field(_DURATION_MS, 4_000),
+        "heartbeat_ms": Field(_DURATION_MS, 1_200),
+    },
+    "membership": {
+        "ask_interval_ms": Field(_DURATION_MS, 1_000),
+        "ask_timeout_ms": Field(_DURATION_MS, 800),
+        "silent_after_ms": Field(_DURATION_MS, 8_000),
+    },
+    "rates": {
+        "shards": Field(integer(1, 1_000), 1),
+        "hosts_at_most": Field(integer(1, 10_000), 128),
+        "lease_ms": Field(_DURATION_MS, 8_000),
+        "share_valid_ms": Field(_DURATION_MS, 12_000),
+        "ask_interval_ms": Field(_DURATION_MS, 500),
+        "wait_ms": Field(integer(0, HOUR_MS), 200),
+    },
+}
+
+
+def line_host_settings_from(file: str, content: str) -> LineHostSettings:
+    """Return the settings in the INI text ``content``.
+
+    Raises:
+        SettingsError: an unknown, missing or bad entry; it names ``file``.
+
+    """
+    values = read_ini(file, content, LAYOUT)
+    bounds = values["bounds"]
+    return LineHostSettings(
+        place=PlaceSettings(**values["host"]),
+        listen=ListenAddresses(**values["listen"]),
+        upstreams=Upstreams(**values["platform"]),
+        stop_s=bounds["stop_s"],
+        configuration_ms=bounds["configuration_ms"],
+        heartbeat_ms=bounds["heartbeat_ms"],
+        membership=MembershipSettings(**values["membership"]),
+        rates=RateSettings(**values["rates"]),
+    )
+
+
+def read_line_host_settings(file: Path) -> LineHostSettings:
+    """Return the settings in ``file``; errors as `line_host_settings_from`."""
+    return line_host_settings_from(str(file), read_file(file))
--- a/src/rattanhollow/store/_follow.py
+++ b/src/rattanhollow/store/_follow.py
@@ -23,7 +23,8 @@
 class Follower:
     """The newest known objects of one kind; their versions never go back.
 
-    ``heard_at_s`` is the monotonic time of the last sign of life.
+    ``heard_at_s`` is the monotonic time of the last sign of life. ``must_list``
+    where a watch can't go on from ``version``.
     """
 
     def __init__(self, kind: str, on_change: Callable[[Stored | None, str], None]):
@@ -32,6 +33,7 @@
         self.version = 0
         self.heard_at_s = 0.0
         self.listed = trio.Event()
+        self.must_list = True
         self._on_change = on_change
 
     def take_list(self, listing: Listing) -> None:
@@ -91,24 +93,39 @@
     """
     pause_s = RETRY_LOW_S
     while True:
-        if await _list_and_watch(store, follower):
+        heard = await _list(store, follower) if follower.must_list else True
+        if not follower.must_list:
+            heard = await _watch(store, follower)
+        if heard:
             pause_s = RETRY_LOW_S
             continue
         await trio.sleep(rng.uniform(pause_s / 2, pause_s))
         pause_s = min(pause_s * 2, RETRY_HIGH_S)
 
 
-async def _list_and_watch(store: ObjectStore, follower: Follower) -> bool:
-    """Follow until a failure; whether the store was heard at all."""
+async def _list(store: ObjectStore, follower: Follower) -> bool:
+    """Take a list; whether the store was heard."""
     listed = await store.list(follower.kind)
     if listed.is_err():
         log_event("store.list_failed", kind=follower.kind, reason=listed.unwrap_err())
         return False
     follower.take_list(listed.unwrap())
+    follower.must_list = False
+    return True
+
+
+async def _watch(store: ObjectStore, follower: Follower) -> bool:
+    """Watch until a failure; whether the store was heard at all."""
+    heard = False
     while True:
         async for event in store.watch(follower.kind, follower.version):
-            if event.is_err():
-                failure = event.unwrap_err()
-                log_event("store.watch_failed", kind=follower.kind, reason=failure)
-                return failure.trouble is Trouble.GONE
-            follower.take_event(event.unwrap())
+            if event.is_ok():
+                heard = True
+                follower.take_event(event.unwrap())
+                continue
+            failure = event.unwrap_err()
+            log_event("store.watch_failed", kind=follower.kind, reason=failure)
+            if failure.trouble is Trouble.GONE:
+                follower.must_list = True
+                return True
+            return heard
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -9,8 +9,8 @@
 
 from conftest import run_trio
 from rattanhollow.backend import Pool
-from rattanhollow.backend._fair_queue import FairQueue
 from rattanhollow.proxy import ALL_GUARDS, Guards
+from rattanhollow.serving import FairQueue
 from rattanhollow_standins.client import connect
 from rattanhollow_standins.fleet import Fleet
 
