--- a/src/rattanhollow/coordination/__init__.py
+++ b/src/rattanhollow/coordination/__init__.py
@@ -23,6 +23,13 @@
     survival_of,
 )
 from rattanhollow.coordination._lease import LEASE_KIND, Lease
+from rattanhollow.coordination._pooled_shares import (
+    PoolAsk,
+    PoolBroker,
+    PoolLoan,
+    PoolMember,
+    Stamp,
+)
 from rattanhollow.coordination._position import ORIGIN, Position, parse_position
 from rattanhollow.coordination._read_index import IndexReading, ReadIndex
 from rattanhollow.coordination._rendezvous import ranked
@@ -42,10 +49,15 @@
     "IndexReading",
     "Lease",
     "MemberStatus",
+    "PoolAsk",
+    "PoolBroker",
+    "PoolLoan",
+    "PoolMember",
     "Position",
     "ReadIndex",
     "Share",
     "ShareOwner",
+    "Stamp",
     "Step",
     "Succession",
     "Survival",
--- a/src/rattanhollow/host/_answer_peers.py
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -3,8 +3,8 @@
 from typing import NamedTuple
 
 from rattanhollow.membership import HostRecord, NeighbourWatch
-from rattanhollow.peer import HostAnswer, HostQuestion, Message, ShareQuestion
-from rattanhollow.rates import Rates
+from rattanhollow.peer import HostAnswer, HostQuestion, Message, PoolQuestion
+from rattanhollow.rates import PooledRates
 from rattanhollow.serving import ProofQuestion, Serving, Work
 
 
@@ -13,7 +13,7 @@
 
     serving: Serving
     neighbours: NeighbourWatch
-    rates: Rates
+    rates: PooledRates
 
 
 async def answer_peer(
@@ -24,7 +24,7 @@
         return await parts.serving.work(question)
     if isinstance(question, ProofQuestion):
         return await parts.serving.prove(question.server)
-    if isinstance(question, ShareQuestion):
+    if isinstance(question, PoolQuestion):
         return parts.rates.answer(question)
     if isinstance(question, HostQuestion):
         is_other = question.host != own.name
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -26,7 +26,7 @@
 )
 from rattanhollow.observe import log_event
 from rattanhollow.peer import Message, Peers, new_peer_keys
-from rattanhollow.rates import RateParts, Rates
+from rattanhollow.rates import PooledRateParts, PooledRates
 from rattanhollow.routing import (
     AgentParts,
     Agents,
@@ -46,8 +46,6 @@
 from rattanhollow.settings import LineHostSettings
 from rattanhollow.store import Follower, Stored, follow
 
-OVER_RATE_RETRY_MS = 250
-
 
 class Host:
     """A running host; built by `build_host`."""
@@ -91,14 +89,13 @@
             AgentParts(self._own, self.hosts, self.peers, self.serving, places)
         )
         self.floors = Floors(self._prove, now_s)
-        self.rates = Rates(
-            RateParts(
+        self.rates = PooledRates(
+            PooledRateParts(
                 organisations=lambda: self.routes.organisations,
                 own=self._own,
                 hosts=self.hosts,
                 peers=self.peers,
-                store=ends.store,
-                settings=settings.rates,
+                clock=now_s,
             )
         )
         self._places = places
@@ -113,7 +110,6 @@
             configurations,
             servers,
             self.hosts.follower,
-            self.rates.follower,
         ]
         readiness = await listen_at(*settings.listen.readiness)
         async with trio.open_nursery() as nursery:
@@ -125,6 +121,7 @@
             nursery.start_soon(self._neighbours.run)
             nursery.start_soon(self.serving.run)
             nursery.start_soon(self.rates.run)
+            nursery.start_soon(self._note_registration)
             serve = partial(self._serve_caller, self._serve_parts(nursery))
             callers = await listen_at(*settings.listen.callers)
             await configurations.listed.wait()
@@ -154,15 +151,16 @@
                 name=self._incarnation,
             )
         )
-        session = SessionParts(lambda: self.routes, self._admit, router, now_s)
+        session = SessionParts(lambda: self.routes, self.rates.admit, router, now_s)
         return ServeParts(session, self.sessions, lambda: self.routes.version > 0)
 
     async def _serve_caller(self, parts: ServeParts, stream: trio.SocketStream) -> None:
         tune_socket(stream, CALLER_KEEPALIVE)
         await serve_caller(self._ends.caller(stream), parts)
 
-    def _admit(self, organisation: str) -> int:
-        return 0 if self.rates.admit(organisation) else OVER_RATE_RETRY_MS
+    async def _note_registration(self) -> None:
+        await self.registration.written.wait()
+        self.rates.registered()
 
     def _own(self) -> HostRecord:
         return self.registration.record
--- a/src/rattanhollow/membership/_hosts.py
+++ b/src/rattanhollow/membership/_hosts.py
@@ -96,7 +96,10 @@
 
 
 class Registration:
-    """Keeps this host's own record in the store, and its report if ``reports``."""
+    """Keeps this host's own record in the store, and its report if ``reports``.
+
+    ``written`` once the store has the record.
+    """
 
     def __init__(
         self,
@@ -111,6 +114,7 @@
         self._rng = rng
         self._version = 0
         self._removed = False
+        self.written = trio.Event()
         self._due = trio.Event()
 
     def set_version(self, configuration_version: int) -> None:
@@ -142,6 +146,8 @@
         while not self._removed:
             self._due = trio.Event()
             done = await self._write(HOST_KIND, to_spec(self.record))
+            if done:
+                self.written.set()
             if done and self._reports:
                 report = HostReport(self.record.name, self._version)
                 done = await self._write(REPORT_KIND, to_spec(report))
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rattanhollow.coordination import GroupState
+from rattanhollow.coordination import GroupState, PoolAsk, PoolLoan, Stamp
 from rattanhollow.serving import Done, ProofAnswer, ProofQuestion, Work
 
 PROTOCOL_VERSION = 2
@@ -122,6 +122,25 @@
     grants: tuple[ShareGrant, ...]
 
 
+class PoolQuestion(NamedTuple):
+    """Deposits parts of rates with a broker, and asks it for others.
+
+    ``host`` is the asker's incarnation, ``stamp`` the newest that it has of this
+    broker.
+    """
+
+    host: str
+    stamp: Stamp
+    asks: tuple[PoolAsk, ...]
+
+
+class PoolAnswer(NamedTuple):
+    """What is lent, and a new stamp."""
+
+    stamp: Stamp
+    loans: tuple[PoolLoan, ...]
+
+
 Message = (
     Ping
     | Pong
@@ -141,6 +160,8 @@
     | Done
     | ProofQuestion
     | ProofAnswer
+    | PoolQuestion
+    | PoolAnswer
 )
 
 MESSAGE_TYPES: dict[str, Any] = {
@@ -162,6 +183,8 @@
     "work": Done,
     "proof?": ProofQuestion,
     "proof": ProofAnswer,
+    "pool?": PoolQuestion,
+    "pool": PoolAnswer,
 }
 _NAMES = {record: name for name, record in MESSAGE_TYPES.items()}
 _DECODERS = {
--- a/src/rattanhollow/rates/__init__.py
+++ b/src/rattanhollow/rates/__init__.py
@@ -1,5 +1,6 @@
 """The rate and burst of each organisation, kept over the whole fleet."""
 
+from rattanhollow.rates._pooled import Admission, PooledRateParts, PooledRates
 from rattanhollow.rates._rates import RateParts, Rates
 
-__all__ = ["RateParts", "Rates"]
+__all__ = ["Admission", "PooledRateParts", "PooledRates", "RateParts", "Rates"]
--- a/src/rattanhollow/serving/_served.py
+++ b/src/rattanhollow/serving/_served.py
@@ -358,16 +358,16 @@
                 detail = f"before the statement: {prepared.unwrap_err().reason}"
                 self._forget(work)
                 raise _Stop(not_run(Obstacle.LOST, detail))
-            refused = [r for r in prepared.unwrap() if r.reason is not None]
-            if refused and work.scope in _BEGINNING:
-                return refused[-1]._replace(rows=(), proof="")
-            if refused:
+            replies = prepared.unwrap()
+            begun = replies.pop() if work.scope in _BEGINNING else None
+            if any(reply.reason is not None for reply in replies):
                 self._drop(connection)
                 self._forget(work)
-                detail = f"before the statement: {refused[0].detail}"
-                raise _Stop(not_run(Obstacle.LOST, detail))
+                raise _Stop(not_run(Obstacle.LOST, "the session's state was refused"))
             connection.values = plan.values
             connection.prepared = plan.prepared
+            if begun is not None and begun.reason is not None:
+                return begun
         remaining_s = deadline_s - self._parts.clock()
         command = _statement_command(connection, work)
         answered = await self._exchange(connection, [command], remaining_s)
--- a/src/rattanhollow/session/_session.py
+++ b/src/rattanhollow/session/_session.py
@@ -9,6 +9,7 @@
 
 from rattanhollow.configuration import Route, RouteTable
 from rattanhollow.coordination import Position
+from rattanhollow.rates import Admission
 from rattanhollow.routing import Demand, Outcome, Placement, Router
 from rattanhollow.serving import Scope, Work, WorkKind
 from rattanhollow.statements import (
@@ -34,11 +35,11 @@
     """What a session needs of the rest of the host.
 
     ``routes()`` is the configuration in force, ``admit(organisation)`` counts
-    one operation: 0 where it is within the rate, else when to come back, in ms.
+    one operation.
     """
 
     routes: Callable[[], RouteTable]
-    admit: Callable[[str], int]
+    admit: Callable[[str], Admission]
     router: Router
     clock: Callable[[], float]
 
@@ -119,7 +120,7 @@
             self._prepared.pop(statement.name, None)
             return Completed()
         if isinstance(statement, Begin):
-            return self._begin(statement)
+            return await self._begin(statement)
         return await self._run(request)
 
     def abandon(self) -> None:
@@ -133,10 +134,10 @@
         self._transaction = None
         self._placement = None
 
-    def _begin(self, statement: Begin) -> Answer:
+    async def _begin(self, statement: Begin) -> Answer:
         if self._transaction is not None:
             return Refused(Reason.MALFORMED, "a transaction is open")
-        route = self._admitted_route()
+        route = await self._admitted_route()
         if isinstance(route, Refused):
             return route
         self._route = route
@@ -144,22 +145,25 @@
         self._transaction = _Transaction.BEGUN
         return Completed()
 
-    def _admitted_route(self) -> Route | Refused:
+    async def _admitted_route(self) -> Route | Refused:
         """Return the route of an operation that begins, and count it."""
         route = self._parts.routes().routes.get(self._route_name)
         if route is None or not (self._key_digest or route.open):
             return Refused(Reason.NO_ROUTE)
         if self.organisation:
-            retry_after_ms = self._parts.admit(self.organisation)
-            if retry_after_ms:
+            admission = self._parts.admit(self.organisation)
+            if not admission.admitted:
+                retry_after_ms = admission.retry_after_ms
                 return Refused(Reason.OVER_RATE, retry_after_ms=retry_after_ms)
+            if admission.wait_s:
+                await trio.sleep(admission.wait_s)
         return route
 
     async def _run(self, request: Request) -> Answer:
         if self._transaction is None:
             if isinstance(request.statement, Commit):
                 return Refused(Reason.MALFORMED, "no transaction is open")
-            route = self._admitted_route()
+            route = await self._admitted_route()
             if isinstance(route, Refused):
                 return route
             self._route = route
--- a/src/rattanhollow/settings/_host.py
+++ b/src/rattanhollow/settings/_host.py
@@ -16,7 +16,6 @@
     HIGHEST_PORT,
     HOUR_MS,
     MembershipSettings,
-    RateSettings,
 )
 
 _PORT = integer(1, HIGHEST_PORT)
@@ -71,7 +70,6 @@
     configuration_ms: int
     heartbeat_ms: int
     membership: MembershipSettings
-    rates: RateSettings
 
 
 def endpoint(value: str) -> Endpoint:
@@ -125,14 +123,6 @@
         "ask_timeout_ms": Field(_DURATION_MS, 800),
         "silent_after_ms": Field(_DURATION_MS, 8_000),
     },
-    "rates": {
-        "shards": Field(integer(1, 1_000), 1),
-        "hosts_at_most": Field(integer(1, 10_000), 128),
-        "lease_ms": Field(_DURATION_MS, 8_000),
-        "share_valid_ms": Field(_DURATION_MS, 12_000),
-        "ask_interval_ms": Field(_DURATION_MS, 500),
-        "wait_ms": Field(integer(0, HOUR_MS), 200),
-    },
 }
 
 
@@ -153,7 +143,6 @@
         configuration_ms=bounds["configuration_ms"],
         heartbeat_ms=bounds["heartbeat_ms"],
         membership=MembershipSettings(**values["membership"]),
-        rates=RateSettings(**values["rates"]),
     )
 
 
