--- a/src/rattanhollow/coordination/__init__.py
+++ b/src/rattanhollow/coordination/__init__.py
@@ -23,25 +23,32 @@
     survival_of,
 )
 from rattanhollow.coordination._lease import LEASE_KIND, Lease
-from rattanhollow.coordination._pooled_shares import (
-    PoolAsk,
-    PoolBroker,
-    PoolLoan,
-    PoolMember,
-    Stamp,
-)
 from rattanhollow.coordination._position import ORIGIN, Position, parse_position
 from rattanhollow.coordination._read_index import IndexReading, ReadIndex
 from rattanhollow.coordination._rendezvous import ranked
 from rattanhollow.coordination._shares import Holding, Share, ShareOwner
 from rattanhollow.coordination._suspicion import Vote, agreed
 from rattanhollow.coordination._token_bucket import TokenBucket
+from rattanhollow.coordination._token_pool import (
+    KEPT_PART,
+    SHARDS,
+    TOKEN_S,
+    Depositor,
+    Stamp,
+    TokenBroker,
+    TokenGrant,
+    TokenWant,
+    shard_of,
+)
 
 __all__ = [
     "GROUP_KIND",
+    "KEPT_PART",
+    "SHARDS",
     "LEASE_KIND",
     "NO_GROUP",
     "ORIGIN",
+    "Depositor",
     "ElectionFailure",
     "GroupControl",
     "GroupState",
@@ -49,10 +56,6 @@
     "IndexReading",
     "Lease",
     "MemberStatus",
-    "PoolAsk",
-    "PoolBroker",
-    "PoolLoan",
-    "PoolMember",
     "Position",
     "ReadIndex",
     "Share",
@@ -61,7 +64,11 @@
     "Step",
     "Succession",
     "Survival",
+    "TOKEN_S",
+    "TokenBroker",
     "TokenBucket",
+    "TokenGrant",
+    "TokenWant",
     "Vote",
     "agreed",
     "elect",
@@ -70,5 +77,6 @@
     "group_state_spec",
     "parse_position",
     "ranked",
+    "shard_of",
     "survival_of",
 ]
--- a/src/rattanhollow/coordination/_token_bucket.py
+++ b/src/rattanhollow/coordination/_token_bucket.py
@@ -1,9 +1,10 @@
 """A token bucket whose rate and burst may change while it runs."""
 
-import math
 import time
 from collections.abc import Callable
 
+LONGEST_WAIT_S = 60.0
+
 
 class TokenBucket:
     """Holds up to ``burst`` tokens, refilled at ``rate_per_s``; begins empty.
@@ -34,26 +35,13 @@
         self._level -= 1
         return True
 
-    def take_by(self, wait_s: float) -> float | None:
-        """Take a token that is there within ``wait_s``.
-
-        Returns how long the taker has to wait for it, None where it is not.
-        """
-        self._fill()
-        missing = 1 - self._level
-        if missing <= 0:
-            self._level -= 1
-            return 0.0
-        if self._rate_per_s <= 0 or missing > wait_s * self._rate_per_s:
-            return None
-        self._level -= 1
-        return missing / self._rate_per_s
-
     def wait_for_token_s(self) -> float:
         """Return when the next token is there, at the present rate."""
         self._fill()
         missing = max(0.0, 1 - self._level)
-        return missing / self._rate_per_s if self._rate_per_s > 0 else math.inf
+        if not missing:
+            return 0.0
+        return missing / self._rate_per_s if self._rate_per_s > 0 else LONGEST_WAIT_S
 
     def _fill(self) -> None:
         now_s = self._clock()
--- /dev/null
+++ b/src/rattanhollow/coordination/_token_pool.py
@@ -0,0 +1,122 @@
+"""Sharing a rate among hosts without an owner.
+
+Every host has an equal part of each rate. It keeps some of it, and deposits the
+rest with a broker, which hands tokens out of all deposits to whoever asks. A
+deposit ends by itself; until then its depositor leaves that part alone. So the
+parts in use never add up to more than the whole, whatever is lost, whoever dies,
+and also where hosts differ on who the broker is.
+"""
+
+import functools
+import hashlib
+from collections.abc import Callable
+from typing import NamedTuple
+
+from rattanhollow.coordination._token_bucket import TokenBucket
+
+# A deposit is renewed several times before it ends. While it lasts behind its
+# broker's death, hosts have only what they kept.
+DEPOSIT_S = 2.0
+# The part of its own share that a host never deposits.
+KEPT_PART = 0.25
+# Organisations whose parts are deposited together.
+SHARDS = 16
+# A token that wasn't used is given up: so few of them are about at any time.
+TOKEN_S = 0.8
+
+
+class Stamp(NamedTuple):
+    """A time of the broker's clock, which shows how late a message is."""
+
+    broker: str
+    at_s: float
+
+
+class TokenWant(NamedTuple):
+    """How many operations of an organisation a host wants to admit."""
+
+    organisation: str
+    tokens: int
+
+
+class TokenGrant(NamedTuple):
+    """How many may be admitted; ``wait_ms`` until there are more."""
+
+    organisation: str
+    tokens: int
+    wait_ms: int
+
+
+class _Deposit(NamedTuple):
+    part: float
+    until_s: float
+
+
+@functools.cache
+def shard_of(organisation: str) -> int:
+    """Return the shard that an organisation belongs to."""
+    digest = hashlib.blake2b(organisation.encode(), digest_size=2).digest()
+    return int.from_bytes(digest) % SHARDS
+
+
+class Depositor:
+    """Which of a host's shards are deposited, and with whom.
+
+    An earlier start of the host may have deposited all of them.
+    """
+
+    def __init__(self, started_at_s: float) -> None:
+        self._until_s = {n: {"": started_at_s + DEPOSIT_S} for n in range(SHARDS)}
+
+    def usable_part(self, shard: int, now_s: float) -> float:
+        """Return how much of its own part of a shard's rates a host may use."""
+        held = any(until_s > now_s for until_s in self._until_s[shard].values())
+        return KEPT_PART if held else 1.0
+
+    def deposit(self, shard: int, broker: str, now_s: float) -> bool:
+        """Deposit a shard's part, from now on; False while another broker has it."""
+        brokers = self._until_s[shard]
+        if any(name != broker and until > now_s for name, until in brokers.items()):
+            return False
+        self._until_s[shard] = {broker: now_s + DEPOSIT_S}
+        return True
+
+
+class TokenBroker:
+    """Hands out tokens of the rates whose parts were deposited."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._deposits: dict[int, dict[str, _Deposit]] = {}
+        self._buckets: dict[str, TokenBucket] = {}
+
+    def take_deposit(
+        self, host: str, shard: int, part: float, stamped_at_s: float
+    ) -> None:
+        """Take a part; it was sent after this broker's time ``stamped_at_s``."""
+        deposit = _Deposit(part, stamped_at_s + DEPOSIT_S)
+        self._deposits.setdefault(shard, {})[host] = deposit
+
+    def grant(self, want: TokenWant, rate_per_s: float, burst: float) -> TokenGrant:
+        """Hand out tokens of an organisation's rate, as many as there are."""
+        bucket = self._buckets.get(want.organisation)
+        if bucket is None:
+            bucket = self._buckets[want.organisation] = TokenBucket(self._clock)
+        part = self._part(shard_of(want.organisation))
+        bucket.resize(rate_per_s * part, burst * part)
+        tokens = 0
+        while tokens < want.tokens and bucket.take():
+            tokens += 1
+        wait_ms = min(int(bucket.wait_for_token_s() * 1000) + 1, 60_000)
+        return TokenGrant(want.organisation, tokens, wait_ms)
+
+    def refresh(self, organisation: str, rate_per_s: float, burst: float) -> None:
+        """Bring an organisation's bucket up to the deposits that there are now."""
+        self.grant(TokenWant(organisation, 0), rate_per_s, burst)
+
+    def _part(self, shard: int) -> float:
+        now_s = self._clock()
+        deposits = self._deposits.get(shard, {})
+        for host in [h for h, item in deposits.items() if item.until_s <= now_s]:
+            del deposits[host]
+        return sum(item.part for item in deposits.values())
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rattanhollow.coordination import GroupState, PoolAsk, PoolLoan, Stamp
+from rattanhollow.coordination import GroupState, Stamp, TokenGrant, TokenWant
 from rattanhollow.serving import Done, ProofAnswer, ProofQuestion, Work
 
 PROTOCOL_VERSION = 2
@@ -123,22 +123,23 @@
 
 
 class PoolQuestion(NamedTuple):
-    """Deposits parts of rates with a broker, and asks it for others.
+    """Deposits a part of the rates of some shards, and asks for tokens.
 
-    ``host`` is the asker's incarnation, ``stamp`` the newest that it has of this
-    broker.
+    ``stamp`` is the newest that ``host`` has of this broker.
     """
 
     host: str
     stamp: Stamp
-    asks: tuple[PoolAsk, ...]
+    part: float
+    shards: tuple[int, ...]
+    wants: tuple[TokenWant, ...]
 
 
 class PoolAnswer(NamedTuple):
-    """What is lent, and a new stamp."""
+    """The tokens granted, and a new stamp."""
 
     stamp: Stamp
-    loans: tuple[PoolLoan, ...]
+    grants: tuple[TokenGrant, ...]
 
 
 Message = (
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -1,7 +1,7 @@
-"""Rates that hosts share by depositing and borrowing, without an owner."""
+"""Rates that hosts share through brokers of tokens, without an owner."""
 
 import math
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -9,34 +9,35 @@
 
 from rattanhollow.configuration import Organisation
 from rattanhollow.coordination import (
-    PoolAsk,
-    PoolBroker,
-    PoolLoan,
-    PoolMember,
+    KEPT_PART,
+    SHARDS,
+    TOKEN_S,
+    Depositor,
     Stamp,
+    TokenBroker,
     TokenBucket,
+    TokenGrant,
+    TokenWant,
     ranked,
+    shard_of,
 )
 from rattanhollow.membership import HostDirectory, HostRecord
 from rattanhollow.peer import Peers, PoolAnswer, PoolQuestion
 
-# Deposits last several of these; a host in need asks sooner.
-ASK_INTERVAL_S = 1.0
-ASK_AGAIN_S = 0.1
+# Deposits last for several of these.
+ASK_INTERVAL_S = 0.5
+# Questions to a broker are this far apart at least, so that they gather wants.
+ASK_SPACING_S = 0.02
 ASK_TIMEOUT_MS = 400
 # A host that has just registered is not yet counted by all others.
 SETTLE_S = 1.5
-# An operation waits this long for its turn within the rate; a wait evens out what
-# parts of a rate can't.
+# How long an operation waits for a token.
 WAIT_AT_MOST_S = 0.25
-# What a host keeps above the demand that it saw, which changes.
-HEADROOM = 1.4
+# How long an organisation counts as over its rate behind an answer that said so.
+DRY_S = 0.25
+# Tokens are fetched ahead where at least so many are used between two questions.
+AHEAD_FROM = 1.0
 DEMAND_SMOOTHING = 0.4
-# With demand at all a host wants room for this many operations at once.
-LEAST_TOKENS = 3.0
-FORGET_AFTER_S = 15.0
-# One broker for so many hosts.
-HOSTS_PER_BROKER = 16
 RETRY_AT_MOST_MS = 2_000
 
 
@@ -51,26 +52,60 @@
 
 
 class Admission(NamedTuple):
-    """Whether an operation is within the rate.
-
-    Admitted ones go on after ``wait_s``; refused ones come back after
-    ``retry_after_ms``.
-    """
+    """Whether an operation is within the rate, and when a refused one may return."""
 
     admitted: bool
-    wait_s: float = 0.0
     retry_after_ms: int = 0
 
 
+class _Tokens(NamedTuple):
+    left: int
+    until_s: float
+
+
+class _Waiter:
+    """An operation that waits for a token."""
+
+    def __init__(self) -> None:
+        self.decided = trio.Event()
+        self.admitted = False
+
+    def decide(self, admitted: bool) -> None:
+        self.admitted = admitted
+        self.decided.set()
+
+
 class _Local:
     """What this host has of one organisation's rate."""
 
-    def __init__(self, base: float, started_at_s: float, parts: PooledRateParts):
-        self.member = PoolMember(base, started_at_s)
-        self.bucket = TokenBucket(parts.clock)
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.bucket = TokenBucket(clock)
+        self.waiters: deque[_Waiter] = deque()
+        self.dry_until_s = -math.inf
+        self.wait_ms = 0
         self.asked = 0
         self.demand_per_s = 0.0
-        self.used_at_s = parts.clock()
+        self._tokens: deque[_Tokens] = deque()
+
+    def take(self, now_s: float) -> bool:
+        """Use a token that was fetched, or one of this host's own part."""
+        while self._tokens:
+            first = self._tokens.popleft()
+            if first.until_s <= now_s:
+                continue
+            if first.left > 1:
+                self._tokens.appendleft(first._replace(left=first.left - 1))
+            return True
+        return self.bucket.take()
+
+    def add(self, count: int, until_s: float) -> None:
+        """Keep tokens that were granted."""
+        if count:
+            self._tokens.append(_Tokens(count, until_s))
+
+    def at_hand(self, now_s: float) -> int:
+        """Return how many fetched tokens are left."""
+        return sum(item.left for item in self._tokens if item.until_s > now_s)
 
 
 class PooledRates:
@@ -78,70 +113,81 @@
 
     def __init__(self, parts: PooledRateParts) -> None:
         self._parts = parts
-        self._started_at_s = parts.clock()
+        self._depositor = Depositor(parts.clock())
+        self._broker = TokenBroker(parts.clock)
         self._local: dict[str, _Local] = {}
-        self._brokers: dict[str, PoolBroker] = {}
         self._stamps: dict[str, Stamp] = {}
         self._registered_at_s = math.inf
-        self._asked_at_s = 0.0
+        self._asking: set[str] = set()
         self._urgent = trio.Event()
+        self._nursery: trio.Nursery | None = None
 
     def registered(self) -> None:
         """Note that the store has this host's record: others count it soon."""
         self._registered_at_s = min(self._registered_at_s, self._parts.clock())
 
-    def admit(self, organisation: str) -> Admission:
-        """Count one operation."""
+    async def admit(self, organisation: str) -> Admission:
+        """Count one operation; it may wait for its turn within the rate."""
         limits = self._parts.organisations().get(organisation)
         if limits is None or not limits.rate_per_s:
             return Admission(limits is not None)
         local = self._of(organisation)
         local.asked += 1
-        local.used_at_s = self._parts.clock()
-        self._resize(local, limits)
-        wait_s = local.bucket.take_by(WAIT_AT_MOST_S)
-        if wait_s:
-            self._urgent.set()
-        if wait_s is not None:
-            return Admission(True, wait_s)
+        now_s = self._parts.clock()
+        self._resize(organisation, local, limits)
+        if not local.waiters and local.take(now_s):
+            return Admission(True)
+        if now_s < local.dry_until_s and local.waiters:
+            return Admission(False, local.wait_ms)
+        waiter = _Waiter()
+        local.waiters.append(waiter)
         self._urgent.set()
-        retry_s = local.bucket.wait_for_token_s()
-        retry_after_ms = min(RETRY_AT_MOST_MS, int(1000 * min(retry_s, 60.0)) + 1)
-        return Admission(False, retry_after_ms=retry_after_ms)
+        with trio.move_on_after(WAIT_AT_MOST_S):
+            await waiter.decided.wait()
+        if not waiter.decided.is_set():
+            local.waiters.remove(waiter)
+        return Admission(waiter.admitted, local.wait_ms)
 
     async def run(self) -> None:
-        """Deposit and borrow, until cancelled."""
-        while True:
-            with trio.move_on_after(ASK_INTERVAL_S):
-                await self._urgent.wait()
-            since_s = self._parts.clock() - self._asked_at_s
-            if since_s < ASK_AGAIN_S:
-                await trio.sleep(ASK_AGAIN_S - since_s)
-            self._urgent = trio.Event()
-            await self._ask_brokers()
+        """Deposit and fetch tokens, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            looked_at_s = self._parts.clock()
+            while True:
+                with trio.move_on_after(ASK_INTERVAL_S) as waiting:
+                    await self._urgent.wait()
+                self._urgent = trio.Event()
+                if waiting.cancelled_caught:
+                    now_s = self._parts.clock()
+                    self._measure(now_s - looked_at_s)
+                    looked_at_s = now_s
+                self._ask_brokers(regular=waiting.cancelled_caught)
+                await trio.sleep(ASK_SPACING_S)
 
     def answer(self, question: PoolQuestion) -> PoolAnswer:
-        """Take deposits of another host, and lend to it."""
-        now_s = self._parts.clock()
+        """Take deposits of another host, and grant it tokens."""
         own = self._parts.own().incarnation
-        stamped_at_s = -math.inf
         if question.stamp.broker == own:
-            stamped_at_s = question.stamp.at_s
-        loans = []
-        for ask in question.asks:
-            broker = self._brokers.setdefault(ask.organisation, PoolBroker())
-            part = broker.answer(
-                question.host, ask.deposit, ask.want, stamped_at_s, now_s
-            )
-            if part > 0:
-                loans.append(PoolLoan(ask.organisation, part))
-        return PoolAnswer(Stamp(own, now_s), tuple(loans))
+            for shard in question.shards:
+                self._broker.take_deposit(
+                    question.host, shard, question.part, question.stamp.at_s
+                )
+        organisations = self._parts.organisations()
+        for name, limits in organisations.items():
+            if shard_of(name) in question.shards:
+                self._broker.refresh(name, limits.rate_per_s, limits.burst)
+        grants = []
+        for want in question.wants:
+            known = organisations.get(want.organisation)
+            if known is not None:
+                grant = self._broker.grant(want, known.rate_per_s, known.burst)
+                grants.append(grant)
+        return PoolAnswer(Stamp(own, self._parts.clock()), tuple(grants))
 
     def _of(self, organisation: str) -> _Local:
         local = self._local.get(organisation)
         if local is None:
-            local = _Local(self._base(), self._started_at_s, self._parts)
-            self._local[organisation] = local
+            local = self._local[organisation] = _Local(self._parts.clock)
         return local
 
     def _base(self) -> float:
@@ -155,78 +201,99 @@
         names = {record.name for record in self._parts.hosts.all()}
         return 1.0 / len(names | {self._parts.own().name})
 
-    def _resize(self, local: _Local, limits: Organisation) -> None:
-        part = local.member.usable(self._base(), self._parts.clock())
+    def _resize(self, name: str, local: _Local, limits: Organisation) -> None:
+        now_s = self._parts.clock()
+        part = self._base() * self._depositor.usable_part(shard_of(name), now_s)
         local.bucket.resize(limits.rate_per_s * part, limits.burst * part)
 
-    async def _ask_brokers(self) -> None:
-        now_s = self._parts.clock()
-        interval_s = max(now_s - self._asked_at_s, 1e-3)
-        self._asked_at_s = now_s
-        asks = self._asks(now_s, interval_s)
-        by_broker: dict[str, list[PoolAsk]] = defaultdict(list)
-        for ask in asks:
-            by_broker[self._broker_of(ask.organisation)].append(ask)
-        async with trio.open_nursery() as nursery:
-            for name, wanted in by_broker.items():
-                nursery.start_soon(self._ask_broker, name, tuple(wanted), now_s)
-
-    def _asks(self, now_s: float, interval_s: float) -> list[PoolAsk]:
-        asks = []
-        base = self._base()
-        for name, limits in self._parts.organisations().items():
-            if not limits.rate_per_s:
+    def _measure(self, interval_s: float) -> None:
+        organisations = self._parts.organisations()
+        for name, local in list(self._local.items()):
+            if name not in organisations:
+                del self._local[name]
                 continue
-            local = self._of(name)
-            weight = min(1.0, DEMAND_SMOOTHING * interval_s / ASK_INTERVAL_S)
-            seen_per_s = local.asked / interval_s
-            local.demand_per_s += weight * (seen_per_s - local.demand_per_s)
+            seen_per_s = local.asked / max(interval_s, 1e-3)
+            local.demand_per_s += DEMAND_SMOOTHING * (seen_per_s - local.demand_per_s)
             local.asked = 0
-            needed = self._needed(local, limits, now_s)
-            deposit, want = local.member.ask(base, needed, now_s)
-            self._resize(local, limits)
-            asks.append(PoolAsk(name, round(deposit, 5), round(want, 5)))
-        return asks
-
-    def _needed(self, local: _Local, limits: Organisation, now_s: float) -> float:
-        if now_s - local.used_at_s > FORGET_AFTER_S:
-            return 0.0
-        needed = local.demand_per_s * HEADROOM / limits.rate_per_s
-        return max(needed, LEAST_TOKENS / max(limits.burst, 1))
 
-    def _broker_of(self, organisation: str) -> str:
+    def _ask_brokers(self, regular: bool) -> None:
+        """Ask each broker that has something to hear, and isn't being asked."""
+        now_s = self._parts.clock()
+        wants: dict[str, list[TokenWant]] = defaultdict(list)
+        shards: dict[str, list[int]] = defaultdict(list)
         names = sorted(record.name for record in self._parts.hosts.staying())
-        if not names:
-            return self._parts.own().name
-        brokers = 1 + len(names) // HOSTS_PER_BROKER
-        chosen = ranked("rates", names)[:brokers]
-        return ranked(organisation, chosen)[0]
-
-    async def _ask_broker(
-        self, name: str, asks: tuple[PoolAsk, ...], asked_at_s: float
+        brokers = {n: _broker_of(n, names) for n in range(SHARDS)}
+        if regular:
+            for shard, broker in brokers.items():
+                if self._depositor.deposit(shard, broker, now_s):
+                    shards[broker].append(shard)
+        for name, local in self._local.items():
+            tokens = self._wanted(local, now_s, regular)
+            if tokens:
+                wants[brokers[shard_of(name)]].append(TokenWant(name, tokens))
+        assert self._nursery is not None
+        for broker in {*shards, *wants}:
+            if broker in self._asking:
+                continue
+            self._asking.add(broker)
+            self._nursery.start_soon(
+                self._ask, broker, tuple(shards[broker]), tuple(wants[broker])
+            )
+
+    def _wanted(self, local: _Local, now_s: float, regular: bool) -> int:
+        tokens = len(local.waiters)
+        ahead = local.demand_per_s * ASK_INTERVAL_S
+        if regular and ahead >= AHEAD_FROM:
+            tokens += max(0, math.ceil(ahead) - local.at_hand(now_s))
+        return tokens
+
+    async def _ask(
+        self, broker: str, shards: tuple[int, ...], wants: tuple[TokenWant, ...]
     ) -> None:
         own = self._parts.own()
-        stamp = self._stamps.get(name, Stamp("", 0.0))
-        question = PoolQuestion(own.incarnation, stamp, asks)
+        asked_at_s = self._parts.clock()
+        stamp = self._stamps.get(broker, Stamp("", 0.0))
+        question = PoolQuestion(own.name, stamp, self._deposited(), shards, wants)
         answer: object = None
-        if name == own.name:
-            answer = self.answer(question)
-        else:
-            record = self._parts.hosts.find(name)
-            if record is not None:
-                asked = await self._parts.peers.ask(
-                    record.peer, question, ASK_TIMEOUT_MS
-                )
-                answer = asked.ok()
+        try:
+            if broker == own.name:
+                answer = self.answer(question)
+            else:
+                record = self._parts.hosts.find(broker)
+                if record is not None:
+                    asked = await self._parts.peers.ask(
+                        record.peer, question, ASK_TIMEOUT_MS
+                    )
+                    answer = asked.ok()
+        finally:
+            self._asking.discard(broker)
         if not isinstance(answer, PoolAnswer):
             return
-        self._stamps[name] = answer.stamp
-        lent = {loan.organisation: loan.part for loan in answer.loans}
-        organisations = self._parts.organisations()
-        for ask in asks:
-            limits = organisations.get(ask.organisation)
-            if limits is None or ask.organisation not in self._local:
-                continue
-            local = self._local[ask.organisation]
-            local.member.take_loan(lent.get(ask.organisation, 0.0), asked_at_s)
-            self._resize(local, limits)
+        self._stamps[broker] = answer.stamp
+        wanted = {want.organisation: want.tokens for want in wants}
+        for grant in answer.grants:
+            self._take_grant(grant, wanted.get(grant.organisation, 0), asked_at_s)
+
+    def _deposited(self) -> float:
+        return self._base() * (1 - KEPT_PART)
+
+    def _take_grant(self, grant: TokenGrant, wanted: int, asked_at_s: float) -> None:
+        local = self._local.get(grant.organisation)
+        if local is None:
+            return
+        now_s = self._parts.clock()
+        local.add(grant.tokens, asked_at_s + TOKEN_S)
+        if grant.tokens < wanted:
+            local.dry_until_s = now_s + DRY_S
+            local.wait_ms = min(RETRY_AT_MOST_MS, grant.wait_ms)
+        while local.waiters and local.take(now_s):
+            local.waiters.popleft().decide(admitted=True)
+        if local.waiters and grant.wait_ms > WAIT_AT_MOST_S * 1000:
+            while local.waiters:
+                local.waiters.popleft().decide(admitted=False)
+        if local.waiters:
+            self._urgent.set()
+
+
+def _broker_of(shard: int, names: list[str]) -> str:
+    return ranked(f"rates-{shard}", names)[0] if names else ""
--- a/src/rattanhollow/session/_session.py
+++ b/src/rattanhollow/session/_session.py
@@ -2,7 +2,7 @@
 
 import enum
 import itertools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import trio
@@ -39,7 +39,7 @@
     """
 
     routes: Callable[[], RouteTable]
-    admit: Callable[[str], Admission]
+    admit: Callable[[str], Awaitable[Admission]]
     router: Router
     clock: Callable[[], float]
 
@@ -151,12 +151,10 @@
         if route is None or not (self._key_digest or route.open):
             return Refused(Reason.NO_ROUTE)
         if self.organisation:
-            admission = self._parts.admit(self.organisation)
+            admission = await self._parts.admit(self.organisation)
             if not admission.admitted:
                 retry_after_ms = admission.retry_after_ms
                 return Refused(Reason.OVER_RATE, retry_after_ms=retry_after_ms)
-            if admission.wait_s:
-                await trio.sleep(admission.wait_s)
         return route
 
     async def _run(self, request: Request) -> Answer:
