--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -233,7 +233,8 @@
                 wants[brokers[shard_of(name)]].append(TokenWant(name, tokens))
         assert self._nursery is not None
         for broker in {*shards, *wants}:
-            if broker in self._asking:
+            # Deposits have to be renewed in time, whatever is under way.
+            if broker in self._asking and not shards[broker]:
                 continue
             self._asking.add(broker)
             self._nursery.start_soon(
