--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -152,16 +152,18 @@
         """Deposit and fetch tokens, until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            looked_at_s = self._parts.clock()
+            regular_at_s = looked_at_s = self._parts.clock()
             while True:
-                with trio.move_on_after(ASK_INTERVAL_S) as waiting:
+                with trio.move_on_after(regular_at_s - self._parts.clock()):
                     await self._urgent.wait()
                 self._urgent = trio.Event()
-                if waiting.cancelled_caught:
-                    now_s = self._parts.clock()
+                now_s = self._parts.clock()
+                regular = now_s >= regular_at_s
+                if regular:
                     self._measure(now_s - looked_at_s)
                     looked_at_s = now_s
-                self._ask_brokers(regular=waiting.cancelled_caught)
+                    regular_at_s = now_s + ASK_INTERVAL_S
+                self._ask_brokers(regular)
                 await trio.sleep(ASK_SPACING_S)
 
     def answer(self, question: PoolQuestion) -> PoolAnswer:
