--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -154,7 +154,7 @@
             self._nursery = nursery
             regular_at_s = looked_at_s = self._parts.clock()
             while True:
-                with trio.move_on_after(regular_at_s - self._parts.clock()):
+                with trio.move_on_after(max(0.0, regular_at_s - self._parts.clock())):
                     await self._urgent.wait()
                 self._urgent = trio.Event()
                 now_s = self._parts.clock()
