--- a/src/rattanhollow/host/_answer_peers.py
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -2,8 +2,14 @@
 
 from typing import NamedTuple
 
-from rattanhollow.membership import HostRecord, NeighbourWatch
-from rattanhollow.peer import HostAnswer, HostQuestion, Message, PoolQuestion
+from rattanhollow.membership import Gossip, HostRecord, NeighbourWatch
+from rattanhollow.peer import (
+    CopyQuestion,
+    HostAnswer,
+    HostQuestion,
+    Message,
+    PoolQuestion,
+)
 from rattanhollow.rates import PooledRates
 from rattanhollow.serving import ProofQuestion, Serving, Work
 
@@ -14,6 +20,7 @@
     serving: Serving
     neighbours: NeighbourWatch
     rates: PooledRates
+    gossip: Gossip
 
 
 async def answer_peer(
@@ -26,6 +33,8 @@
         return await parts.serving.prove(question.server)
     if isinstance(question, PoolQuestion):
         return parts.rates.answer(question)
+    if isinstance(question, CopyQuestion):
+        return parts.gossip.answer(question)
     if isinstance(question, HostQuestion):
         is_other = question.host != own.name
         return HostAnswer(is_other and parts.neighbours.finds_silent(question))
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -12,6 +12,7 @@
 from rattanhollow.host._ends import Ends
 from rattanhollow.host._stop import stop_serving
 from rattanhollow.membership import (
+    Gossip,
     HostDirectory,
     HostRecord,
     NeighbourWatch,
@@ -24,7 +25,7 @@
     serve_http,
     tune_socket,
 )
-from rattanhollow.observe import log_event
+from rattanhollow.observe import log_event, log_failure
 from rattanhollow.peer import Message, Peers, new_peer_keys
 from rattanhollow.rates import PooledRateParts, PooledRates
 from rattanhollow.routing import (
@@ -46,6 +47,10 @@
 from rattanhollow.settings import LineHostSettings
 from rattanhollow.store import Follower, Stored, follow
 
+# How often the fleet reads the store beside its watches. With a round or two of
+# gossip, a change is in force within a third of the time that operators allow.
+POLL_INTERVAL_S = 1.0
+
 
 class Host:
     """A running host; built by `build_host`."""
@@ -99,33 +104,36 @@
             )
         )
         self._places = places
+        self._configurations = Follower(ends.configuration_kind, self._take_routes)
+        self._servers = Follower(ends.server_kind, self.directory.take)
+        self._followers = [
+            self._configurations,
+            self._servers,
+            self.hosts.follower,
+        ]
+        self.gossip = Gossip(self._followers, self._own, self.hosts, self.peers, rng)
         self._stopped = trio.Event()
 
     async def run(self) -> None:
         """Serve until cancelled, or until `stop` is through."""
         settings = self.settings
-        configurations = Follower(self._ends.configuration_kind, self._take_routes)
-        servers = Follower(self._ends.server_kind, self.directory.take)
-        followers = [
-            configurations,
-            servers,
-            self.hosts.follower,
-        ]
         readiness = await listen_at(*settings.listen.readiness)
         async with trio.open_nursery() as nursery:
-            for follower in followers:
+            for follower in self._followers:
                 nursery.start_soon(follow, self._ends.store, follower, self._rng)
             nursery.start_soon(serve_http, readiness, self._answer_readiness)
             nursery.start_soon(self.peers.run, settings.listen.peer_port)
             nursery.start_soon(self.registration.run)
             nursery.start_soon(self._neighbours.run)
+            nursery.start_soon(self.gossip.run)
+            nursery.start_soon(self._poll)
             nursery.start_soon(self.serving.run)
             nursery.start_soon(self.rates.run)
             nursery.start_soon(self._note_registration)
             serve = partial(self._serve_caller, self._serve_parts(nursery))
             callers = await listen_at(*settings.listen.callers)
-            await configurations.listed.wait()
-            await servers.listed.wait()
+            await self._configurations.listed.wait()
+            await self._servers.listed.wait()
             nursery.start_soon(trio.serve_listeners, serve, [callers])
             self.ready = True
             log_event("host.ready", host=settings.place.name)
@@ -135,10 +143,28 @@
     async def stop(self) -> None:
         """Leave without cutting a request, within the time of the settings."""
         self.ready = False
-        await stop_serving(self.sessions, self.registration, self.settings.stop_s)
+        stop_s = self.settings.stop_s
+        await stop_serving(self.sessions, self.serving, self.registration, stop_s)
         log_event("host.stopped", host=self.settings.place.name)
         self._stopped.set()
 
+    async def _poll(self) -> None:
+        """Read now and then what a watch that hears nothing would miss.
+
+        The hosts take turns, so that the store is asked as often however many
+        there are.
+        """
+        while True:
+            hosts = max(1, len(self.hosts.all()))
+            await trio.sleep(POLL_INTERVAL_S * hosts * self._rng.uniform(0.5, 1.5))
+            name = self._ends.configuration_name
+            found = await self._ends.store.get(self._configurations.kind, name)
+            if found.is_ok():
+                self._configurations.take_one(found.unwrap())
+            listed = await self._ends.store.list(self._servers.kind)
+            if listed.is_ok():
+                self._servers.take_list(listed.unwrap())
+
     def _serve_parts(self, nursery: trio.Nursery) -> ServeParts:
         router = Router(
             RouterParts(
@@ -156,7 +182,11 @@
 
     async def _serve_caller(self, parts: ServeParts, stream: trio.SocketStream) -> None:
         tune_socket(stream, CALLER_KEEPALIVE)
-        await serve_caller(self._ends.caller(stream), parts)
+        try:
+            await serve_caller(self._ends.caller(stream), parts)
+        except Exception as error:
+            # One session must not end the process.
+            log_failure("session.failed", error)
 
     async def _note_registration(self) -> None:
         await self.registration.written.wait()
@@ -201,8 +231,8 @@
             keys=len(offered.owners),
         )
         for session in self.sessions.all():
-            if not session.busy and not session.may_go_on():
-                session.scope.cancel()
+            if not session.may_go_on():
+                session.close_when_idle()
 
     def _answer_readiness(self, method: str, path: str) -> HttpReply:
         if path != self._ends.readiness_path:
@@ -210,7 +240,7 @@
         return HttpReply(200 if self.ready else 503)
 
     async def _answer_peer(self, question: Message) -> Message | None:
-        parts = Answerers(self.serving, self._neighbours, self.rates)
+        parts = Answerers(self.serving, self._neighbours, self.rates, self.gossip)
         return await answer_peer(question, self._own(), parts)
 
 
--- a/src/rattanhollow/membership/__init__.py
+++ b/src/rattanhollow/membership/__init__.py
@@ -1,6 +1,7 @@
 """The hosts of the fleet: their records, whether they live, what they know."""
 
 from rattanhollow.membership._freshness import Freshness, Reach
+from rattanhollow.membership._gossip import Gossip
 from rattanhollow.membership._hosts import (
     HOST_KIND,
     REPORT_KIND,
@@ -15,6 +16,7 @@
     "HOST_KIND",
     "REPORT_KIND",
     "Freshness",
+    "Gossip",
     "HostDirectory",
     "HostRecord",
     "HostReport",
--- a/src/rattanhollow/observe/_logs.py
+++ b/src/rattanhollow/observe/_logs.py
@@ -1,12 +1,15 @@
 """Logs: one line of key=value pairs for each event, written through eliot."""
 
+import traceback
 from collections.abc import Callable
 from datetime import UTC, datetime
+from pathlib import Path
 from typing import Any, TextIO
 
 import eliot
 
 HIDDEN_FIELDS = frozenset({"task_uuid", "task_level", "timestamp", "message_type"})
+PLACES_LOGGED = 6
 NEEDS_QUOTES = frozenset(' "=\n\t')
 
 
@@ -15,6 +18,13 @@
     eliot.log_message(message_type=event, **fields)
 
 
+def log_failure(event: str, error: Exception, **fields: Any) -> None:
+    """Log an error that nobody foresaw, with the place where it was raised."""
+    places = traceback.extract_tb(error.__traceback__)[-PLACES_LOGGED:]
+    where = " < ".join(f"{Path(p.filename).name}:{p.lineno}" for p in reversed(places))
+    log_event(event, error=f"{type(error).__name__}: {error}", where=where, **fields)
+
+
 def log_to(stream: TextIO) -> Callable[[], None]:
     """Write every event to ``stream``; the answer stops that again."""
 
--- a/src/rattanhollow/peer/_link.py
+++ b/src/rattanhollow/peer/_link.py
@@ -8,7 +8,7 @@
 import zmq.utils.z85
 from result import Err, Result
 
-from rattanhollow.observe import log_event
+from rattanhollow.observe import log_event, log_failure
 from rattanhollow.peer._connection import AskFailure, PeerLink
 from rattanhollow.peer._messages import (
     LARGEST_MESSAGE_BYTES,
@@ -182,6 +182,11 @@
     async def _reply(
         self, server: TrioSocket, sender: bytes, number: int, question: Message
     ) -> None:
-        answer = await self._handle(question)
+        try:
+            answer = await self._handle(question)
+        except Exception as error:
+            # One question must not end the process; its asker hears nothing.
+            log_failure("peer.handler_failed", error, question=type(question).__name__)
+            return
         if answer is not None:
             server.send([sender, encode(number, answer)])
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -142,6 +142,34 @@
     grants: tuple[TokenGrant, ...]
 
 
+class CopyState(NamedTuple):
+    """How new a followed copy is, and a digest of its objects."""
+
+    kind: str
+    version: int
+    digest: int
+
+
+class CopyQuestion(NamedTuple):
+    """Asks for copies that are newer than the asker's."""
+
+    states: tuple[CopyState, ...]
+
+
+class Copy(NamedTuple):
+    """A whole copy: name, version and content of each object."""
+
+    kind: str
+    version: int
+    items: tuple[tuple[str, int, dict[str, Any]], ...]
+
+
+class CopyAnswer(NamedTuple):
+    """The copies that are newer."""
+
+    copies: tuple[Copy, ...]
+
+
 Message = (
     Ping
     | Pong
@@ -163,6 +191,8 @@
     | ProofAnswer
     | PoolQuestion
     | PoolAnswer
+    | CopyQuestion
+    | CopyAnswer
 )
 
 MESSAGE_TYPES: dict[str, Any] = {
@@ -186,6 +216,8 @@
     "proof": ProofAnswer,
     "pool?": PoolQuestion,
     "pool": PoolAnswer,
+    "copy?": CopyQuestion,
+    "copy": CopyAnswer,
 }
 _NAMES = {record: name for name, record in MESSAGE_TYPES.items()}
 _DECODERS = {
--- a/src/rattanhollow/serving/_served.py
+++ b/src/rattanhollow/serving/_served.py
@@ -265,7 +265,10 @@
             ticket.turn.set()
 
     def _at(self, deadline_s: float) -> float:
-        return trio.current_time() + deadline_s - self._parts.clock()
+        return trio.current_time() + self._remaining_s(deadline_s)
+
+    def _remaining_s(self, deadline_s: float) -> float:
+        return max(0.0, deadline_s - self._parts.clock())
 
     async def _wait_for_connection(self, deadline_s: float) -> None:
         while not self._pool.can_lend():
@@ -352,7 +355,7 @@
             floor = work.floor if read_only else None
             commands.append(Command(_BEGINNING[work.scope], floor=floor))
         if commands:
-            remaining_s = deadline_s - self._parts.clock()
+            remaining_s = self._remaining_s(deadline_s)
             prepared = await self._exchange(connection, commands, remaining_s)
             if prepared.is_err():
                 detail = f"before the statement: {prepared.unwrap_err().reason}"
@@ -368,7 +371,11 @@
             connection.prepared = plan.prepared
             if begun is not None and begun.reason is not None:
                 return begun
-        remaining_s = deadline_s - self._parts.clock()
+        remaining_s = self._remaining_s(deadline_s)
+        if not remaining_s:
+            self._forget(work)
+            self._finish(connection)
+            raise _Stop(not_run(Obstacle.OVERLOADED, "no time was left for it"))
         command = _statement_command(connection, work)
         answered = await self._exchange(connection, [command], remaining_s)
         if answered.is_err():
--- a/src/rattanhollow/serving/_serving.py
+++ b/src/rattanhollow/serving/_serving.py
@@ -51,6 +51,11 @@
                 for served in self._served.values():
                     served.expire(self._idle_ms() / 1000)
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing runs, waits or is open at any server."""
+        return all(served.idle for served in self._served.values())
+
     def served(self) -> list[Served]:
         """Return the servers served now."""
         return list(self._served.values())
--- a/src/rattanhollow/session/_serve.py
+++ b/src/rattanhollow/session/_serve.py
@@ -37,8 +37,7 @@
         session.mid_request = lambda: connection.mid_request
         number = parts.sessions.add(session)
         try:
-            with session.scope:
-                await _serve(connection, session)
+            await _serve(connection, session)
         finally:
             parts.sessions.remove(number)
             session.abandon()
@@ -81,9 +80,11 @@
 
 
 async def _serve(connection: CallerConnection, session: Session) -> None:
-    while True:
-        received = await connection.receive()
-        if isinstance(received, Farewell):
+    while not (session.closing and idle(session)):
+        received = None
+        with trio.CancelScope() as session.waiting:
+            received = await connection.receive()
+        if received is None or isinstance(received, Farewell):
             return
         session.busy = True
         if not isinstance(received, Request):
--- a/src/rattanhollow/session/_session.py
+++ b/src/rattanhollow/session/_session.py
@@ -67,8 +67,9 @@
         self, route: str, key_digest: str, organisation: str, parts: SessionParts
     ) -> None:
         self.organisation = organisation
-        self.scope = trio.CancelScope()
+        self.closing = False
         self.busy = False
+        self.waiting = trio.CancelScope()
         self.mid_request: Callable[[], bool] = lambda: False
         self._route_name = route
         self._key_digest = key_digest
@@ -90,6 +91,15 @@
             return SessionState.FAILED
         return SessionState.OPEN
 
+    def close_when_idle(self) -> None:
+        """End the session once no request is under way.
+
+        Only the wait for the next request is cancelled: one that has just
+        arrived is served.
+        """
+        self.closing = True
+        self.waiting.cancel()
+
     def may_go_on(self) -> bool:
         """Whether the caller's key still is one of its organisation."""
         if not self._key_digest:
--- a/src/rattanhollow/store/_follow.py
+++ b/src/rattanhollow/store/_follow.py
@@ -47,6 +47,10 @@
             )
             return
         self._heard()
+        self.take_copy(listing)
+
+    def take_copy(self, listing: Listing) -> None:
+        """Take a full list that another host has; it must be newer."""
         names = {item.name for item in listing.items}
         for name in [name for name in self.items if name not in names]:
             self._forget(name)
@@ -55,6 +59,11 @@
         self.version = listing.version
         self.listed.set()
 
+    def take_one(self, item: Stored) -> None:
+        """Take one object that the store was asked for."""
+        self._heard()
+        self._take(item)
+
     def take_event(self, event: Event) -> None:
         """Take one report of a watch; an older version is ignored."""
         self._heard()
