--- a/src/rattanhollow/host/_answer_peers.py
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -7,10 +7,15 @@
     CopyQuestion,
     HostAnswer,
     HostQuestion,
+    LeaderNews,
     Message,
+    Pong,
     PoolQuestion,
+    ReachAnswer,
+    ReachQuestion,
 )
 from rattanhollow.rates import PooledRates
+from rattanhollow.routing import ServerDirectory
 from rattanhollow.serving import ProofQuestion, Serving, Work
 
 
@@ -21,6 +26,7 @@
     neighbours: NeighbourWatch
     rates: PooledRates
     gossip: Gossip
+    directory: ServerDirectory
 
 
 async def answer_peer(
@@ -35,6 +41,13 @@
         return parts.rates.answer(question)
     if isinstance(question, CopyQuestion):
         return parts.gossip.answer(question)
+    if isinstance(question, ReachQuestion):
+        served = parts.serving.serve(question.server)
+        reaches = served is not None and await served.reaches()
+        return ReachAnswer(reaches, own.zone)
+    if isinstance(question, LeaderNews):
+        parts.directory.saw_leader(question.service, question.server)
+        return Pong()
     if isinstance(question, HostQuestion):
         is_other = question.host != own.name
         return HostAnswer(is_other and parts.neighbours.finds_silent(question))
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -11,6 +11,7 @@
 from rattanhollow.host._clock import now_s
 from rattanhollow.host._ends import Ends
 from rattanhollow.host._stop import stop_serving
+from rattanhollow.host._watch_primaries import WatchedParts, build_guardian
 from rattanhollow.membership import (
     Gossip,
     HostDirectory,
@@ -64,7 +65,7 @@
         self.ready = False
         self.sessions = Sessions()
         self.hosts = HostDirectory(lambda: None)
-        self.directory = ServerDirectory(ends.read_server)
+        self.directory = ServerDirectory(ends.read_server, now_s)
         self._ends = ends
         self._rng = rng
         self._incarnation = secrets.token_hex(4)
@@ -111,6 +112,19 @@
             self._servers,
             self.hosts.follower,
         ]
+        self.guardian = build_guardian(
+            WatchedParts(
+                ends=ends,
+                routes=lambda: self.routes,
+                own=self._own,
+                hosts=self.hosts,
+                peers=self.peers,
+                directory=self.directory,
+                agents=self.agents,
+                serving=self.serving,
+                floors=self.floors,
+            )
+        )
         self.gossip = Gossip(self._followers, self._own, self.hosts, self.peers, rng)
         self._stopped = trio.Event()
 
@@ -127,6 +141,7 @@
             nursery.start_soon(self._neighbours.run)
             nursery.start_soon(self.gossip.run)
             nursery.start_soon(self._poll)
+            nursery.start_soon(self.guardian.run)
             nursery.start_soon(self.serving.run)
             nursery.start_soon(self.rates.run)
             nursery.start_soon(self._note_registration)
@@ -240,7 +255,9 @@
         return HttpReply(200 if self.ready else 503)
 
     async def _answer_peer(self, question: Message) -> Message | None:
-        parts = Answerers(self.serving, self._neighbours, self.rates, self.gossip)
+        parts = Answerers(
+            self.serving, self._neighbours, self.rates, self.gossip, self.directory
+        )
         return await answer_peer(question, self._own(), parts)
 
 
--- /dev/null
+++ b/src/rattanhollow/host/_watch_primaries.py
@@ -0,0 +1,153 @@
+"""Wiring the guardian of primaries to the rest of a host."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+
+from rattanhollow.configuration import RouteTable
+from rattanhollow.coordination import Position, ranked
+from rattanhollow.host._clock import now_s
+from rattanhollow.host._ends import Ends
+from rattanhollow.membership import HostDirectory, HostRecord
+from rattanhollow.peer import LeaderNews, Peers, ReachAnswer, ReachQuestion
+from rattanhollow.routing import Agents, Floors, ServerDirectory
+from rattanhollow.serving import BackendServer, Served, ServerStatus, Serving
+from rattanhollow.succession import Guardian, GuardianParts, ReplaceParts
+
+REACH_TIMEOUT_MS = 1_500
+NEWS_TIMEOUT_MS = 500
+ASKED_IN_A_ZONE = 2
+
+
+class WatchedParts(NamedTuple):
+    """The parts of a host that its guardian looks at."""
+
+    ends: Ends
+    routes: Callable[[], RouteTable]
+    own: Callable[[], HostRecord]
+    hosts: HostDirectory
+    peers: Peers
+    directory: ServerDirectory
+    agents: Agents
+    serving: Serving
+    floors: Floors
+
+
+def build_guardian(parts: WatchedParts) -> Guardian:
+    """Return the guardian of this host's share of the services."""
+    own_name = parts.own().name
+
+    def services() -> list[str]:
+        return [name for name in parts.routes().services if parts.directory.of(name)]
+
+    def copies(service: str) -> int:
+        known = parts.routes().services.get(service)
+        return known.copies if known is not None else 1
+
+    def is_mine(service: str) -> bool:
+        leader = parts.directory.leader(service)
+        if leader is not None:
+            serving = parts.agents.hosts_for(leader)
+            return bool(serving) and serving[0].name == own_name
+        lit = [h for h in parts.hosts.staying() if not parts.peers.is_dark(h.peer)]
+        names = {record.name for record in lit} | {own_name}
+        return ranked(service, names)[0] == own_name
+
+    def served(server: BackendServer) -> Served | None:
+        return parts.serving.serve(server.id)
+
+    def suspicion_s(server: BackendServer) -> float:
+        found = served(server)
+        return found.unreachable_s if found is not None else 0.0
+
+    def stuck_s(server: BackendServer) -> float:
+        found = served(server)
+        return found.stuck_s if found is not None else 0.0
+
+    def switching(server: BackendServer, on: bool) -> None:
+        found = served(server)
+        if found is not None:
+            found.switching = on
+
+    async def others_reach(server: BackendServer) -> bool | None:
+        return await _others_reach(server, parts)
+
+    async def announce(server: BackendServer) -> None:
+        parts.directory.saw_leader(server.service, server.id)
+        await _tell_all(LeaderNews(server.service, server.id), parts)
+
+    def covers(server: BackendServer, status: ServerStatus) -> bool:
+        return _covers(server, status.received, parts)
+
+    return Guardian(
+        GuardianParts(
+            services=services,
+            copies=copies,
+            servers=parts.directory.of,
+            leader=parts.directory.leader,
+            is_mine=is_mine,
+            suspicion_s=suspicion_s,
+            stuck_s=stuck_s,
+            others_reach=others_reach,
+            switching=switching,
+            announce=announce,
+            clock=now_s,
+            replace=ReplaceParts(
+                store=parts.ends.store,
+                end=parts.ends.backend,
+                promote=parts.ends.promote,
+                holder=own_name,
+                covers=covers,
+            ),
+        )
+    )
+
+
+def _covers(server: BackendServer, received: Position, parts: WatchedParts) -> bool:
+    """Whether a log holds all that its server has acknowledged.
+
+    A server that started anew holds nothing of before, until it has caught up
+    with a position that its primary proved after that start was seen.
+    """
+    anew_at_s = parts.directory.started_anew_at_s(server.id)
+    if anew_at_s is None:
+        return True
+    proven = parts.floors.known(server.service, anew_at_s)
+    return proven is not None and received >= proven
+
+
+async def _others_reach(server: BackendServer, parts: WatchedParts) -> bool | None:
+    """Ask hosts of other zones; None where none of these answers."""
+    own = parts.own()
+    by_zone: dict[str, list[HostRecord]] = {}
+    for record in parts.hosts.staying():
+        lit = not parts.peers.is_dark(record.peer)
+        if record.name != own.name and lit:
+            by_zone.setdefault(record.zone, []).append(record)
+    zones_elsewhere = by_zone.keys() - {own.zone}
+    answers: list[ReachAnswer] = []
+
+    async def ask(record: HostRecord) -> None:
+        question = ReachQuestion(server.id)
+        asked = await parts.peers.ask(record.peer, question, REACH_TIMEOUT_MS)
+        answer = asked.ok()
+        if isinstance(answer, ReachAnswer):
+            answers.append(answer)
+
+    async with trio.open_nursery() as nursery:
+        for records in by_zone.values():
+            for record in records[:ASKED_IN_A_ZONE]:
+                nursery.start_soon(ask, record)
+    if any(answer.reaches for answer in answers):
+        return True
+    if zones_elsewhere and not any(a.zone in zones_elsewhere for a in answers):
+        return None
+    return False
+
+
+async def _tell_all(news: LeaderNews, parts: WatchedParts) -> None:
+    async with trio.open_nursery() as nursery:
+        for record in parts.hosts.all():
+            if record.name != parts.own().name:
+                nursery.start_soon(parts.peers.ask, record.peer, news, NEWS_TIMEOUT_MS)
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -170,6 +170,26 @@
     copies: tuple[Copy, ...]
 
 
+class ReachQuestion(NamedTuple):
+    """Asks whether a host reaches a backend server."""
+
+    server: str
+
+
+class ReachAnswer(NamedTuple):
+    """Whether it does, and the asked host's availability zone."""
+
+    reaches: bool
+    zone: str
+
+
+class LeaderNews(NamedTuple):
+    """Tells that a backend server leads its service."""
+
+    service: str
+    server: str
+
+
 Message = (
     Ping
     | Pong
@@ -193,6 +213,9 @@
     | PoolAnswer
     | CopyQuestion
     | CopyAnswer
+    | ReachQuestion
+    | ReachAnswer
+    | LeaderNews
 )
 
 MESSAGE_TYPES: dict[str, Any] = {
@@ -218,6 +241,9 @@
     "pool": PoolAnswer,
     "copy?": CopyQuestion,
     "copy": CopyAnswer,
+    "reach?": ReachQuestion,
+    "reach": ReachAnswer,
+    "leader": LeaderNews,
 }
 _NAMES = {record: name for name, record in MESSAGE_TYPES.items()}
 _DECODERS = {
--- a/src/rattanhollow/routing/_directory.py
+++ b/src/rattanhollow/routing/_directory.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+import trio
 from result import Result
 
 from rattanhollow.observe import log_event
@@ -38,6 +39,8 @@
         self._denied: dict[str, int] = {}
         self._proven: dict[str, _Proof] = {}
         self._unreadable: dict[str, str] = {}
+        self._anew_at_s: dict[str, float] = {}
+        self._changed = trio.Event()
 
     def take(self, stored: Stored | None, name: str) -> None:
         """Take a description that was written, or its removal."""
@@ -53,12 +56,15 @@
         server = read.unwrap()
         known = self._servers.get(name)
         self._servers[name] = server
+        if known is not None and known.born_ms != server.born_ms:
+            self._anew_at_s[name] = self._clock()
         self._missing_since_s.pop(name, None)
         if not server.leads:
             self._leads_since.pop(name, None)
         elif known is None or not known.leads or known.born_ms != server.born_ms:
             self._leads_since[name] = server.version
         if known != server._replace(version=known.version if known else 0):
+            self._tell()
             log_event(
                 "server.described",
                 server=name,
@@ -69,6 +75,15 @@
                 version=server.version,
             )
 
+    def started_anew_at_s(self, server_id: str) -> float | None:
+        """Return when a server was seen to have started again, None if never."""
+        return self._anew_at_s.get(server_id)
+
+    async def wait_for_change(self, at_most_s: float) -> None:
+        """Wait until something changes about the servers, or who leads."""
+        with trio.move_on_after(at_most_s):
+            await self._changed.wait()
+
     def find(self, server_id: str) -> BackendServer | None:
         """Return a server by its identifier."""
         self._purge()
@@ -106,6 +121,7 @@
         newest = max((item.version for item in self._servers.values()), default=0)
         self._proven[service] = _Proof(server_id, newest)
         self._denied.pop(server_id, None)
+        self._tell()
         log_event("leader.proven", service=service, server=server_id, version=newest)
 
     def saw_no_leader(self, server_id: str) -> None:
@@ -120,6 +136,10 @@
         if proof is not None and proof.server == server_id:
             del self._proven[server.service]
 
+    def _tell(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
     def _lose(self, name: str) -> None:
         server = self._servers.get(name)
         if server is None or name in self._missing_since_s:
@@ -144,6 +164,7 @@
         self._servers.pop(name, None)
         self._leads_since.pop(name, None)
         self._denied.pop(name, None)
+        self._anew_at_s.pop(name, None)
 
     def _report_unreadable(self, name: str, reason: str) -> None:
         if self._unreadable.get(name) != reason:
--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -25,7 +25,7 @@
 from rattanhollow.statements import Answer, Completed, Reason, Refused
 
 # A statement that no server could take is tried again this often.
-RETRY_PAUSE_S = 0.03
+RETRY_PAUSE_S = 0.1
 # A proof of the primary is renewed when it is older than this part of the age
 # that reads may have: reads then go on for the rest while no primary answers.
 RENEW_AT_PART = 0.4
@@ -161,7 +161,7 @@
                 return Outcome(_given_up(last))
             if server is None:
                 passed_over.clear()
-                await trio.sleep(RETRY_PAUSE_S)
+                await self._parts.directory.wait_for_change(RETRY_PAUSE_S)
                 continue
             ran = await self._attempt(demand, server, scope, None, budget_ms)
             done = last = ran.done
@@ -176,7 +176,7 @@
             if _may_repeat(done, reads or scope is Scope.BEGIN):
                 if done.obstacle is Obstacle.OVERLOADED:
                     return Outcome(_given_up(done))
-                await trio.sleep(RETRY_PAUSE_S)
+                await self._parts.directory.wait_for_change(RETRY_PAUSE_S)
                 continue
             return Outcome(_refusal(done, reads or scope is Scope.BEGIN))
 
--- a/src/rattanhollow/serving/_served.py
+++ b/src/rattanhollow/serving/_served.py
@@ -104,19 +104,25 @@
 
 
 class Served:
-    """Runs work at one backend server; ``reachable`` while it answers."""
+    """Runs work at one backend server.
+
+    ``reachable`` while it answers. ``switching`` while it is being replaced as
+    the primary: nothing is begun that could not be acknowledged any more.
+    """
 
     def __init__(
         self, server: BackendServer, connections: int, parts: ServingParts
     ) -> None:
         self.server = server
         self.reachable = True
-        self.unreachable_since_s = 0.0
+        self.switching = False
+        self._unreachable_since_s = 0.0
         self._parts = parts
         self._pool = ConnectionPool(max(1, connections - CONNECTIONS_SPARED))
         self._slots: SlotQueue[_Ticket] = SlotQueue(server.slots)
         self._transactions: dict[str, _Transaction] = {}
         self._exchanges: dict[ServerConnection, float] = {}
+        self._commits: dict[ServerConnection, float] = {}
         self._due = trio.Event()
         self._heard_at_s = parts.clock()
         self._scope = trio.CancelScope()
@@ -138,6 +144,8 @@
             return self._roll_back(work.transaction)
         if not self.reachable or self._closed:
             return not_run(Obstacle.NOT_SERVED, f"{self.server.id} is unreachable")
+        if self.switching and _must_lead(work):
+            return not_run(Obstacle.SWITCHING, "the primary is being replaced")
         transaction = None
         if work.scope is Scope.WITHIN:
             transaction = self._transactions.get(work.transaction)
@@ -154,6 +162,23 @@
                 transaction.used_at_s = self._parts.clock()
         return done._replace(wait_ms=self.wait_ms)
 
+    @property
+    def unreachable_s(self) -> float:
+        """For how long the server hasn't answered, 0 while it does."""
+        if self.reachable:
+            return 0.0
+        return self._parts.clock() - self._unreachable_since_s
+
+    @property
+    def stuck_s(self) -> float:
+        """For how long the oldest commit under way has not been answered."""
+        began_s = min(self._commits.values(), default=None)
+        return 0.0 if began_s is None else self._parts.clock() - began_s
+
+    async def reaches(self) -> bool:
+        """Find out whether the server answers now."""
+        return await self._answers()
+
     async def prove(self) -> ProofAnswer:
         """Return the log's end, proven by a plain transaction that began."""
         if not self.reachable or self._closed:
@@ -377,7 +402,12 @@
             self._finish(connection)
             raise _Stop(not_run(Obstacle.OVERLOADED, "no time was left for it"))
         command = _statement_command(connection, work)
-        answered = await self._exchange(connection, [command], remaining_s)
+        if work.kind is WorkKind.COMMIT or _writes(work):
+            self._commits[connection] = self._parts.clock()
+        try:
+            answered = await self._exchange(connection, [command], remaining_s)
+        finally:
+            self._commits.pop(connection, None)
         if answered.is_err():
             self._forget(work)
             lost = answered.unwrap_err()
@@ -513,7 +543,7 @@
     def _lose(self) -> None:
         """Give up on a server that doesn't answer, until it does again."""
         self.reachable = False
-        self.unreachable_since_s = self._parts.clock()
+        self._unreachable_since_s = self._parts.clock()
         log_event(
             "server.unreachable",
             server=self.server.id,
@@ -562,5 +592,12 @@
     return Command(_KINDS[work.kind], work.text, name, work.request_id, floor)
 
 
+def _must_lead(work: Work) -> bool:
+    """Whether work is lost where the server stops leading before it ends."""
+    if work.scope is Scope.BEGIN or work.kind is WorkKind.COMMIT:
+        return True
+    return work.scope is Scope.ALONE and _writes(work)
+
+
 def _writes(work: Work) -> bool:
     return work.kind is WorkKind.WRITE or work.shape_writes
--- a/src/rattanhollow/serving/_work.py
+++ b/src/rattanhollow/serving/_work.py
@@ -77,7 +77,8 @@
 
     ``NOT_SERVED``: this host can't reach the server or knows none of that
     identifier. ``OVERLOADED``: the queue is too long. ``NO_TRANSACTION``: the
-    transaction is not open here any more. ``LOST``: the exchange with the
+    transaction is not open here any more. ``SWITCHING``: the primary is being
+    replaced. ``LOST``: the exchange with the
     server broke off. ``HOST_LOST``: the serving host can't be reached.
     """
 
@@ -85,6 +86,7 @@
     NOT_SERVED = "not served"
     OVERLOADED = "overloaded"
     NO_TRANSACTION = "no transaction"
+    SWITCHING = "switching"
     LOST = "lost"
     HOST_LOST = "host lost"
 
--- /dev/null
+++ b/src/rattanhollow/succession/__init__.py
@@ -0,0 +1,29 @@
+"""Replacing primaries: who may succeed, in which steps, and who acts."""
+
+from rattanhollow.succession._choose import Member, choose, next_term
+from rattanhollow.succession._guardian import Concern, Guardian, GuardianParts
+from rattanhollow.succession._record import (
+    SUCCESSION_KIND,
+    Phase,
+    SuccessionRecord,
+    advance,
+    claim,
+)
+from rattanhollow.succession._replace import ReplaceParts, Task, replace_primary
+
+__all__ = [
+    "SUCCESSION_KIND",
+    "Concern",
+    "Guardian",
+    "GuardianParts",
+    "Member",
+    "Phase",
+    "ReplaceParts",
+    "SuccessionRecord",
+    "Task",
+    "advance",
+    "choose",
+    "claim",
+    "next_term",
+    "replace_primary",
+]
