--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -123,6 +123,7 @@
                 agents=self.agents,
                 serving=self.serving,
                 floors=self.floors,
+                read_servers=self._read_servers,
             )
         )
         self.gossip = Gossip(self._followers, self._own, self.hosts, self.peers, rng)
@@ -176,9 +177,13 @@
             found = await self._ends.store.get(self._configurations.kind, name)
             if found.is_ok():
                 self._configurations.take_one(found.unwrap())
-            listed = await self._ends.store.list(self._servers.kind)
-            if listed.is_ok():
-                self._servers.take_list(listed.unwrap())
+            await self._read_servers()
+
+    async def _read_servers(self) -> bool:
+        listed = await self._ends.store.list(self._servers.kind)
+        if listed.is_ok():
+            self._servers.take_list(listed.unwrap())
+        return listed.is_ok()
 
     def _serve_parts(self, nursery: trio.Nursery) -> ServeParts:
         router = Router(
--- a/src/rattanhollow/host/_watch_primaries.py
+++ b/src/rattanhollow/host/_watch_primaries.py
@@ -1,6 +1,6 @@
 """Wiring the guardian of primaries to the rest of a host."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import trio
@@ -12,8 +12,15 @@
 from rattanhollow.membership import HostDirectory, HostRecord
 from rattanhollow.peer import LeaderNews, Peers, ReachAnswer, ReachQuestion
 from rattanhollow.routing import Agents, Floors, ServerDirectory
-from rattanhollow.serving import BackendServer, Served, ServerStatus, Serving
-from rattanhollow.succession import Guardian, GuardianParts, ReplaceParts
+from rattanhollow.serving import (
+    BackendServer,
+    Command,
+    Reply,
+    Served,
+    ServerStatus,
+    Serving,
+)
+from rattanhollow.succession import Guardian, GuardianParts, Orders, ReplaceParts
 
 REACH_TIMEOUT_MS = 1_500
 NEWS_TIMEOUT_MS = 500
@@ -21,7 +28,10 @@
 
 
 class WatchedParts(NamedTuple):
-    """The parts of a host that its guardian looks at."""
+    """The parts of a host that its guardian looks at.
+
+    ``read_servers()`` reads the descriptions of all servers anew.
+    """
 
     ends: Ends
     routes: Callable[[], RouteTable]
@@ -32,6 +42,7 @@
     agents: Agents
     serving: Serving
     floors: Floors
+    read_servers: Callable[[], Awaitable[bool]]
 
 
 def build_guardian(parts: WatchedParts) -> Guardian:
@@ -77,6 +88,15 @@
         parts.directory.saw_leader(server.service, server.id)
         await _tell_all(LeaderNews(server.service, server.id), parts)
 
+    async def run_command(
+        server: BackendServer, command: Command, timeout_s: float
+    ) -> Reply | None:
+        found = served(server)
+        return await found.command(command, timeout_s) if found is not None else None
+
+    async def members(service: str) -> list[BackendServer] | None:
+        return parts.directory.of(service) if await parts.read_servers() else None
+
     def covers(server: BackendServer, status: ServerStatus) -> bool:
         return _covers(server, status.received, parts)
 
@@ -90,30 +110,40 @@
             suspicion_s=suspicion_s,
             stuck_s=stuck_s,
             others_reach=others_reach,
+            is_missing=lambda server: parts.directory.is_missing(server.id),
             switching=switching,
             announce=announce,
             clock=now_s,
             replace=ReplaceParts(
                 store=parts.ends.store,
-                end=parts.ends.backend,
+                orders=Orders(run_command, parts.ends.backend.status),
                 promote=parts.ends.promote,
                 holder=own_name,
                 covers=covers,
+                members=members,
             ),
         )
     )
 
 
 def _covers(server: BackendServer, received: Position, parts: WatchedParts) -> bool:
-    """Whether a log holds all that its server has acknowledged.
+    """Whether a log holds all that was acknowledged before a log was lost.
 
-    A server that started anew holds nothing of before, until it has caught up
-    with a position that its primary proved after that start was seen.
+    A server that started anew holds nothing of before, and what a replica that
+    is gone had acknowledged may be nowhere else yet. A log that reaches a
+    position which the primary proved later holds it all.
     """
-    anew_at_s = parts.directory.started_anew_at_s(server.id)
-    if anew_at_s is None:
+    lost_at_s = [
+        at_s
+        for at_s in (
+            parts.directory.started_anew_at_s(server.id),
+            parts.directory.replica_lost_at_s(server.service),
+        )
+        if at_s is not None
+    ]
+    if not lost_at_s:
         return True
-    proven = parts.floors.known(server.service, anew_at_s)
+    proven = parts.floors.known(server.service, max(lost_at_s))
     return proven is not None and received >= proven
 
 
--- a/src/rattanhollow/routing/_directory.py
+++ b/src/rattanhollow/routing/_directory.py
@@ -14,6 +14,9 @@
 # A description may lapse while the store is away; the platform says that it is
 # back within about two seconds if its server lives.
 MISSING_GRACE_S = 2.5
+# A server without a description may still be used while its primary's place is
+# given to another one; operators allow several seconds for that.
+FORGET_AFTER_S = 5.5
 
 Reader = Callable[[Stored], Result[BackendServer, str]]
 
@@ -40,6 +43,7 @@
         self._proven: dict[str, _Proof] = {}
         self._unreadable: dict[str, str] = {}
         self._anew_at_s: dict[str, float] = {}
+        self._replica_lost_at_s: dict[str, float] = {}
         self._changed = trio.Event()
 
     def take(self, stored: Stored | None, name: str) -> None:
@@ -75,10 +79,19 @@
                 version=server.version,
             )
 
+    def is_missing(self, server_id: str) -> bool:
+        """Whether a server is to be held for gone: no description since a while."""
+        since_s = self._missing_since_s.get(server_id)
+        return since_s is not None and self._clock() - since_s > MISSING_GRACE_S
+
     def started_anew_at_s(self, server_id: str) -> float | None:
         """Return when a server was seen to have started again, None if never."""
         return self._anew_at_s.get(server_id)
 
+    def replica_lost_at_s(self, service: str) -> float | None:
+        """Return when a replica of a service was last seen to be gone."""
+        return self._replica_lost_at_s.get(service)
+
     async def wait_for_change(self, at_most_s: float) -> None:
         """Wait until something changes about the servers, or who leads."""
         with trio.move_on_after(at_most_s):
@@ -145,6 +158,9 @@
         if server is None or name in self._missing_since_s:
             return
         log_event("server.missing", server=name, draining=server.draining)
+        leader = self.leader(server.service)
+        if leader is None or leader.id != name:
+            self._replica_lost_at_s[server.service] = self._clock()
         if server.draining:
             self._forget(name)
         else:
@@ -153,7 +169,7 @@
     def _purge(self) -> None:
         if not self._missing_since_s:
             return
-        before_s = self._clock() - MISSING_GRACE_S
+        before_s = self._clock() - FORGET_AFTER_S
         for name, since_s in list(self._missing_since_s.items()):
             if since_s <= before_s:
                 log_event("server.gone", server=name)
--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -286,10 +286,13 @@
         if leader is not None and leader.id not in passed_over:
             return leader
         # None is known to lead: any of them says so if it does.
-        others = [s for s in self._parts.directory.of(service) if not s.draining]
+        others = [s for s in self._parts.directory.of(service) if not self._leaves(s)]
         others = [s for s in others if s.id not in passed_over]
         return min(others, key=lambda server: server.id, default=None)
 
+    def _leaves(self, server: BackendServer) -> bool:
+        return server.draining or self._parts.directory.is_missing(server.id)
+
     def _reader(self, service: str, passed_over: set[str]) -> BackendServer | None:
         """Return the server to read from: the nearest in time, replicas first."""
         leader = self._parts.directory.leader(service)
@@ -297,7 +300,7 @@
         usable = [
             server
             for server in self._parts.directory.of(service)
-            if server.id not in passed_over and not server.draining
+            if server.id not in passed_over and not self._leaves(server)
         ]
 
         def cost(server: BackendServer) -> tuple[bool, float, str]:
--- a/src/rattanhollow/serving/_connections.py
+++ b/src/rattanhollow/serving/_connections.py
@@ -31,8 +31,9 @@
     """At most ``limit`` connections; the one idle for longest makes room."""
 
     def __init__(self, limit: int) -> None:
-        self.limit = limit
         self.open_count = 0
+        self._limit = limit
+        self._limited_until_s = float("-inf")
         self._idle: OrderedDict[ServerConnection, None] = OrderedDict()
 
     def take(
@@ -61,9 +62,14 @@
             return None
         return self._idle.popitem(last=True)[0]
 
-    def can_lend(self) -> bool:
+    def can_lend(self, now_s: float) -> bool:
         """Whether a connection is idle, or another one may be opened."""
-        return self.open_count < self.limit or bool(self._idle)
+        full = self.open_count >= self._limit or now_s < self._limited_until_s
+        return not full or bool(self._idle)
+
+    def limit_for_now(self, until_s: float) -> None:
+        """Open no more connections for a while: the server has no room."""
+        self._limited_until_s = until_s
 
     def reserve(self) -> ServerConnection | None:
         """Count a connection that is about to be opened.
@@ -71,7 +77,7 @@
         Returns an idle one that has to be closed for it, if there is no room.
         """
         self.open_count += 1
-        if self.open_count <= self.limit or not self._idle:
+        if self.open_count <= self._limit or not self._idle:
             return None
         oldest, _ = self._idle.popitem(last=False)
         self.open_count -= 1
--- a/src/rattanhollow/serving/_served.py
+++ b/src/rattanhollow/serving/_served.py
@@ -42,6 +42,8 @@
 SILENT_AFTER_S = 0.4
 LOOK_INTERVAL_S = 0.1
 RETRY_UNREACHABLE_S = 0.25
+# Other hosts may hold connections for a while: those that served it before.
+TOO_MANY_PAUSE_S = 1.0
 # Connections left to hosts that look at the server without serving it.
 CONNECTIONS_SPARED = 2
 # Whom a backend server is told of where no organisation's work is done.
@@ -175,6 +177,20 @@
         began_s = min(self._commits.values(), default=None)
         return 0.0 if began_s is None else self._parts.clock() - began_s
 
+    async def command(self, command: Command, timeout_s: float) -> Reply | None:
+        """Run a command that is nobody's work; None where no answer came."""
+        connection = self._pool.take_any()
+        if connection is None:
+            try:
+                connection = await self._open(NOBODY, timeout_s)
+            except _Stop:
+                return None
+        answered = await self._exchange(connection, [command], timeout_s)
+        if answered.is_err():
+            return None
+        self._give_back(connection)
+        return answered.unwrap()[0]
+
     async def reaches(self) -> bool:
         """Find out whether the server answers now."""
         return await self._answers()
@@ -238,7 +254,7 @@
         deadline_s = self._parts.clock() + work.budget_ms / 1000
         while True:
             await self._take_slot(work, deadline_s)
-            if transaction is not None or self._pool.can_lend():
+            if transaction is not None or self._can_lend():
                 break
             self._free_slot(None)
             await self._wait_for_connection(deadline_s)
@@ -295,8 +311,11 @@
     def _remaining_s(self, deadline_s: float) -> float:
         return max(0.0, deadline_s - self._parts.clock())
 
+    def _can_lend(self) -> bool:
+        return self._pool.can_lend(self._parts.clock())
+
     async def _wait_for_connection(self, deadline_s: float) -> None:
-        while not self._pool.can_lend():
+        while not self._can_lend():
             if self._parts.clock() >= deadline_s:
                 detail = "all connections are in transactions"
                 raise _Stop(not_run(Obstacle.OVERLOADED, detail))
@@ -339,7 +358,7 @@
         failure = OpenFailure.UNREACHABLE if opened is None else opened.unwrap_err()
         log_event("server.not_opened", server=self.server.id, reason=failure.value)
         if failure is OpenFailure.TOO_MANY:
-            self._pool.limit = max(1, self._pool.open_count)
+            self._pool.limit_for_now(self._parts.clock() + TOO_MANY_PAUSE_S)
         overloaded = failure in (OpenFailure.TOO_MANY, OpenFailure.BUSY)
         obstacle = Obstacle.OVERLOADED if overloaded else Obstacle.NOT_SERVED
         raise _Stop(not_run(obstacle, failure.value))
--- a/src/rattanhollow/succession/__init__.py
+++ b/src/rattanhollow/succession/__init__.py
@@ -1,7 +1,8 @@
 """Replacing primaries: who may succeed, in which steps, and who acts."""
 
-from rattanhollow.succession._choose import Member, choose, next_term
+from rattanhollow.succession._choose import Member, Stopped, choose, next_term
 from rattanhollow.succession._guardian import Concern, Guardian, GuardianParts
+from rattanhollow.succession._orders import Orders
 from rattanhollow.succession._record import (
     SUCCESSION_KIND,
     Phase,
@@ -17,8 +18,10 @@
     "Guardian",
     "GuardianParts",
     "Member",
+    "Orders",
     "Phase",
     "ReplaceParts",
+    "Stopped",
     "SuccessionRecord",
     "Task",
     "advance",
--- a/src/rattanhollow/succession/_choose.py
+++ b/src/rattanhollow/succession/_choose.py
@@ -28,34 +28,45 @@
     return max(terms, default=0) + 1
 
 
+class Stopped(NamedTuple):
+    """The servers of a service, made to stop at ``term``.
+
+    ``primary`` is the old primary where it answered that it no longer leads.
+    """
+
+    replicas: list[Member]
+    primary: Member | None
+    copies: int
+    term: int
+
+
 def choose(
     replicas: Collection[Member],
     stopped_primary: Member | None,
     copies: int,
     term: int,
 ) -> Result[BackendServer, str]:
-    """Return the replica to promote.
+    """Return the server to promote.
 
-    Every acknowledged commit is on the primary and on ``copies`` replicas. So
-    the furthest log holds them all where fewer than ``copies`` replicas are
-    missing from those that were held at ``term``, or where the old primary
-    itself was made to stop and its log is no longer than the furthest.
+    Every acknowledged commit is on the primary and on ``copies`` replicas. So a
+    log holds them all that is as long as that of the stopped primary, or the
+    longest where fewer than ``copies`` replicas are missing from those held at
+    ``term``. A stopped primary that stays may be promoted again.
     """
     held = [m for m in replicas if m.status is not None and _is_held(m.status, term)]
-    usable = [m for m in held if not m.server.draining]
-    if not usable:
-        return Err("no replica that stays answered")
-    best = max(usable, key=lambda m: (_received(m), m.server.cold_ms == 0, m.server.id))
-    furthest = max(_received(m) for m in held)
-    if _received(best) < furthest:
-        return Err("the furthest log is at a server that leaves")
-    covering = [m for m in held if m.covers]
+    candidates = [m for m in held if not m.server.draining]
+    if stopped_primary is not None and not stopped_primary.server.draining:
+        candidates.append(stopped_primary)
+    if not candidates:
+        return Err("no server that stays answered")
+    best = max(candidates, key=lambda m: (_received(m), m is not stopped_primary))
+    if stopped_primary is not None and _received(best) >= _received(stopped_primary):
+        return Ok(best.server)
+    if any(_received(member) > _received(best) for member in held):
+        return Err("the longest log is at a server that leaves")
+    covering = [member for member in held if member.covers]
     if len(replicas) - len(covering) < max(1, copies):
         return Ok(best.server)
-    if stopped_primary is not None and stopped_primary.status is not None:
-        if _received(stopped_primary) <= _received(best):
-            return Ok(best.server)
-        return Err("the stopped primary's log is longer")
     return Err(f"only {len(covering)} of {len(replicas)} replicas are held")
 
 
--- a/src/rattanhollow/succession/_guardian.py
+++ b/src/rattanhollow/succession/_guardian.py
@@ -8,7 +8,6 @@
 
 from rattanhollow.observe import log_event
 from rattanhollow.serving import BackendServer, CommandKind, ServerStatus
-from rattanhollow.succession._orders import order_all
 from rattanhollow.succession._replace import ReplaceParts, Task, replace_primary
 
 LOOK_INTERVAL_S = 0.1
@@ -36,8 +35,9 @@
     """What watching needs of the rest of the host.
 
     ``services()`` are those of the configuration, ``servers(service)`` their
-    servers, ``leader(service)`` the one held to lead. ``is_mine(service)``
-    whether this host is to act. ``suspicion_s(server)`` and ``stuck_s(server)``
+    servers, ``leader(service)`` the one held to lead. ``is_missing(server)``
+    whether the store describes it no more. ``is_mine(service)`` whether this
+    host is to act. ``suspicion_s(server)`` and ``stuck_s(server)``
     tell for how long a served server has not answered, and its oldest commit.
     ``others_reach(server)`` asks other hosts; None where too few answer.
     ``switching(server, on)`` keeps new transactions from a server;
@@ -48,6 +48,7 @@
     copies: Callable[[str], int]
     servers: Callable[[str], list[BackendServer]]
     leader: Callable[[str], BackendServer | None]
+    is_missing: Callable[[BackendServer], bool]
     is_mine: Callable[[str], bool]
     suspicion_s: Callable[[BackendServer], float]
     stuck_s: Callable[[BackendServer], float]
@@ -107,6 +108,8 @@
         unreachable_s = self._parts.suspicion_s(leader)
         if leader.draining:
             return Concern("it leaves", reachable=unreachable_s <= 0)
+        if self._parts.is_missing(leader):
+            return Concern("its description is gone", reachable=unreachable_s <= 0)
         if unreachable_s > SUSPECT_AFTER_S:
             return Concern("it doesn't answer", reachable=False)
         if self._parts.stuck_s(leader) > STUCK_AFTER_S:
@@ -153,8 +156,7 @@
             task = Task(
                 service=service,
                 copies=self._parts.copies(service),
-                servers=tuple(self._parts.servers(service)),
-                old_leader=leader.id if leader is not None else "",
+                old_leader=leader,
                 reachable=concern.reachable,
                 claim_id=uuid.uuid4().hex,
             )
@@ -178,9 +180,9 @@
             watch = self._watches[service]
             if watch.running or not self._parts.is_mine(service):
                 continue
-            end = self._parts.replace.end
+            orders = self._parts.replace.orders
             servers = self._parts.servers(service)
-            statuses = await order_all(end, servers, CommandKind.STATUS)
+            statuses = await orders.give_all(servers, CommandKind.STATUS)
             stopped = [s for s in servers if _stays_held(statuses[s.id])]
             led = any(
                 status is not None and status.leads for status in statuses.values()
@@ -188,7 +190,7 @@
             if stopped and led and not watch.running:
                 names = [server.id for server in stopped]
                 log_event("succession.let_go", service=service, servers=names)
-                await order_all(end, stopped, CommandKind.LET_GO)
+                await orders.give_all(stopped, CommandKind.LET_GO)
 
 
 def _stays_held(status: ServerStatus | None) -> bool:
--- a/src/rattanhollow/succession/_orders.py
+++ b/src/rattanhollow/succession/_orders.py
@@ -1,65 +1,61 @@
-"""Orders to single backend servers, each over a connection of its own."""
+"""Orders to single backend servers."""
+
+from collections.abc import Awaitable, Callable
 
 import trio
 
 from rattanhollow.observe import log_event
 from rattanhollow.serving import (
-    BackendEnd,
     BackendServer,
     Command,
     CommandKind,
+    Reply,
     ServerStatus,
 )
 
 # A server across regions answers within 100 ms; one that is dark doesn't.
 ORDER_TIMEOUT_S = 0.7
-WHO = "-"
+
+# ``run(server, command, timeout_s)`` gives the reply, None where none came.
+RunCommand = Callable[[BackendServer, Command, float], Awaitable[Reply | None]]
+ReadStatus = Callable[[Reply], ServerStatus | None]
 
 
-async def order(
-    end: BackendEnd, server: BackendServer, kind: CommandKind, term: int = 0
-) -> ServerStatus | None:
-    """Give one order and return the status behind it; None where none came.
+class Orders:
+    """Gives orders; one that wasn't answered may be carried out later."""
 
-    An order that wasn't answered may be carried out later.
-    """
-    reason = "no answer in time"
-    with trio.move_on_after(ORDER_TIMEOUT_S):
-        opened = await end.open(server, WHO)
-        if opened.is_err():
+    def __init__(self, run: RunCommand, read_status: ReadStatus) -> None:
+        self._run = run
+        self._read_status = read_status
+
+    async def give(
+        self, server: BackendServer, kind: CommandKind, term: int = 0
+    ) -> ServerStatus | None:
+        """Give one order; the answer is the status behind it, None without one."""
+        reply = await self._run(server, Command(kind, term=term), ORDER_TIMEOUT_S)
+        status = self._read_status(reply) if reply is not None else None
+        if status is None or kind is not CommandKind.STATUS:
             log_event(
-                "order.failed",
+                "order.given",
                 server=server.id,
                 order=kind.value,
-                reason=opened.unwrap_err().value,
+                term=term,
+                reply=reply if status is None else "",
+                received=status.received if status is not None else None,
+                held_term=status.held_term if status is not None else None,
             )
-            return None
-        connection = opened.unwrap()
-        try:
-            answered = await connection.run(Command(kind, term=term))
-        finally:
-            connection.abort()
-        if answered.is_ok():
-            status = end.status(answered.unwrap())
-            if status is not None:
-                return status
-            reason = f"unexpected answer {answered.unwrap()}"
-        else:
-            reason = answered.unwrap_err().reason
-    log_event("order.failed", server=server.id, order=kind.value, reason=reason)
-    return None
-
+        return status
 
-async def order_all(
-    end: BackendEnd, servers: list[BackendServer], kind: CommandKind, term: int = 0
-) -> dict[str, ServerStatus | None]:
-    """Give the same order to several servers at once."""
-    answers: dict[str, ServerStatus | None] = {}
+    async def give_all(
+        self, servers: list[BackendServer], kind: CommandKind, term: int = 0
+    ) -> dict[str, ServerStatus | None]:
+        """Give the same order to several servers at once."""
+        answers: dict[str, ServerStatus | None] = {}
 
-    async def one(server: BackendServer) -> None:
-        answers[server.id] = await order(end, server, kind, term)
+        async def one(server: BackendServer) -> None:
+            answers[server.id] = await self.give(server, kind, term)
 
-    async with trio.open_nursery() as nursery:
-        for server in servers:
-            nursery.start_soon(one, server)
-    return answers
+        async with trio.open_nursery() as nursery:
+            for server in servers:
+                nursery.start_soon(one, server)
+        return answers
--- a/src/rattanhollow/succession/_replace.py
+++ b/src/rattanhollow/succession/_replace.py
@@ -13,10 +13,10 @@
 from result import Err, Ok, Result
 
 from rattanhollow.observe import log_event
-from rattanhollow.serving import BackendEnd, BackendServer, CommandKind, ServerStatus
+from rattanhollow.serving import BackendServer, CommandKind, ServerStatus
 from rattanhollow.store import ObjectStore
-from rattanhollow.succession._choose import Member, choose, next_term
-from rattanhollow.succession._orders import order, order_all
+from rattanhollow.succession._choose import Member, Stopped, choose, next_term
+from rattanhollow.succession._orders import Orders
 from rattanhollow.succession._record import (
     Phase,
     SuccessionRecord,
@@ -36,15 +36,17 @@
     """What replacing a primary needs.
 
     ``promote(service, server, holder, token)`` gives the platform's answer,
-    ``covers(server)`` whether a server's log can be relied on to hold what it
-    acknowledged.
+    ``covers(server, status)`` whether a server's log can be relied on to hold
+    what it acknowledged. ``members(service)`` reads the service's servers anew
+    from the store; None where that failed.
     """
 
     store: ObjectStore
-    end: BackendEnd
+    orders: Orders
     promote: Callable[[str, str, str, int], Awaitable[Result[int, str]]]
     holder: str
     covers: Callable[[BackendServer, ServerStatus], bool]
+    members: Callable[[str], Awaitable[list[BackendServer] | None]]
 
 
 class Task(NamedTuple):
@@ -52,11 +54,15 @@
 
     service: str
     copies: int
-    servers: tuple[BackendServer, ...]
-    old_leader: str
+    old_leader: BackendServer | None
     reachable: bool
     claim_id: str
 
+    @property
+    def old_leader_id(self) -> str:
+        """The old primary's identifier, empty where none is known."""
+        return self.old_leader.id if self.old_leader is not None else ""
+
 
 async def replace_primary(
     task: Task, parts: ReplaceParts
@@ -67,7 +73,7 @@
     carried out.
     """
     claimed = await claim(
-        parts.store, task.service, parts.holder, task.claim_id, task.old_leader
+        parts.store, task.service, parts.holder, task.claim_id, task.old_leader_id
     )
     if claimed.is_err():
         return Err(f"claim: {claimed.unwrap_err()}")
@@ -76,24 +82,26 @@
         "succession.claimed",
         service=task.service,
         token=record.token,
-        old_leader=task.old_leader,
+        old_leader=task.old_leader_id,
         target=record.target,
     )
-    earlier = _find(task, record)
-    if record.phase is Phase.CHOSEN and earlier is not None:
-        status = await order(parts.end, earlier, CommandKind.STATUS)
+    members = await parts.members(task.service)
+    if members is None:
+        return Err("members: the store gave no list")
+    earlier = _find(members, record)
+    if earlier is not None:
+        status = await parts.orders.give(earlier, CommandKind.STATUS)
         if status is not None and status.leads:
             return await _end(task, record, earlier, parts)
-    held = await _hold(task, parts)
-    if held.is_err():
-        return Err(held.unwrap_err())
-    replicas, stopped, term = held.unwrap()
-    chosen = choose(replicas, stopped, task.copies, term)
-    if earlier is not None and _answered(replicas, earlier):
+    stopped = await _stop(task, members, parts)
+    if stopped.is_err():
+        return Err(stopped.unwrap_err())
+    chosen = choose(*stopped.unwrap())
+    if earlier is not None and _answered(stopped.unwrap().replicas, earlier):
         # The platform may still promote it: another one must not be named.
         chosen = Ok(earlier)
     if chosen.is_err():
-        await _let_go(task, replicas, record, parts)
+        await _let_go(task, stopped.unwrap().replicas, record, parts)
         return Err(f"choose: {chosen.unwrap_err()}")
     target = chosen.unwrap()
     record = record._replace(
@@ -101,62 +109,84 @@
     )
     written = await advance(parts.store, task.service, record)
     if written.is_err():
-        await _let_go(task, replicas, record, parts)
+        await _let_go(task, stopped.unwrap().replicas, record, parts)
         return Err(f"choose: {written.unwrap_err()}")
     log_event(
         "succession.chosen",
         service=task.service,
         token=record.token,
         target=target.id,
-        term=term,
-        held=[(m.server.id, str(m.status.received)) for m in replicas if m.status],
+        term=stopped.unwrap().term,
+        logs=_logs(stopped.unwrap()),
     )
     return await _promote(task, record, target, parts)
 
 
-def _find(task: Task, record: SuccessionRecord) -> BackendServer | None:
-    for server in task.servers:
+def _find(
+    members: list[BackendServer], record: SuccessionRecord
+) -> BackendServer | None:
+    """Return the target that an unfinished claim had named, if it lives."""
+    if record.phase is not Phase.CHOSEN:
+        return None
+    for server in members:
         if server.id == record.target and server.born_ms == record.target_born_ms:
             return server
     return None
 
 
+def _logs(stopped: Stopped) -> list[str]:
+    members = list(stopped.replicas)
+    if stopped.primary is not None:
+        members.append(stopped.primary)
+    return [f"{m.server.id}@{m.status.received}" for m in members if m.status]
+
+
 def _answered(replicas: list[Member], server: BackendServer) -> bool:
     return any(m.server.id == server.id and m.status is not None for m in replicas)
 
 
-class _Held(NamedTuple):
-    replicas: list[Member]
-    stopped_primary: Member | None
-    term: int
+async def _stop(
+    task: Task, members: list[BackendServer], parts: ReplaceParts
+) -> Result[Stopped, str]:
+    """Make the replicas stop receiving, then the primary stop leading.
 
-
-async def _hold(task: Task, parts: ReplaceParts) -> Result[_Held, str]:
-    """Make the replicas stop receiving, and the primary stop where that is needed."""
-    replicas = [s for s in task.servers if s.id != task.old_leader]
-    primary = next((s for s in task.servers if s.id == task.old_leader), None)
-    asked = list(replicas)
-    if primary is not None and task.reachable:
-        asked.append(primary)
-    statuses = await order_all(parts.end, asked, CommandKind.STATUS)
+    A server may join at any time and acknowledge commits to the primary: only a
+    primary that was stopped, or a list read behind the holding, shows that
+    nobody else can.
+    """
+    replicas = [s for s in members if s.id != task.old_leader_id]
+    primary = task.old_leader if task.reachable else None
+    asked = [*replicas, primary] if primary is not None else replicas
+    statuses = await parts.orders.give_all(asked, CommandKind.STATUS)
     answered = [status for status in statuses.values() if status is not None]
     if not answered:
-        return Err("hold: no server answered")
+        return Err("stop: no server answered")
     term = next_term(answered)
-    reached = [s for s in replicas if statuses[s.id] is not None]
-    held = await order_all(parts.end, reached, CommandKind.HOLD, term)
-    members = [
-        Member(server, status, status is not None and parts.covers(server, status))
-        for server in replicas
-        for status in [held.get(server.id)]
-    ]
+    held = await _hold(replicas, term, parts)
     stopped = None
-    if primary is not None and statuses.get(primary.id) is not None:
-        missing = sum(member.status is None or not member.covers for member in members)
-        if missing >= max(1, task.copies):
-            status = await order(parts.end, primary, CommandKind.STEP_DOWN, term)
+    if primary is not None and statuses[primary.id] is not None:
+        status = await parts.orders.give(primary, CommandKind.STEP_DOWN, term)
+        if status is not None and not status.leads:
             stopped = Member(primary, status)
-    return Ok(_Held(members, stopped, term))
+    again = await parts.members(task.service)
+    if again is None:
+        await parts.orders.give_all(replicas, CommandKind.LET_GO)
+        return Err("stop: the store gave no list")
+    known = {server.id for server in members}
+    joined = [s for s in again if s.id not in known and s.id != task.old_leader_id]
+    held += await _hold(joined, term, parts)
+    return Ok(Stopped(held, stopped, task.copies, term))
+
+
+async def _hold(
+    servers: list[BackendServer], term: int, parts: ReplaceParts
+) -> list[Member]:
+    statuses = await parts.orders.give_all(servers, CommandKind.HOLD, term)
+    return [
+        Member(server, status, status is not None and parts.covers(server, status))
+        for server in servers
+        for status in [statuses[server.id]]
+    ]
 
 
 async def _let_go(
@@ -166,7 +196,7 @@
     if record.phase is Phase.CHOSEN:
         return
     servers = [member.server for member in replicas]
-    await order_all(parts.end, servers, CommandKind.LET_GO)
+    await parts.orders.give_all(servers, CommandKind.LET_GO)
     await advance(parts.store, task.service, record._replace(phase=Phase.ENDED))
 
 
@@ -192,7 +222,7 @@
                 if answered.ok() == REFUSED:
                     return Err("promote: the platform refused it")
             await trio.sleep(LOOK_INTERVAL_S)
-            status = await order(parts.end, target, CommandKind.STATUS)
+            status = await parts.orders.give(target, CommandKind.STATUS)
             if status is not None and status.leads:
                 return await _end(task, record, target, parts)
     return Err("promote: it didn't lead in time")
