--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -223,7 +223,11 @@
         now_s = self._parts.clock()
         wants: dict[str, list[TokenWant]] = defaultdict(list)
         shards: dict[str, list[int]] = defaultdict(list)
-        names = sorted(record.name for record in self._parts.hosts.staying())
+        names = sorted(
+            record.name
+            for record in self._parts.hosts.staying()
+            if not self._parts.peers.is_dark(record.peer)
+        )
         brokers = {n: _broker_of(n, names) for n in range(SHARDS)}
         if regular:
             for shard, broker in brokers.items():
--- a/src/rattanhollow/serving/_connections.py
+++ b/src/rattanhollow/serving/_connections.py
@@ -87,12 +87,13 @@
         """Count a connection that was closed, or could not be opened."""
         self.open_count -= 1
 
-    def take_all_idle(self) -> list[ServerConnection]:
-        """Return all idle connections, which the caller closes."""
-        idle = list(self._idle)
-        self._idle.clear()
-        self.open_count -= len(idle)
-        return idle
+    def take_idle_since(self, before_s: float) -> list[ServerConnection]:
+        """Return the connections idle since before a time; the caller closes them."""
+        old = [item for item in self._idle if item.idle_since_s <= before_s]
+        for connection in old:
+            del self._idle[connection]
+        self.open_count -= len(old)
+        return old
 
 
 def _fit(held: dict[str, str], wanted: dict[str, str]) -> int:
--- a/src/rattanhollow/serving/_served.py
+++ b/src/rattanhollow/serving/_served.py
@@ -229,6 +229,13 @@
                 )
                 await self._look()
 
+    def trim(self, idle_s: float) -> None:
+        """Close connections that were idle for longer: others may need the room."""
+        before_s = self._parts.clock() - idle_s
+        for connection in self._pool.take_idle_since(before_s):
+            connection.dropped = True
+            connection.link.abort()
+
     def expire(self, idle_s: float) -> None:
         """Roll back transactions that were idle for longer."""
         now_s = self._parts.clock()
@@ -242,8 +249,7 @@
         """Give all connections up; what runs ends as lost."""
         self._closed = True
         self._scope.cancel()
-        for connection in self._pool.take_all_idle():
-            connection.link.abort()
+        self.trim(0.0)
         for connection in list(self._exchanges):
             connection.link.abort()
         for transaction in self._transactions.values():
@@ -569,7 +575,8 @@
             exchanges=len(self._exchanges),
             transactions=len(self._transactions),
         )
-        for connection in [*self._exchanges, *self._pool.take_all_idle()]:
+        self.trim(0.0)
+        for connection in self._exchanges:
             connection.link.abort()
         for transaction in self._transactions.values():
             if not transaction.running:
--- a/src/rattanhollow/serving/_serving.py
+++ b/src/rattanhollow/serving/_serving.py
@@ -15,11 +15,16 @@
 )
 
 EXPIRE_INTERVAL_S = 0.5
+# How long idle connections are kept at a server that falls to this host, and at
+# one that it served for a while in place of another host.
+KEPT_IDLE_S = 10.0
+LEFT_IDLE_S = 1.0
 
 
 class Serving:
     """Serves a backend server from the first work for it that arrives.
 
+    ``is_first(server)`` tells whether the server falls to this host,
     ``find(id)`` gives a server as the store describes it, ``connections(service)``
     how many connections each of its servers takes, ``idle_ms()`` how long a
     transaction may stay idle.
@@ -28,12 +33,14 @@
     def __init__(
         self,
         end: BackendEnd,
+        is_first: Callable[[BackendServer], bool],
         find: Callable[[str], BackendServer | None],
         connections: Callable[[str], int],
         idle_ms: Callable[[], int],
         clock: Callable[[], float],
     ) -> None:
         self._end = end
+        self._is_first = is_first
         self._find = find
         self._connections = connections
         self._idle_ms = idle_ms
@@ -50,6 +57,8 @@
                 self.refresh()
                 for served in self._served.values():
                     served.expire(self._idle_ms() / 1000)
+                    first = self._is_first(served.server)
+                    served.trim(KEPT_IDLE_S if first else LEFT_IDLE_S)
 
     @property
     def idle(self) -> bool:
--- a/src/rattanhollow/store/_follow.py
+++ b/src/rattanhollow/store/_follow.py
@@ -17,7 +17,7 @@
 )
 
 RETRY_LOW_S = 0.1
-RETRY_HIGH_S = 2.0
+RETRY_HIGH_S = 0.6
 
 
 class Follower:
