Stand-in of the users' platform and tests of the whole path over lines

Found by the first of them: the first operation of an organisation was refused although the host's own part held a token within milliseconds; it waits for that now.

--- a/src/rattanhollow/host/__main__.py
+++ b/src/rattanhollow/host/__main__.py
@@ -9,15 +9,9 @@
 import trio
 
 from rattanhollow import platform
-from rattanhollow.host._ends import Ends
-from rattanhollow.host._root import Host, build_host
-from rattanhollow.net import HttpClient
+from rattanhollow.host import Host, build_host, platform_ends
 from rattanhollow.observe import log_event, log_to
-from rattanhollow.settings import (
-    LineHostSettings,
-    SettingsError,
-    read_line_host_settings,
-)
+from rattanhollow.settings import SettingsError, read_line_host_settings
 
 EXIT_BAD_INPUT = 2
 
@@ -39,27 +33,6 @@
     trio.run(_run, host)
 
 
-def platform_ends(settings: LineHostSettings) -> Ends:
-    """Return the protocols of the users' platform."""
-    address = settings.place.address
-    upstreams = settings.upstreams
-    store = HttpClient(address, *upstreams.store)
-    promotion = HttpClient(address, *(upstreams.promotion or upstreams.store))
-    return Ends(
-        caller=platform.LineCaller,
-        backend=platform.line_backend(address),
-        store=platform.object_store(store),
-        promote=platform.promotion_call(promotion),
-        read_routes=platform.read_routes,
-        read_server=platform.read_server,
-        configuration_kind=platform.CONFIGURATION_KIND,
-        configuration_name=platform.CONFIGURATION_NAME,
-        server_kind=platform.SERVER_KIND,
-        readiness_path=platform.READINESS_PATH,
-        metrics_path=platform.METRICS_PATH,
-    )
-
-
 async def _run(host: Host) -> None:
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_stop_on_signal, host)
--- /dev/null
+++ b/src/rattanhollow/host/_platform.py
@@ -0,0 +1,27 @@
+"""The protocols of the users' platform, as the composition root takes them."""
+
+from rattanhollow import platform
+from rattanhollow.host._ends import Ends
+from rattanhollow.net import HttpClient
+from rattanhollow.settings import LineHostSettings
+
+
+def platform_ends(settings: LineHostSettings) -> Ends:
+    """Return the protocols of the users' platform."""
+    address = settings.place.address
+    upstreams = settings.upstreams
+    store = HttpClient(address, *upstreams.store)
+    promotion = HttpClient(address, *(upstreams.promotion or upstreams.store))
+    return Ends(
+        caller=platform.LineCaller,
+        backend=platform.line_backend(address),
+        store=platform.object_store(store),
+        promote=platform.promotion_call(promotion),
+        read_routes=platform.read_routes,
+        read_server=platform.read_server,
+        configuration_kind=platform.CONFIGURATION_KIND,
+        configuration_name=platform.CONFIGURATION_NAME,
+        server_kind=platform.SERVER_KIND,
+        readiness_path=platform.READINESS_PATH,
+        metrics_path=platform.METRICS_PATH,
+    )
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -103,6 +103,7 @@
                 hosts=self.hosts,
                 peers=self.peers,
                 clock=now_s,
+                settle_s=settings.rate_settle_ms / 1000,
             )
         )
         self._places = places
--- a/src/rattanhollow/platform/__init__.py
+++ b/src/rattanhollow/platform/__init__.py
@@ -4,7 +4,12 @@
 product, and what the product says is encoded.
 """
 
-from rattanhollow.platform._backend import line_backend
+from rattanhollow.platform._backend import (
+    encode_command,
+    line_backend,
+    parse_lines,
+    parse_status,
+)
 from rattanhollow.platform._caller import LineCaller
 from rattanhollow.platform._entries import (
     CONFIGURATION_KIND,
@@ -29,8 +34,11 @@
     "SERVER_KIND",
     "SETTINGS_VARIABLE",
     "LineCaller",
+    "encode_command",
     "line_backend",
     "object_store",
+    "parse_lines",
+    "parse_status",
     "promotion_call",
     "read_routes",
     "read_server",
--- a/src/rattanhollow/platform/_backend.py
+++ b/src/rattanhollow/platform/_backend.py
@@ -124,23 +124,35 @@
         return self._lines.pop(0)
 
     async def _read_reply(self) -> Reply:
-        rows: list[str] = []
-        proof, reason, detail = "", None, ""
-        while True:
-            word, _, rest = (await self._read_line()).partition(" ")
-            if word == words.ROW:
-                rows.append(rest)
-            elif word == words.COMPLETE:
-                proof = rest
-            elif word == words.ERROR:
-                code, _, detail = rest.partition(" ")
-                # A code that isn't known promises nothing.
-                reason = _REASONS.get(code, Reason.IN_DOUBT)
-            elif word == words.READY:
-                state, position = parse_ready(rest)
-                return Reply(tuple(rows), proof, reason, detail, state, position)
-            else:
-                raise _Broken(f"unexpected line {word[:20]!r}")
+        lines = [await self._read_line()]
+        while not lines[-1].startswith(words.READY):
+            lines.append(await self._read_line())
+        return parse_lines(lines)
+
+
+def parse_lines(lines: list[str]) -> Reply:
+    """Return the reply that the lines up to READY spell.
+
+    Raises:
+        _Broken: they are no reply.
+
+    """
+    rows: list[str] = []
+    proof, reason, detail = "", None, ""
+    for text in lines[:-1]:
+        word, _, rest = text.partition(" ")
+        if word == words.ROW:
+            rows.append(rest)
+        elif word == words.COMPLETE:
+            proof = rest
+        elif word == words.ERROR:
+            code, _, detail = rest.partition(" ")
+            # A code that isn't known promises nothing.
+            reason = _REASONS.get(code, Reason.IN_DOUBT)
+        else:
+            raise _Broken(f"unexpected line {text[:20]!r}")
+    state, position = parse_ready(lines[-1].partition(" ")[2])
+    return Reply(tuple(rows), proof, reason, detail, state, position)
 
 
 def parse_ready(text: str) -> tuple[SessionState, Position | None]:
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -29,10 +29,10 @@
 # Questions to a broker are this far apart at least, so that they gather wants.
 ASK_SPACING_S = 0.02
 ASK_TIMEOUT_MS = 400
-# A host that has just registered is not yet counted by all others.
-SETTLE_S = 1.5
 # How long an operation waits for a token.
 WAIT_AT_MOST_S = 0.25
+# Timers may fire a little early.
+SLEEP_SLACK_S = 0.002
 # How long an organisation counts as over its rate behind an answer that said so.
 DRY_S = 0.25
 # Tokens are fetched ahead where at least so many are used between two questions.
@@ -42,13 +42,18 @@
 
 
 class PooledRateParts(NamedTuple):
-    """What the limits need of the rest of the host; ``clock`` never stops."""
+    """What the limits need of the rest of the host; ``clock`` never stops.
+
+    ``settle_s`` is how long a host that has just registered is not yet counted
+    by all others.
+    """
 
     organisations: Callable[[], dict[str, Organisation]]
     own: Callable[[], HostRecord]
     hosts: HostDirectory
     peers: Peers
     clock: Callable[[], float]
+    settle_s: float
 
 
 class Admission(NamedTuple):
@@ -142,12 +147,25 @@
         waiter = _Waiter()
         local.waiters.append(waiter)
         self._urgent.set()
-        with trio.move_on_after(WAIT_AT_MOST_S):
-            await waiter.decided.wait()
-        if not waiter.decided.is_set():
-            local.waiters.remove(waiter)
+        try:
+            await self._wait(local, waiter, now_s + WAIT_AT_MOST_S)
+        finally:
+            if not waiter.decided.is_set():
+                local.waiters.remove(waiter)
         return Admission(waiter.admitted, local.wait_ms)
 
+    async def _wait(self, local: _Local, waiter: _Waiter, until_s: float) -> None:
+        """Wait for a token that is fetched, or for the next of the own part."""
+        while not waiter.decided.is_set():
+            left_s = until_s - self._parts.clock()
+            if left_s <= 0:
+                return
+            own_s = local.bucket.wait_for_token_s() + SLEEP_SLACK_S
+            with trio.move_on_after(min(left_s, own_s)):
+                await waiter.decided.wait()
+            if local.waiters and local.waiters[0] is waiter and local.bucket.take():
+                local.waiters.popleft().decide(admitted=True)
+
     async def run(self) -> None:
         """Deposit and fetch tokens, until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -198,7 +216,7 @@
         Nothing before others can know of this host: they would use more than
         their part meanwhile.
         """
-        if self._parts.clock() < self._registered_at_s + SETTLE_S:
+        if self._parts.clock() < self._registered_at_s + self._parts.settle_s:
             return 0.0
         names = {record.name for record in self._parts.hosts.all()}
         return 1.0 / len(names | {self._parts.own().name})
@@ -295,7 +313,8 @@
             local.wait_ms = min(RETRY_AT_MOST_MS, grant.wait_ms)
         while local.waiters and local.take(now_s):
             local.waiters.popleft().decide(admitted=True)
-        if local.waiters and grant.wait_ms > WAIT_AT_MOST_S * 1000:
+        own_ms = local.bucket.wait_for_token_s() * 1000
+        if local.waiters and min(own_ms, grant.wait_ms) > WAIT_AT_MOST_S * 1000:
             while local.waiters:
                 local.waiters.popleft().decide(admitted=False)
         if local.waiters:
--- a/src/rattanhollow/settings/_host.py
+++ b/src/rattanhollow/settings/_host.py
@@ -60,7 +60,8 @@
 
     ``stop_s`` is how long a stop may take, ``configuration_ms`` how soon an
     accepted configuration has to be in force, ``heartbeat_ms`` how often
-    backend servers describe themselves.
+    backend servers describe themselves. ``rate_settle_ms`` is how long a new host
+    takes no part of the organisations' rates, so that all others count it.
     """
 
     place: PlaceSettings
@@ -69,6 +70,7 @@
     stop_s: int
     configuration_ms: int
     heartbeat_ms: int
+    rate_settle_ms: int
     membership: MembershipSettings
 
 
@@ -118,6 +120,7 @@
         "configuration_ms": Field(_DURATION_MS, 4_000),
         "heartbeat_ms": Field(_DURATION_MS, 1_200),
     },
+    "rates": {"settle_ms": Field(_DURATION_MS, 1_500)},
     "membership": {
         "ask_interval_ms": Field(_DURATION_MS, 1_000),
         "ask_timeout_ms": Field(_DURATION_MS, 800),
@@ -142,6 +145,7 @@
         stop_s=bounds["stop_s"],
         configuration_ms=bounds["configuration_ms"],
         heartbeat_ms=bounds["heartbeat_ms"],
+        rate_settle_ms=values["rates"]["settle_ms"],
         membership=MembershipSettings(**values["membership"]),
     )
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 import trio
 
 from rattanhollow_standins.fleet import Fleet
+from rattanhollow_standins.platform import LineCluster
 
 LONGEST_TEST_S = 60
 _nets = itertools.count(100)
@@ -42,3 +43,24 @@
         return run_trio(main)
 
     return run
+
+
+ClusterScenario = Callable[[LineCluster], Awaitable[Any]]
+
+
+@pytest.fixture
+def with_cluster() -> Callable[..., Any]:
+    """Return a function that runs a scenario against a line cluster that is up."""
+
+    def run(scenario: ClusterScenario, **options: Any) -> Any:
+        async def main() -> Any:
+            cluster = LineCluster(next(_nets), **options)
+            async with trio.open_nursery() as nursery:
+                await nursery.start(cluster.run)
+                answer = await scenario(cluster)
+                nursery.cancel_scope.cancel()
+            return answer
+
+        return run_trio(main)
+
+    return run
--- /dev/null
+++ b/tests/test_line_cluster.py
@@ -0,0 +1,315 @@
+"""The whole path over the line protocol: hosts, stand-in databases and store."""
+
+from typing import Any
+
+import pytest
+import trio
+
+from rattanhollow_standins.platform import LineClient, LineCluster
+from rattanhollow_standins.platform._client import Closed
+from rattanhollow_standins.platform._cluster import (
+    KEY,
+    ORGANISATION,
+    SERVICE,
+    configuration,
+    route,
+)
+
+
+async def session(cluster: LineCluster, host: int, name: str) -> LineClient:
+    """Begin a session that must succeed."""
+    client, error = await cluster.client(host, name)
+    assert error == ""
+    return client
+
+
+def test_a_write_is_read_on_every_route(with_cluster: Any) -> None:
+    """What was written at one host is read at the others, by each kind of route."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        writer = await session(cluster, 0, "newest")
+        assert (await writer.query("WRITE a 1")).proof.startswith("i-0.")
+        for host in range(3):
+            for name in ("newest", "session"):
+                reader = await session(cluster, host, name)
+                assert (await reader.query("READ a")).rows == ("1",)
+
+    with_cluster(scenario)
+
+
+def test_a_session_reads_its_own_write_at_once(with_cluster: Any) -> None:
+    """A replica that lags is passed over by a session that wrote."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        for server in cluster.group.servers.values():
+            server.lag_s = 0.5
+        client = await session(cluster, 1, "session")
+        for number in range(5):
+            assert not (await client.query(f"WRITE a {number}")).error
+            assert (await client.query("READ a")).rows == (str(number),)
+
+    with_cluster(scenario)
+
+
+def test_transactions_commit_and_roll_back(with_cluster: Any) -> None:
+    """A commit keeps all writes, a rollback none, a lost caller none."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        client = await session(cluster, 2, "newest")
+        assert (await client.query("BEGIN")).state == "T"
+        assert (await client.query("WRITE a 1")).state == "T"
+        assert (await client.query("COMMIT")).state == "I"
+        await client.query("BEGIN")
+        await client.query("WRITE a 2")
+        assert (await client.query("ROLLBACK")).state == "I"
+        await client.query("BEGIN")
+        await client.query("WRITE a 3")
+        await client.close()
+        await trio.sleep(0.1)
+        other = await session(cluster, 0, "newest")
+        assert (await other.query("READ a")).rows == ("1",)
+
+    with_cluster(scenario)
+
+
+def test_prepared_names_and_values_belong_to_their_session(with_cluster: Any) -> None:
+    """Equal names of two sessions mean what each of them said."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        one = await session(cluster, 0, "newest")
+        two = await session(cluster, 0, "newest")
+        for client, value in ((one, "x"), (two, "y")):
+            assert not (await client.query(f"SET v1 {value}")).error
+        assert not (await one.query("PREPARE s1 WRITE q1")).error
+        assert not (await two.query("PREPARE s1 READ q2")).error
+        assert not (await one.query("EXECUTE s1 a 7")).error
+        assert (await two.query("EXECUTE s1 a")).rows == ("7",)
+        assert (await two.query("EXECUTE s2 a")).error == "NOSTMT"
+        runs = [r for s in cluster.group.servers.values() for r in s.runs]
+        assert [(r.text, r.values["v1"]) for r in runs] == [
+            ("WRITE q1 a 7", "x"),
+            ("READ q2 a", "y"),
+        ]
+        assert {r.organisation for r in runs} == {ORGANISATION}
+
+    with_cluster(scenario)
+
+
+def test_bad_callers_are_refused(with_cluster: Any) -> None:
+    """Unknown routes and keys, bad lines and lost framing get their errors."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        assert (await cluster.client(0, "nowhere"))[1] == "NODB"
+        assert (await cluster.client(0, "newest", "wrong"))[1] == "NOAUTH"
+        client = await session(cluster, 0, "newest")
+        for text in ("FOO", "READ", "WRITE a", "BEGIN x", "EXECUTE s1"):
+            assert (await client.query(text)).error == "MALFORMED"
+        assert (await client.query("READ a", "-")).error == "MALFORMED"
+        with pytest.raises(Closed):
+            await client.query("READ a\nWRITE a 1")
+
+    with_cluster(scenario)
+
+
+def test_a_line_without_an_end_loses_the_session(with_cluster: Any) -> None:
+    """More bytes than a line may have end the connection with an error."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        client = await session(cluster, 0, "newest")
+        try:
+            await client.stream.send_all(b"QUERY 1 WRITE a " + b"x" * (1 << 20) + b"y")
+            assert (await client.read_line()).startswith("ERROR MALFORMED")
+        except (Closed, trio.BrokenResourceError):
+            pass
+        assert not cluster.group.acknowledged
+
+    with_cluster(scenario)
+
+
+def test_open_routes_need_no_key(with_cluster: Any) -> None:
+    """A route open to all carries no organisation's name to the servers."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        routes = [route("open", "read_your_writes", anonymous=True)]
+        cluster.configure(configuration(2, routes=routes))
+        await trio.sleep(0.2)
+        client, error = await cluster.client(0, "open", "anything")
+        assert error == ""
+        assert (await client.query("READ a")).rows == ("-",)
+        runs = [r for s in cluster.group.servers.values() for r in s.runs]
+        assert {r.organisation for r in runs} == {"-"}
+
+    with_cluster(scenario)
+
+
+def test_a_withdrawn_key_ends_open_sessions(with_cluster: Any) -> None:
+    """Idle sessions and open transactions end when their key is withdrawn."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        idle = await session(cluster, 0, "newest")
+        inside = await session(cluster, 1, "newest")
+        await inside.query("BEGIN")
+        await inside.query("WRITE a 1")
+        cluster.configure(configuration(2, tenants=[]))
+        with trio.fail_after(2):
+            for client in (idle, inside):
+                try:
+                    while True:
+                        await client.read_line()
+                except Closed:
+                    continue
+        assert (await cluster.client(0, "newest"))[1] == "NOAUTH"
+        await trio.sleep(0.1)
+        assert not cluster.group.acknowledged
+
+    with_cluster(scenario)
+
+
+def test_hosts_that_the_store_turns_away_hear_of_changes(with_cluster: Any) -> None:
+    """A host whose store calls fail learns of a withdrawn key from the others."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        for number, status in ((0, 503), (1, 0)):
+            cluster.turned_away[cluster.host_address(number)] = status
+        cluster.table.faults.silent_watch = True
+        await trio.sleep(0.1)
+        cluster.table.faults.silent_watch = False
+        cluster.configure(configuration(2, tenants=[]))
+        with trio.fail_after(8):
+            for number in range(3):
+                while (await cluster.client(number, "newest"))[1] != "NOAUTH":
+                    await trio.sleep(0.1)
+
+    with_cluster(scenario)
+
+
+def test_a_watch_that_hears_nothing_hides_no_change(with_cluster: Any) -> None:
+    """A change is in force although every watch stays silent."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        cluster.table.faults.silent_watch = True
+        await trio.sleep(0.1)
+        cluster.configure(configuration(2, tenants=[]))
+        with trio.fail_after(10):
+            for number in range(3):
+                while (await cluster.client(number, "newest"))[1] != "NOAUTH":
+                    await trio.sleep(0.1)
+
+    with_cluster(scenario)
+
+
+def test_an_unusable_configuration_changes_nothing(with_cluster: Any) -> None:
+    """What can't be read is refused as a whole; the last good one stays."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        bad = configuration(2)
+        bad["routes"][0]["kind"] = "whatever"
+        cluster.configure(bad)
+        await trio.sleep(0.2)
+        client = await session(cluster, 0, "newest")
+        assert not (await client.query("WRITE a 1")).error
+        assert cluster.hosts[0].routes.version == 1
+
+    with_cluster(scenario)
+
+
+def test_a_leaving_primary_is_replaced_under_load(with_cluster: Any) -> None:
+    """Writes go on at another server, and nothing acknowledged is lost."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        clients = [await session(cluster, n, "newest") for n in range(3)]
+        written: list[str] = []
+
+        async def write(number: int, client: LineClient) -> None:
+            for count in range(30):
+                item = f"w{number}-{count}"
+                if not (await client.query(f"WRITE {item} 1")).error:
+                    written.append(item)
+
+        async with trio.open_nursery() as nursery:
+            for number, client in enumerate(clients):
+                nursery.start_soon(write, number, client)
+            await trio.sleep(0.1)
+            cluster.group.servers["i-0"].draining = True
+        leader = cluster.group.leader
+        assert leader is not None and leader.id != "i-0"
+        assert {entry.item for entry in leader.log} >= set(written)
+        assert not cluster.group.lost and len(cluster.group.promotions) == 1
+        assert len(written) > 30
+
+    with_cluster(scenario)
+
+
+def test_a_dead_primary_is_replaced(with_cluster: Any) -> None:
+    """A primary that falls silent is replaced by one that holds all commits."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        client = await session(cluster, 1, "newest")
+        assert not (await client.query("WRITE a 1")).error
+        cluster.group.crash(cluster.group.servers["i-0"])
+        with trio.fail_after(12):
+            while (await client.query("WRITE a 2")).error:
+                client = await session(cluster, 1, "newest")
+        leader = cluster.group.leader
+        assert leader is not None and leader.id != "i-0"
+        assert not cluster.group.lost
+
+    with_cluster(scenario)
+
+
+def test_a_stopping_host_answers_what_has_arrived(with_cluster: Any) -> None:
+    """Every request that a stopping host has read is answered."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        answered = cut = 0
+        for server in cluster.group.servers.values():
+            server.work_s = 0.02
+
+        async def call(number: int) -> None:
+            nonlocal answered, cut
+            client = await session(cluster, 0, "newest")
+            try:
+                for count in range(200):
+                    answer = await client.query(f"READ a{number}-{count}")
+                    answered += not answer.error
+            except Closed:
+                # Between requests is fine: the caller has no answer to wait for.
+                cut += client.waiting
+
+        async with trio.open_nursery() as nursery:
+            for number in range(8):
+                nursery.start_soon(call, number)
+            await trio.sleep(0.2)
+            nursery.start_soon(cluster.hosts[0].stop)
+        assert answered and not cut
+
+    with_cluster(scenario)
+
+
+def test_hosts_are_listed_once_each(with_cluster: Any) -> None:
+    """A host that died is replaced by its next start under the same name."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        cluster.kill_host(1)
+        cluster.start_host(1)
+        await cluster.until_ready()
+        assert len(cluster.table.items("hosts")) == 3
+        client = await session(cluster, 1, "newest")
+        assert not (await client.query("WRITE a 1")).error
+
+    with_cluster(scenario)
+
+
+def test_keys_are_not_kept(with_cluster: Any) -> None:
+    """No host keeps a caller's key in readable form, and no server sees it."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        client = await session(cluster, 0, "newest")
+        await client.query("WRITE a 1")
+        routes = cluster.hosts[0].routes
+        assert KEY not in repr(routes)
+        runs = [r for s in cluster.group.servers.values() for r in s.runs]
+        assert all(KEY not in repr(run) for run in runs)
+        assert SERVICE in routes.services
+
+    with_cluster(scenario)
