--- a/src/rattanhollow/serving/_served.py
+++ b/src/rattanhollow/serving/_served.py
@@ -297,6 +297,9 @@
             raise _Stop(not_run(Obstacle.OVERLOADED, "the queue", int(wait_ms)))
         if not ticket.granted:
             raise _Stop(not_run(Obstacle.NOT_SERVED, "it became unreachable"))
+        if self._remaining_s(deadline_s) < self._slots.cost_ms / 1000:
+            self._free_slot(None)
+            raise _Stop(not_run(Obstacle.OVERLOADED, "the queue", int(wait_ms)))
 
     def _leave_queue(self, ticket: _Ticket, work: Work) -> None:
         if ticket.granted:
--- a/src/rattanhollow/serving/_slots.py
+++ b/src/rattanhollow/serving/_slots.py
@@ -25,6 +25,7 @@
         self.slots = slots
         self.busy = 0
         self.cost_ms = FIRST_COST_MS
+        self._measured = 1
         self._waiting: dict[int, FairQueue[T]] = {}
 
     @property
@@ -51,7 +52,9 @@
         """Free a slot; ``cost_ms`` is how long the server worked, if it did."""
         self.busy -= 1
         if cost_ms is not None:
-            self.cost_ms += COST_SMOOTHING * (cost_ms - self.cost_ms)
+            self._measured += 1
+            weight = max(COST_SMOOTHING, 1 / self._measured)
+            self.cost_ms += weight * (cost_ms - self.cost_ms)
 
     def next(self) -> T | None:
         """Take a free slot for the work whose turn it is, and return that."""
--- /dev/null
+++ b/tests/test_entries.py
@@ -0,0 +1,104 @@
+"""What others write into the platform's store: read, or refused with a reason."""
+
+from typing import Any
+
+import pytest
+
+from rattanhollow.configuration import Consistency, digest_of
+from rattanhollow.platform import read_routes, read_server
+from rattanhollow.routing import ServerDirectory
+from rattanhollow.store import Stored
+from rattanhollow_standins.platform._cluster import KEY, ORGANISATION, configuration
+
+SERVER = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "lothian-a",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "db_role": "replica",
+    "seq_no": 4,
+    "born": 1767702750744,
+}
+
+
+def stored(version: int = 7, **changes: Any) -> Stored:
+    """Return a server's entry with some fields changed."""
+    return Stored("servers", "i-7f", version, {**SERVER, **changes})
+
+
+def test_a_server_is_decoded() -> None:
+    """Each field, in our words."""
+    server = read_server(stored()).unwrap()
+    assert (server.id, server.address, server.port) == ("i-7f", "10.128.0.9", 8080)
+    assert (server.slots, server.draining, server.leads) == (3, False, False)
+    assert (server.born_ms, server.version) == (1767702750744, 7)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("service", None),
+        ("service", 7),
+        ("address", "nowhere"),
+        ("address", "10.0.0.1:x"),
+        ("slots", "3"),
+        ("slots", 0),
+        ("slots", 2.5),
+        ("slots", True),
+        ("state", "sleeping"),
+        ("db_role", "queen"),
+        ("born", -1),
+        ("born", "yesterday"),
+        ("cold_left_ms", None),
+    ],
+)
+def test_a_malformed_server_is_refused(field: str, value: Any) -> None:
+    """The reason names the field."""
+    assert field in read_server(stored(**{field: value})).unwrap_err()
+
+
+def test_a_malformed_entry_names_no_server() -> None:
+    """An entry that becomes unreadable is passed over; the others hold."""
+    directory = ServerDirectory(read_server, lambda: 0.0)
+    directory.take(stored(), "i-7f")
+    assert [server.id for server in directory.of("huvo11a")] == ["i-7f"]
+    directory.take(stored(8, state="?"), "i-8a")
+    assert [server.id for server in directory.of("huvo11a")] == ["i-7f"]
+
+
+def test_a_configuration_is_decoded() -> None:
+    """Routes by the name that callers ask for, keys as digests."""
+    routes = read_routes(configuration(3)).unwrap()
+    assert routes.version == 3
+    assert routes.routes["bounded"].consistency is Consistency.BOUNDED
+    assert routes.routes["bounded"].max_age_ms == 1_500
+    assert routes.organisation_of(digest_of(KEY)) == ORGANISATION
+    assert routes.organisation_of(digest_of("other")) is None
+    assert routes.transaction_idle_ms == 1_000
+
+
+@pytest.mark.parametrize(
+    ("part", "value"),
+    [
+        ("version", "3"),
+        ("routes", None),
+        ("routes", [{"host": "a"}]),
+        ("services", []),
+        ("tenants", [{"name": "a", "api_keys": "k"}]),
+        ("tenants", [{"name": "a", "api_keys": [7]}]),
+        ("tenants", [{"name": "a", "api_keys": [], "rate_per_s": "many"}]),
+    ],
+)
+def test_a_malformed_configuration_is_refused(part: str, value: Any) -> None:
+    """A reason comes back, never half a configuration."""
+    assert read_routes({**configuration(3), part: value}).is_err()
+
+
+def test_fractions_of_a_rate_are_not_granted() -> None:
+    """A rate that is no whole number is rounded down, not refused."""
+    tenant = {"name": "a", "api_keys": [], "rate_per_s": 12.8, "burst": 3.0}
+    routes = read_routes(configuration(3, tenants=[tenant])).unwrap()
+    assert routes.organisations["a"].rate_per_s == 12
--- /dev/null
+++ b/tests/test_serving.py
@@ -0,0 +1,360 @@
+"""Serving a backend server: slots, connections, transactions, silence.
+
+No network: stand-in databases in memory, time that jumps.
+"""
+
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any
+
+import trio
+import trio.testing
+
+from rattanhollow.coordination import Position
+from rattanhollow.serving import (
+    BackendServer,
+    Done,
+    Fate,
+    Obstacle,
+    Scope,
+    Served,
+    ServingParts,
+    Work,
+    WorkKind,
+)
+from rattanhollow.serving._connections import ConnectionPool, ServerConnection
+from rattanhollow.serving._slots import SlotQueue
+from rattanhollow.statements import Reason
+from rattanhollow_standins.platform import DatabaseServer, ServiceGroup, memory_end
+from rattanhollow_standins.platform._memory import MemoryConnection
+
+SERVICE = "bookings"
+
+
+class Stage:
+    """A group of three databases, its primary served."""
+
+    def __init__(self, nursery: trio.Nursery, connections: int = 8) -> None:
+        self.databases = [DatabaseServer(f"i-{n}", f"z{n}") for n in range(3)]
+        self.group = ServiceGroup(SERVICE, self.databases, nursery)
+        self.opened: list[MemoryConnection] = []
+        self.parts = ServingParts(
+            memory_end([self.group], self.opened), nursery, trio.current_time
+        )
+        self.primary = self.serve(0, connections)
+        self._nursery = nursery
+
+    def serve(self, number: int, connections: int = 8) -> Served:
+        """Serve one of the databases."""
+        database = self.databases[number]
+        server = BackendServer(
+            id=database.id,
+            service=SERVICE,
+            address="10.0.0.1",
+            port=1,
+            zone=database.zone,
+            slots=database.slot_count,
+            draining=False,
+            leads=database.leads,
+            cold_ms=0,
+            born_ms=1,
+        )
+        served = Served(server, connections + 2, self.parts)
+        self.parts.nursery.start_soon(served.watch)
+        return served
+
+    def runs(self) -> list[str]:
+        """Return the texts that ran, in order."""
+        return [run.text for run in self.databases[0].runs]
+
+
+def on_stage(scenario: Callable[[Stage], Awaitable[Any]], connections: int = 8) -> None:
+    """Run a scenario in time that jumps."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            await scenario(Stage(nursery, connections))
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def work(kind: WorkKind = WorkKind.READ, **changes: Any) -> Work:
+    """Return work for the primary."""
+    texts = {WorkKind.READ: "READ a", WorkKind.WRITE: "WRITE a 1"}
+    whole = Work(
+        server="i-0",
+        organisation="kirk",
+        request_id="r",
+        kind=kind,
+        scope=Scope.ALONE,
+        text=texts.get(kind, ""),
+        budget_ms=1_000,
+    )
+    return whole._replace(**changes)
+
+
+def test_never_more_at_once_than_the_server_has_slots_for() -> None:
+    """Forty statements at once keep three slots busy, and none is refused."""
+
+    async def scenario(stage: Stage) -> None:
+        stage.databases[0].work_s = 0.02
+        answers: list[Done] = []
+
+        async def one(number: int) -> None:
+            item = work(organisation=f"o{number % 4}", budget_ms=5_000)
+            answers.append(await stage.primary.run(item))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(40):
+                nursery.start_soon(one, number)
+        assert all(answer.fate is Fate.DONE for answer in answers)
+        assert stage.databases[0].most_at_once == 3
+
+    on_stage(scenario)
+
+
+def test_connections_stay_within_the_limit_and_make_room() -> None:
+    """Ten organisations share four connections; the one idle longest goes."""
+
+    async def scenario(stage: Stage) -> None:
+        stage.databases[0].max_connections = 4
+        for number in range(30):
+            item = work(organisation=f"o{number % 10}")
+            assert (await stage.primary.run(item)).fate is Fate.DONE
+        assert stage.databases[0].connections <= 4
+
+    on_stage(scenario, connections=4)
+
+
+def test_a_refused_begin_leaves_the_session_values_known() -> None:
+    """Values set before a BEGIN that was refused don't reach the next session."""
+
+    async def scenario(stage: Stage) -> None:
+        replica = stage.serve(1)
+        ahead = Position(9, 9)
+        begin = work(
+            server="i-1",
+            scope=Scope.BEGIN_READ_ONLY,
+            transaction="t",
+            floor=ahead,
+            values=(("v1", "theirs"),),
+        )
+        assert (await replica.run(begin)).reason is Reason.BEHIND
+        assert (await replica.run(work(server="i-1"))).fate is Fate.DONE
+        assert stage.databases[1].runs[-1].values == {}
+
+    on_stage(scenario)
+
+
+def test_prepared_shapes_are_prepared_once_a_connection() -> None:
+    """Callers' names never meet: a shape has one name on a connection."""
+
+    async def scenario(stage: Stage) -> None:
+        for writes in (False, True, False, True):
+            item = work(WorkKind.EXECUTE, text="a 1", shape="q1", shape_writes=writes)
+            assert (await stage.primary.run(item)).fate is Fate.DONE
+        kinds = [text.split(" ")[0] for text in stage.runs()]
+        assert kinds == ["READ", "WRITE", "READ", "WRITE"]
+        assert len(stage.opened[0].session.prepared) == 2
+
+    on_stage(scenario)
+
+
+def test_a_transaction_stays_on_its_connection() -> None:
+    """Its statements run inside it, others outside, and its end frees it."""
+
+    async def scenario(stage: Stage) -> None:
+        run = stage.primary.run
+        begin = work(WorkKind.WRITE, scope=Scope.BEGIN, transaction="t")
+        assert (await run(begin)).open
+        assert (await run(work())).fate is Fate.DONE
+        within = partial(work, scope=Scope.WITHIN, transaction="t")
+        assert (await run(within(WorkKind.READ))).open
+        done = await run(within(WorkKind.COMMIT))
+        assert done.fate is Fate.DONE and done.led and not done.open
+        inside = [r.in_transaction for r in stage.databases[0].runs]
+        assert inside == [True, False, True, True]
+        gone = await run(within(WorkKind.READ))
+        assert gone.obstacle is Obstacle.NO_TRANSACTION
+
+    on_stage(scenario)
+
+
+def test_idle_transactions_are_rolled_back() -> None:
+    """One that nobody goes on with ends after its time, and keeps nothing."""
+
+    async def scenario(stage: Stage) -> None:
+        begin = work(WorkKind.WRITE, scope=Scope.BEGIN, transaction="t")
+        await stage.primary.run(begin)
+        await trio.sleep(0.9)
+        stage.primary.expire(1.0)
+        assert not stage.primary.idle
+        await trio.sleep(0.2)
+        stage.primary.expire(1.0)
+        await trio.sleep(0.1)
+        assert stage.primary.idle and not stage.group.acknowledged
+
+    on_stage(scenario)
+
+
+def test_a_proven_read_is_refused_by_a_deposed_primary() -> None:
+    """A server that lost the lead serves no read that must be the newest."""
+
+    async def scenario(stage: Stage) -> None:
+        assert (await stage.primary.run(work(scope=Scope.PROVEN))).led
+        stage.group.promote_now(stage.databases[1])
+        done = await stage.primary.run(work(scope=Scope.PROVEN))
+        assert done.fate is Fate.REFUSED and done.reason is Reason.NOT_LEADER
+        assert (await stage.primary.run(work())).fate is Fate.DONE
+        answer = await stage.primary.prove()
+        assert answer.position is None and answer.denied
+
+    on_stage(scenario)
+
+
+def test_a_lost_answer_to_a_write_is_unknown() -> None:
+    """The write ran: nobody may be told that it did not."""
+
+    async def scenario(stage: Stage) -> None:
+        stage.databases[0].lose_answers = 1
+        done = await stage.primary.run(work(WorkKind.WRITE, budget_ms=300))
+        assert done.fate is Fate.UNKNOWN
+        assert len(stage.group.acknowledged) == 1
+
+    on_stage(scenario)
+
+
+def test_work_without_time_left_does_not_run() -> None:
+    """A statement whose time passed while its connection was made ready."""
+
+    async def scenario(stage: Stage) -> None:
+        stage.databases[0].open_s = 0.2
+        done = await stage.primary.run(work(WorkKind.WRITE, budget_ms=100))
+        assert done.fate is Fate.NOT_RUN
+        await trio.sleep(1)
+        assert not stage.runs()
+
+    on_stage(scenario)
+
+
+def test_a_silent_server_is_given_up_and_found_again() -> None:
+    """Work under way ends as unknown, new work is refused, until it is back."""
+
+    async def scenario(stage: Stage) -> None:
+        await stage.primary.run(work())
+        stage.databases[0].dark = True
+        done = await stage.primary.run(work(WorkKind.WRITE, budget_ms=5_000))
+        assert done.fate is Fate.UNKNOWN and not stage.primary.reachable
+        refused = await stage.primary.run(work())
+        assert (refused.fate, refused.obstacle) == (Fate.NOT_RUN, Obstacle.NOT_SERVED)
+        stage.databases[0].dark = False
+        await trio.sleep(1.5)
+        assert stage.primary.reachable
+        assert (await stage.primary.run(work())).fate is Fate.DONE
+
+    on_stage(scenario)
+
+
+def test_a_connection_gone_silent_is_not_the_server() -> None:
+    """One silent connection is replaced; the server stays reachable."""
+
+    async def scenario(stage: Stage) -> None:
+        await stage.primary.run(work())
+        stage.opened[0].silent = True
+        await trio.sleep(2)
+        assert (await stage.primary.run(work())).fate is Fate.DONE
+        assert stage.primary.reachable
+
+    on_stage(scenario)
+
+
+def test_an_overlong_queue_refuses_at_once() -> None:
+    """Work that can't be served in time hears so when it comes, with a time."""
+
+    async def scenario(stage: Stage) -> None:
+        stage.databases[0].work_s = 0.1
+        refused: list[tuple[float, Done]] = []
+        served = 0
+
+        async def one() -> None:
+            nonlocal served
+            came_s = trio.current_time()
+            done = await stage.primary.run(work(budget_ms=500))
+            if done.fate is Fate.DONE:
+                served += 1
+            else:
+                refused.append((trio.current_time() - came_s, done))
+
+        for _ in range(3):
+            await one()
+        async with trio.open_nursery() as nursery:
+            for _ in range(60):
+                nursery.start_soon(one)
+        assert served >= 12
+        assert any(took_s == 0 and done.retry_after_ms for took_s, done in refused)
+        assert all(done.obstacle is Obstacle.OVERLOADED for _, done in refused)
+
+    on_stage(scenario)
+
+
+def test_switching_begins_nothing_that_could_be_lost() -> None:
+    """While the primary is replaced, reads go on and writes don't begin."""
+
+    async def scenario(stage: Stage) -> None:
+        stage.primary.switching = True
+        for item in (
+            work(WorkKind.WRITE),
+            work(WorkKind.WRITE, scope=Scope.BEGIN, transaction="t"),
+        ):
+            done = await stage.primary.run(item)
+            assert (done.fate, done.obstacle) == (Fate.NOT_RUN, Obstacle.SWITCHING)
+        assert (await stage.primary.run(work(scope=Scope.PROVEN))).fate is Fate.DONE
+
+    on_stage(scenario)
+
+
+def test_idle_connections_are_trimmed() -> None:
+    """A host that no longer serves a server frees its connections there."""
+
+    async def scenario(stage: Stage) -> None:
+        await stage.primary.run(work())
+        assert stage.databases[0].connections == 1
+        await trio.sleep(0.5)
+        stage.primary.trim(1.0)
+        assert stage.databases[0].connections == 1
+        stage.primary.trim(0.5)
+        assert stage.databases[0].connections == 0
+        assert (await stage.primary.run(work())).fate is Fate.DONE
+
+    on_stage(scenario)
+
+
+def test_slots_serve_organisations_in_turn_by_priority() -> None:
+    """A flood of one organisation keeps no other waiting behind all of it."""
+    queue: SlotQueue[str] = SlotQueue(1)
+    assert queue.take()
+    for number in range(5):
+        queue.wait(f"flood-{number}", "flood", 2)
+    queue.wait("small", "small", 2)
+    queue.wait("urgent", "flood", 1)
+    order = []
+    for _ in range(7):
+        queue.release(10.0)
+        order.append(queue.next())
+    assert order[0] == "urgent" and order.index("small") <= 2
+    assert queue.next() is None and queue.busy == 1
+
+
+def test_a_pool_prefers_the_connection_that_fits() -> None:
+    """Equal values first, then those that only have to be added to."""
+    pool = ConnectionPool(4)
+    session: Any = None
+    for values in ({}, {"v": "1"}, {"w": "2"}):
+        pool.reserve()
+        connection = ServerConnection(session, "kirk")
+        connection.values = values
+        pool.give_back(connection, 0.0)
+    taken = [pool.take("kirk", {"v": "1"}) for _ in range(3)]
+    assert [c.values if c else None for c in taken] == [{"v": "1"}, {}, {"w": "2"}]
+    assert pool.take("kirk", {}) is None
