--- a/src/rattanhollow/coordination/__init__.py
+++ b/src/rattanhollow/coordination/__init__.py
@@ -30,6 +30,7 @@
 from rattanhollow.coordination._suspicion import Vote, agreed
 from rattanhollow.coordination._token_bucket import TokenBucket
 from rattanhollow.coordination._token_pool import (
+    DEPOSIT_S,
     KEPT_PART,
     SHARDS,
     TOKEN_S,
@@ -42,6 +43,7 @@
 )
 
 __all__ = [
+    "DEPOSIT_S",
     "GROUP_KIND",
     "KEPT_PART",
     "SHARDS",
--- a/src/rattanhollow/coordination/_token_pool.py
+++ b/src/rattanhollow/coordination/_token_pool.py
@@ -9,6 +9,7 @@
 
 import functools
 import hashlib
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -68,6 +69,11 @@
     def __init__(self, started_at_s: float) -> None:
         self._until_s = {n: {"": started_at_s + DEPOSIT_S} for n in range(SHARDS)}
 
+    def nothing_earlier(self) -> None:
+        """Note that no broker holds anything of an earlier start."""
+        for brokers in self._until_s.values():
+            brokers.pop("", None)
+
     def usable_part(self, shard: int, now_s: float) -> float:
         """Return how much of its own part of a shard's rates a host may use."""
         held = any(until_s > now_s for until_s in self._until_s[shard].values())
@@ -97,6 +103,14 @@
         deposit = _Deposit(part, stamped_at_s + DEPOSIT_S)
         self._deposits.setdefault(shard, {})[host] = deposit
 
+    def holds_until_s(self, host: str) -> float:
+        """Return until when tokens of a host's deposits may be handed out.
+
+        Minus infinity where there are none.
+        """
+        ends = [item[host].until_s for item in self._deposits.values() if host in item]
+        return max(ends, default=-math.inf)
+
     def grant(self, want: TokenWant, rate_per_s: float, burst: float) -> TokenGrant:
         """Hand out tokens of an organisation's rate, as many as there are."""
         bucket = self._buckets.get(want.organisation)
--- a/src/rattanhollow/host/_answer_peers.py
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -5,6 +5,7 @@
 from rattanhollow.membership import Gossip, HostRecord, NeighbourWatch
 from rattanhollow.peer import (
     CopyQuestion,
+    DepositQuestion,
     HostAnswer,
     HostQuestion,
     LeaderNews,
@@ -39,6 +40,8 @@
         return await parts.serving.prove(question.server)
     if isinstance(question, PoolQuestion):
         return parts.rates.answer(question)
+    if isinstance(question, DepositQuestion):
+        return parts.rates.answer_deposit(question)
     if isinstance(question, CopyQuestion):
         return parts.gossip.answer(question)
     if isinstance(question, ReachQuestion):
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -212,7 +212,7 @@
 
     async def _note_registration(self) -> None:
         await self.registration.written.wait()
-        self.rates.registered()
+        self.rates.registered(self.registration.anew is not False)
 
     def _own(self) -> HostRecord:
         return self.registration.record
--- a/src/rattanhollow/membership/_hosts.py
+++ b/src/rattanhollow/membership/_hosts.py
@@ -98,7 +98,8 @@
 class Registration:
     """Keeps this host's own record in the store, and its report if ``reports``.
 
-    ``written`` once the store has the record.
+    ``written`` once the store has the record, ``anew`` unless it had one of an
+    earlier start of this host; None before that is known.
     """
 
     def __init__(
@@ -115,6 +116,7 @@
         self._version = 0
         self._removed = False
         self.written = trio.Event()
+        self.anew: bool | None = None
         self._due = trio.Event()
 
     def set_version(self, configuration_version: int) -> None:
@@ -160,6 +162,8 @@
 
     async def _write(self, kind: str, wanted: dict[str, Any]) -> bool:
         def change(spec: dict[str, Any] | None) -> Result[dict[str, Any] | None, Any]:
+            if self.anew is None:
+                self.anew = spec is None
             return Ok(None if spec == wanted else wanted)
 
         name = self.record.name
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -142,6 +142,18 @@
     grants: tuple[TokenGrant, ...]
 
 
+class DepositQuestion(NamedTuple):
+    """Asks whether a broker holds anything that an earlier start deposited."""
+
+    host: str
+
+
+class DepositAnswer(NamedTuple):
+    """For how long it does; 0 where it doesn't."""
+
+    held_ms: int
+
+
 class CopyState(NamedTuple):
     """How new a followed copy is, and a digest of its objects."""
 
@@ -211,6 +223,8 @@
     | ProofAnswer
     | PoolQuestion
     | PoolAnswer
+    | DepositQuestion
+    | DepositAnswer
     | CopyQuestion
     | CopyAnswer
     | ReachQuestion
@@ -239,6 +253,8 @@
     "proof": ProofAnswer,
     "pool?": PoolQuestion,
     "pool": PoolAnswer,
+    "deposit?": DepositQuestion,
+    "deposit": DepositAnswer,
     "copy?": CopyQuestion,
     "copy": CopyAnswer,
     "reach?": ReachQuestion,
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -9,6 +9,7 @@
 
 from rattanhollow.configuration import Organisation
 from rattanhollow.coordination import (
+    DEPOSIT_S,
     KEPT_PART,
     SHARDS,
     TOKEN_S,
@@ -22,13 +23,21 @@
     shard_of,
 )
 from rattanhollow.membership import HostDirectory, HostRecord
-from rattanhollow.peer import Peers, PoolAnswer, PoolQuestion
+from rattanhollow.peer import (
+    DepositAnswer,
+    DepositQuestion,
+    Peers,
+    PoolAnswer,
+    PoolQuestion,
+)
 
 # Deposits last for several of these.
 ASK_INTERVAL_S = 0.5
 # Questions to a broker are this far apart at least, so that they gather wants.
 ASK_SPACING_S = 0.02
 ASK_TIMEOUT_MS = 400
+# How often a host that has started asks those that did not answer yet.
+LOOK_INTERVAL_S = 0.1
 # How long an operation waits for a token.
 WAIT_AT_MOST_S = 0.25
 # Timers may fire a little early.
@@ -122,14 +131,20 @@
         self._broker = TokenBroker(parts.clock)
         self._local: dict[str, _Local] = {}
         self._stamps: dict[str, Stamp] = {}
-        self._registered_at_s = math.inf
+        self._counted_at_s = math.inf
         self._asking: set[str] = set()
+        self._regular_at_s = 0.0
         self._urgent = trio.Event()
         self._nursery: trio.Nursery | None = None
 
-    def registered(self) -> None:
-        """Note that the store has this host's record: others count it soon."""
-        self._registered_at_s = min(self._registered_at_s, self._parts.clock())
+    def registered(self, anew: bool) -> None:
+        """Note that the store has this host's record: others count it soon.
+
+        Unless it is there ``anew``, they have counted an earlier start.
+        """
+        settle_s = self._parts.settle_s if anew else 0.0
+        at_s = self._parts.clock() + settle_s
+        self._counted_at_s = min(self._counted_at_s, at_s)
 
     async def admit(self, organisation: str) -> Admission:
         """Count one operation; it may wait for its turn within the rate."""
@@ -170,20 +185,58 @@
         """Deposit and fetch tokens, until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            regular_at_s = looked_at_s = self._parts.clock()
+            nursery.start_soon(self._look_for_earlier)
+            self._regular_at_s = looked_at_s = self._parts.clock()
             while True:
-                with trio.move_on_after(max(0.0, regular_at_s - self._parts.clock())):
+                left_s = self._regular_at_s - self._parts.clock()
+                with trio.move_on_after(max(0.0, left_s)):
                     await self._urgent.wait()
                 self._urgent = trio.Event()
                 now_s = self._parts.clock()
-                regular = now_s >= regular_at_s
+                regular = now_s >= self._regular_at_s
                 if regular:
                     self._measure(now_s - looked_at_s)
                     looked_at_s = now_s
-                    regular_at_s = now_s + ASK_INTERVAL_S
+                    self._regular_at_s = now_s + ASK_INTERVAL_S
                 self._ask_brokers(regular)
                 await trio.sleep(ASK_SPACING_S)
 
+    async def _look_for_earlier(self) -> None:
+        """Find out whether any broker holds what an earlier start deposited."""
+        heard: set[str] = set()
+        held_until_s = self._parts.clock()
+        until_s = held_until_s + DEPOSIT_S
+
+        async def ask(record: HostRecord) -> None:
+            nonlocal held_until_s
+            question = DepositQuestion(self._parts.own().name)
+            asked = await self._parts.peers.ask(record.peer, question, ASK_TIMEOUT_MS)
+            answer = asked.ok()
+            if isinstance(answer, DepositAnswer):
+                heard.add(record.name)
+                held_s = answer.held_ms / 1000
+                held_until_s = max(held_until_s, self._parts.clock() + held_s)
+
+        while self._parts.clock() < until_s:
+            await trio.sleep(LOOK_INTERVAL_S)
+            if self._parts.clock() < self._counted_at_s:
+                continue
+            own_name = self._parts.own().name
+            others = [h for h in self._parts.hosts.all() if h.name != own_name]
+            async with trio.open_nursery() as nursery:
+                for record in others:
+                    if record.name not in heard:
+                        nursery.start_soon(ask, record)
+            if heard >= {record.name for record in others}:
+                await trio.sleep(max(0.0, held_until_s - self._parts.clock()))
+                self._depositor.nothing_earlier()
+                return
+
+    def answer_deposit(self, question: DepositQuestion) -> DepositAnswer:
+        """Tell a host that has started whether anything of it is held here."""
+        left_s = self._broker.holds_until_s(question.host) - self._parts.clock()
+        return DepositAnswer(max(0, math.ceil(min(max(left_s, 0), DEPOSIT_S) * 1000)))
+
     def answer(self, question: PoolQuestion) -> PoolAnswer:
         """Take deposits of another host, and grant it tokens."""
         own = self._parts.own().incarnation
@@ -216,7 +269,7 @@
         Nothing before others can know of this host: they would use more than
         their part meanwhile.
         """
-        if self._parts.clock() < self._registered_at_s + self._parts.settle_s:
+        if self._parts.clock() < self._counted_at_s:
             return 0.0
         names = {record.name for record in self._parts.hosts.all()}
         return 1.0 / len(names | {self._parts.own().name})
@@ -249,7 +302,10 @@
         brokers = {n: _broker_of(n, names) for n in range(SHARDS)}
         if regular:
             for shard, broker in brokers.items():
-                if self._depositor.deposit(shard, broker, now_s):
+                if broker not in self._stamps:
+                    # It would ignore a deposit; its answer has the first stamp.
+                    shards.setdefault(broker, [])
+                elif self._depositor.deposit(shard, broker, now_s):
                     shards[broker].append(shard)
         for name, local in self._local.items():
             tokens = self._wanted(local, now_s, regular)
@@ -294,7 +350,11 @@
             self._asking.discard(broker)
         if not isinstance(answer, PoolAnswer):
             return
+        known = self._stamps.get(broker)
         self._stamps[broker] = answer.stamp
+        if known is None or known.broker != answer.stamp.broker:
+            self._regular_at_s = self._parts.clock()
+            self._urgent.set()
         wanted = {want.organisation: want.tokens for want in wants}
         for grant in answer.grants:
             self._take_grant(grant, wanted.get(grant.organisation, 0), asked_at_s)
