--- a/src/rattanhollow/coordination/_token_bucket.py
+++ b/src/rattanhollow/coordination/_token_bucket.py
@@ -27,6 +27,10 @@
         self._burst = burst
         self._level = min(self._level, burst)
 
+    def start_with(self, tokens: float) -> None:
+        """Begin with some tokens, which the bucket's user accounts for."""
+        self._level = tokens
+
     def take(self) -> bool:
         """Take one token, if there is one."""
         self._fill()
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -104,6 +104,7 @@
                 peers=self.peers,
                 clock=now_s,
                 settle_s=settings.rate_settle_ms / 1000,
+                slack=settings.rate_slack,
             )
         )
         self._places = places
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -42,6 +42,12 @@
 WAIT_AT_MOST_S = 0.25
 # Timers may fire a little early.
 SLEEP_SLACK_S = 0.002
+# The part of the allowed slack that all hosts together begin with; the rest is
+# for tokens that were fetched before a window and used in it.
+STARTING_PART = 0.75
+# How many operations may wait, in parts of what an equal share gives meanwhile:
+# some hosts get more than others.
+WAITING_PART = 2.0
 # How long an organisation counts as over its rate behind an answer that said so.
 DRY_S = 0.25
 # Tokens are fetched ahead where at least so many are used between two questions.
@@ -54,7 +60,7 @@
     """What the limits need of the rest of the host; ``clock`` never stops.
 
     ``settle_s`` is how long a host that has just registered is not yet counted
-    by all others.
+    by all others, ``slack`` how many operations may go above rate and burst.
     """
 
     organisations: Callable[[], dict[str, Organisation]]
@@ -63,6 +69,7 @@
     peers: Peers
     clock: Callable[[], float]
     settle_s: float
+    slack: int
 
 
 class Admission(NamedTuple):
@@ -157,7 +164,7 @@
         self._resize(organisation, local, limits)
         if not local.waiters and local.take(now_s):
             return Admission(True)
-        if now_s < local.dry_until_s and local.waiters:
+        if now_s < local.dry_until_s and len(local.waiters) >= self._room(limits):
             return Admission(False, local.wait_ms)
         waiter = _Waiter()
         local.waiters.append(waiter)
@@ -257,10 +264,18 @@
                 grants.append(grant)
         return PoolAnswer(Stamp(own, self._parts.clock()), tuple(grants))
 
+    def _room(self, limits: Organisation) -> int:
+        """Return how many operations may wait while there are too few tokens."""
+        hosts = max(1, len(self._parts.hosts.all()))
+        share_per_s = limits.rate_per_s / hosts
+        return max(1, round(share_per_s * WAIT_AT_MOST_S * WAITING_PART))
+
     def _of(self, organisation: str) -> _Local:
         local = self._local.get(organisation)
         if local is None:
             local = self._local[organisation] = _Local(self._parts.clock)
+            hosts = max(1, len(self._parts.hosts.all()))
+            local.bucket.start_with(self._parts.slack * STARTING_PART / hosts)
         return local
 
     def _base(self) -> float:
--- a/src/rattanhollow/settings/_host.py
+++ b/src/rattanhollow/settings/_host.py
@@ -61,7 +61,8 @@
     ``stop_s`` is how long a stop may take, ``configuration_ms`` how soon an
     accepted configuration has to be in force, ``heartbeat_ms`` how often
     backend servers describe themselves. ``rate_settle_ms`` is how long a new host
-    takes no part of the organisations' rates, so that all others count it.
+    takes no part of the organisations' rates, so that all others count it,
+    ``rate_slack`` how many operations operators allow above rate and burst.
     """
 
     place: PlaceSettings
@@ -71,6 +72,7 @@
     configuration_ms: int
     heartbeat_ms: int
     rate_settle_ms: int
+    rate_slack: int
     membership: MembershipSettings
 
 
@@ -120,7 +122,10 @@
         "configuration_ms": Field(_DURATION_MS, 4_000),
         "heartbeat_ms": Field(_DURATION_MS, 1_200),
     },
-    "rates": {"settle_ms": Field(_DURATION_MS, 1_500)},
+    "rates": {
+        "settle_ms": Field(_DURATION_MS, 1_500),
+        "slack": Field(integer(0, 1_000_000), 0),
+    },
     "membership": {
         "ask_interval_ms": Field(_DURATION_MS, 1_000),
         "ask_timeout_ms": Field(_DURATION_MS, 800),
@@ -146,6 +151,7 @@
         configuration_ms=bounds["configuration_ms"],
         heartbeat_ms=bounds["heartbeat_ms"],
         rate_settle_ms=values["rates"]["settle_ms"],
+        rate_slack=values["rates"]["slack"],
         membership=MembershipSettings(**values["membership"]),
     )
 
