--- a/src/rattanhollow/coordination/__init__.py
+++ b/src/rattanhollow/coordination/__init__.py
@@ -39,6 +39,7 @@
     TokenBroker,
     TokenGrant,
     TokenWant,
+    kept_part,
     shard_of,
 )
 
@@ -77,6 +78,7 @@
     "follow_all",
     "group_state_from_spec",
     "group_state_spec",
+    "kept_part",
     "parse_position",
     "ranked",
     "shard_of",
--- a/src/rattanhollow/coordination/_token_pool.py
+++ b/src/rattanhollow/coordination/_token_pool.py
@@ -49,7 +49,7 @@
 
 
 class _Deposit(NamedTuple):
-    part: float
+    base: float
     until_s: float
 
 
@@ -60,6 +60,14 @@
     return int.from_bytes(digest) % SHARDS
 
 
+def kept_part(burst: float, base: float) -> float:
+    """Return how much of its own part ``base`` of a rate a host keeps.
+
+    Nothing where that would never make up a whole token.
+    """
+    return KEPT_PART if burst * base * KEPT_PART >= 1 else 0.0
+
+
 class Depositor:
     """Which of a host's shards are deposited, and with whom.
 
@@ -74,10 +82,9 @@
         for brokers in self._until_s.values():
             brokers.pop("", None)
 
-    def usable_part(self, shard: int, now_s: float) -> float:
-        """Return how much of its own part of a shard's rates a host may use."""
-        held = any(until_s > now_s for until_s in self._until_s[shard].values())
-        return KEPT_PART if held else 1.0
+    def is_deposited(self, shard: int, now_s: float) -> bool:
+        """Whether a host may use only what it keeps of a shard's rates."""
+        return any(until_s > now_s for until_s in self._until_s[shard].values())
 
     def deposit(self, shard: int, broker: str, now_s: float) -> bool:
         """Deposit a shard's part, from now on; False while another broker has it."""
@@ -97,10 +104,13 @@
         self._buckets: dict[str, TokenBucket] = {}
 
     def take_deposit(
-        self, host: str, shard: int, part: float, stamped_at_s: float
+        self, host: str, shard: int, base: float, stamped_at_s: float
     ) -> None:
-        """Take a part; it was sent after this broker's time ``stamped_at_s``."""
-        deposit = _Deposit(part, stamped_at_s + DEPOSIT_S)
+        """Take what a host doesn't keep of its own part ``base``.
+
+        It was sent after this broker's time ``stamped_at_s``.
+        """
+        deposit = _Deposit(base, stamped_at_s + DEPOSIT_S)
         self._deposits.setdefault(shard, {})[host] = deposit
 
     def holds_until_s(self, host: str) -> float:
@@ -116,7 +126,7 @@
         bucket = self._buckets.get(want.organisation)
         if bucket is None:
             bucket = self._buckets[want.organisation] = TokenBucket(self._clock)
-        part = self._part(shard_of(want.organisation))
+        part = self._part(shard_of(want.organisation), burst)
         bucket.resize(rate_per_s * part, burst * part)
         tokens = 0
         while tokens < want.tokens and bucket.take():
@@ -128,9 +138,10 @@
         """Bring an organisation's bucket up to the deposits that there are now."""
         self.grant(TokenWant(organisation, 0), rate_per_s, burst)
 
-    def _part(self, shard: int) -> float:
+    def _part(self, shard: int, burst: float) -> float:
         now_s = self._clock()
         deposits = self._deposits.get(shard, {})
         for host in [h for h, item in deposits.items() if item.until_s <= now_s]:
             del deposits[host]
-        return sum(item.part for item in deposits.values())
+        bases = [item.base for item in deposits.values()]
+        return sum(base * (1 - kept_part(burst, base)) for base in bases)
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -123,14 +123,15 @@
 
 
 class PoolQuestion(NamedTuple):
-    """Deposits a part of the rates of some shards, and asks for tokens.
+    """Deposits parts of the rates of some shards, and asks for tokens.
 
-    ``stamp`` is the newest that ``host`` has of this broker.
+    ``base`` is the part of each rate that ``host`` has, ``stamp`` the newest
+    that it has of this broker.
     """
 
     host: str
     stamp: Stamp
-    part: float
+    base: float
     shards: tuple[int, ...]
     wants: tuple[TokenWant, ...]
 
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -10,7 +10,6 @@
 from rattanhollow.configuration import Organisation
 from rattanhollow.coordination import (
     DEPOSIT_S,
-    KEPT_PART,
     SHARDS,
     TOKEN_S,
     Depositor,
@@ -19,6 +18,7 @@
     TokenBucket,
     TokenGrant,
     TokenWant,
+    kept_part,
     ranked,
     shard_of,
 )
@@ -250,7 +250,7 @@
         if question.stamp.broker == own:
             for shard in question.shards:
                 self._broker.take_deposit(
-                    question.host, shard, question.part, question.stamp.at_s
+                    question.host, shard, question.base, question.stamp.at_s
                 )
         organisations = self._parts.organisations()
         for name, limits in organisations.items():
@@ -291,7 +291,9 @@
 
     def _resize(self, name: str, local: _Local, limits: Organisation) -> None:
         now_s = self._parts.clock()
-        part = self._base() * self._depositor.usable_part(shard_of(name), now_s)
+        part = base = self._base()
+        if self._depositor.is_deposited(shard_of(name), now_s):
+            part = base * kept_part(limits.burst, base)
         local.bucket.resize(limits.rate_per_s * part, limits.burst * part)
 
     def _measure(self, interval_s: float) -> None:
@@ -349,7 +351,7 @@
         own = self._parts.own()
         asked_at_s = self._parts.clock()
         stamp = self._stamps.get(broker, Stamp("", 0.0))
-        question = PoolQuestion(own.name, stamp, self._deposited(), shards, wants)
+        question = PoolQuestion(own.name, stamp, self._base(), shards, wants)
         answer: object = None
         try:
             if broker == own.name:
@@ -374,9 +376,6 @@
         for grant in answer.grants:
             self._take_grant(grant, wanted.get(grant.organisation, 0), asked_at_s)
 
-    def _deposited(self) -> float:
-        return self._base() * (1 - KEPT_PART)
-
     def _take_grant(self, grant: TokenGrant, wanted: int, asked_at_s: float) -> None:
         local = self._local.get(grant.organisation)
         if local is None:
--- a/tests/test_token_pool.py
+++ b/tests/test_token_pool.py
@@ -10,12 +10,12 @@
 import pytest
 
 from rattanhollow.coordination import (
-    KEPT_PART,
     TOKEN_S,
     Depositor,
     TokenBroker,
     TokenBucket,
     TokenWant,
+    kept_part,
     shard_of,
 )
 from rattanhollow.coordination._token_pool import DEPOSIT_S
@@ -52,9 +52,10 @@
 class SimHost:
     """A host: its own part, what it deposited, and tokens that it fetched."""
 
-    def __init__(self, name: str, base: float, clock: Clock) -> None:
+    def __init__(self, name: str, base: float, clock: Clock, rate: float) -> None:
         self.name = name
         self.base = base
+        self.rate = self.burst = rate
         self.clock = clock
         self.depositor = Depositor(clock())
         self.broker = TokenBroker(clock)
@@ -71,18 +72,24 @@
             first = self.tokens[0]
             self.tokens[0] = first._replace(tokens=first.tokens - 1)
             return True
-        part = self.base * self.depositor.usable_part(SHARD, now_s)
-        self.bucket.resize(RATE * part, BURST * part)
+        part = self.base
+        if self.depositor.is_deposited(SHARD, now_s):
+            part *= kept_part(self.burst, self.base)
+        self.bucket.resize(self.rate * part, self.burst * part)
         return self.bucket.take()
 
 
 class Simulation:
     """Hosts that flood, with lost and late messages, deaths and broker changes."""
 
-    def __init__(self, seed: int, hosts: int, restarts: bool = True) -> None:
+    def __init__(
+        self, seed: int, hosts: int, rate: float = RATE, restarts: bool = True
+    ) -> None:
         self.rng = random.Random(seed)
         self.clock = Clock()
-        self.hosts = [SimHost(f"h{n}", 1 / hosts, self.clock) for n in range(hosts)]
+        self.hosts = [
+            SimHost(f"h{n}", 1 / hosts, self.clock, rate) for n in range(hosts)
+        ]
         self.admitted_s: list[float] = []
         self.in_flight: list[Grant] = []
         self.restarts = restarts
@@ -112,9 +119,9 @@
             return
         stamped_at_s = host.stamps.get(broker.name)
         if deposits and stamped_at_s is not None:
-            part = host.base * (1 - KEPT_PART)
-            broker.broker.take_deposit(host.name, SHARD, part, stamped_at_s)
-        grant = broker.broker.grant(TokenWant(ORGANISATION, 10), RATE, BURST)
+            broker.broker.take_deposit(host.name, SHARD, host.base, stamped_at_s)
+        want = TokenWant(ORGANISATION, 10)
+        grant = broker.broker.grant(want, host.rate, host.burst)
         if self.rng.random() < 0.1:
             return
         host.stamps[broker.name] = now_s
@@ -133,7 +140,7 @@
     def _restart(self, number: int) -> None:
         old = self.hosts[number]
         self.in_flight = [g for g in self.in_flight if g.host != old.name]
-        self.hosts[number] = SimHost(old.name, old.base, self.clock)
+        self.hosts[number] = SimHost(old.name, old.base, self.clock, old.rate)
         for host in self.hosts:
             host.stamps.pop(old.name, None)
 
@@ -150,26 +157,28 @@
 @pytest.mark.parametrize("seed", range(30))
 def test_a_flood_never_exceeds_rate_and_burst(seed: int) -> None:
     """In any window, with one answer's tokens over: the bound that users state."""
-    simulation = Simulation(seed, hosts=2 + seed % 8)
+    rate = (40.0, 8.0, 200.0)[seed % 3]
+    simulation = Simulation(seed, hosts=2 + seed % 8, rate=rate)
     simulation.run(800)
-    allowed = (RATE * WINDOW_S + BURST) * 1.1 + 20
+    allowed = (rate * WINDOW_S + rate) * 1.1 + 20
     assert simulation.most_in_window() <= allowed
 
 
+@pytest.mark.parametrize("rate", [40.0, 11.0, 3.0])
 @pytest.mark.parametrize("seed", range(4))
-def test_a_flood_gets_most_of_its_rate(seed: int) -> None:
-    """Without deaths the hosts together admit close to the rate."""
-    simulation = Simulation(seed, hosts=7, restarts=False)
+def test_a_flood_gets_most_of_its_rate(seed: int, rate: float) -> None:
+    """Without deaths the hosts together admit close to the rate, small ones too."""
+    simulation = Simulation(seed, hosts=7, rate=rate, restarts=False)
     simulation.run(800)
-    assert len(simulation.admitted_s) >= 0.7 * RATE * 800 * STEP_S
+    assert len(simulation.admitted_s) >= 0.7 * rate * 800 * STEP_S
 
 
 def test_a_restarted_host_leaves_its_earlier_deposit_alone() -> None:
     """What an earlier start may have deposited isn't used a second time."""
     depositor = Depositor(started_at_s=50.0)
-    assert depositor.usable_part(SHARD, 50.1) == KEPT_PART
+    assert depositor.is_deposited(SHARD, 50.1)
     assert not depositor.deposit(SHARD, "b", 50.1)
-    assert depositor.usable_part(SHARD, 50.0 + DEPOSIT_S) == 1.0
+    assert not depositor.is_deposited(SHARD, 50.0 + DEPOSIT_S)
     assert depositor.deposit(SHARD, "b", 50.0 + DEPOSIT_S)
 
 
