--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -50,7 +50,7 @@
 
 # How often the fleet reads the store beside its watches. With a round or two of
 # gossip, a change is in force within a third of the time that operators allow.
-POLL_INTERVAL_S = 1.0
+POLL_INTERVAL_S = 1.5
 
 
 class Host:
--- a/src/rattanhollow/peer/_link.py
+++ b/src/rattanhollow/peer/_link.py
@@ -23,8 +23,8 @@
 
 QUEUED_MESSAGES = 1_000
 # ZeroMQ's own heartbeats close a connection that has gone silent while idle.
-HEARTBEAT_INTERVAL_MS = 1_000
-HEARTBEAT_TIMEOUT_MS = 2_500
+HEARTBEAT_INTERVAL_MS = 3_000
+HEARTBEAT_TIMEOUT_MS = 6_000
 # How long sent bytes may stay unacknowledged: the links are short ones.
 USER_TIMEOUT_MS = 2_000
 RECONNECT_MS = 50
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -45,6 +45,10 @@
 # The part of the allowed slack that all hosts together begin with; the rest is
 # for tokens that were fetched before a window and used in it.
 STARTING_PART = 0.75
+# Each host asks all brokers, so that few cost less; the death of one takes its
+# organisations down to what hosts keep for a while.
+LEAST_BROKERS = 3
+HOSTS_PER_BROKER = 32
 # How many operations may wait, in parts of what an equal share gives meanwhile:
 # some hosts get more than others.
 WAITING_PART = 2.0
@@ -316,7 +320,7 @@
             for record in self._parts.hosts.staying()
             if not self._parts.peers.is_dark(record.peer)
         )
-        brokers = {n: _broker_of(n, names) for n in range(SHARDS)}
+        brokers = _brokers(names)
         if regular:
             for shard, broker in brokers.items():
                 if broker not in self._stamps:
@@ -395,5 +399,10 @@
             self._urgent.set()
 
 
-def _broker_of(shard: int, names: list[str]) -> str:
-    return ranked(f"rates-{shard}", names)[0] if names else ""
+def _brokers(names: list[str]) -> dict[int, str]:
+    """Return the broker of each shard, out of the hosts that answer."""
+    if not names:
+        return dict.fromkeys(range(SHARDS), "")
+    count = LEAST_BROKERS + len(names) // HOSTS_PER_BROKER
+    chosen = ranked("rates", names)[:count]
+    return {shard: ranked(f"rates-{shard}", chosen)[0] for shard in range(SHARDS)}
