--- a/src/rattanhollow/coordination/_token_pool.py
+++ b/src/rattanhollow/coordination/_token_pool.py
@@ -19,7 +19,7 @@
 # broker's death, hosts have only what they kept.
 DEPOSIT_S = 2.0
 # The part of its own share that a host never deposits.
-KEPT_PART = 0.25
+KEPT_PART = 0.5
 # Organisations whose parts are deposited together.
 SHARDS = 16
 # A token that wasn't used is given up: so few of them are about at any time.
