Claims of a succession are respected while they move; held replicas are released

Now a claim under way is taken over only once it stood still for 2.5 s, replicas are held at the term behind the leader's, only a young claim lets go, and a host whose replica stays behind looks whether it is held.

--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -38,7 +38,7 @@
     RouterParts,
     ServerDirectory,
 )
-from rattanhollow.serving import BackendServer, ProofAnswer, Serving
+from rattanhollow.serving import ProofAnswer, Serving
 from rattanhollow.session import (
     ServeParts,
     SessionParts,
@@ -85,7 +85,7 @@
         )
         self.serving = Serving(
             ends.backend,
-            self._is_first,
+            lambda server: self.agents.serves_first(server),
             self.directory.find,
             self._connections_of,
             lambda: self.routes.transaction_idle_ms,
@@ -218,10 +218,6 @@
     def _own(self) -> HostRecord:
         return self.registration.record
 
-    def _is_first(self, server: BackendServer) -> bool:
-        hosts = self.agents.hosts_for(server)
-        return bool(hosts) and hosts[0].name == self._own().name
-
     def _connections_of(self, service: str) -> int:
         known = self.routes.services.get(service)
         return known.connections if known is not None else 1
--- a/src/rattanhollow/host/_watch_primaries.py
+++ b/src/rattanhollow/host/_watch_primaries.py
@@ -59,8 +59,7 @@
     def is_mine(service: str) -> bool:
         leader = parts.directory.leader(service)
         if leader is not None:
-            serving = parts.agents.hosts_for(leader)
-            return bool(serving) and serving[0].name == own_name
+            return parts.agents.serves_first(leader)
         lit = [h for h in parts.hosts.staying() if not parts.peers.is_dark(h.peer)]
         names = {record.name for record in lit} | {own_name}
         return ranked(service, names)[0] == own_name
@@ -100,7 +99,20 @@
     def covers(server: BackendServer, status: ServerStatus) -> bool:
         return _covers(server, status.received, parts)
 
-    return Guardian(
+    def behind() -> list[tuple[BackendServer, float]]:
+        return [
+            (found.server, found.behind_s)
+            for found in parts.serving.served()
+            if found.behind_s > 0 and parts.agents.serves_first(found.server)
+        ]
+
+    # The guardian is told of claims by the very parts that it is built from.
+    guardian: Guardian
+
+    def saw_claim(service: str, claim_id: str) -> None:
+        guardian.saw_claim(service, claim_id)
+
+    guardian = Guardian(
         GuardianParts(
             services=services,
             copies=copies,
@@ -109,6 +121,7 @@
             is_mine=is_mine,
             suspicion_s=suspicion_s,
             stuck_s=stuck_s,
+            behind=behind,
             others_reach=others_reach,
             is_missing=lambda server: parts.directory.is_missing(server.id),
             switching=switching,
@@ -121,9 +134,12 @@
                 holder=own_name,
                 covers=covers,
                 members=members,
+                saw_claim=saw_claim,
+                clock=now_s,
             ),
         )
     )
+    return guardian
 
 
 def _covers(server: BackendServer, received: Position, parts: WatchedParts) -> bool:
--- a/src/rattanhollow/routing/_agents.py
+++ b/src/rattanhollow/routing/_agents.py
@@ -100,6 +100,11 @@
                 return answer
         return answer
 
+    def serves_first(self, server: BackendServer) -> bool:
+        """Whether a server falls to this host."""
+        hosts = self.hosts_for(server)
+        return bool(hosts) and hosts[0].name == self._parts.own().name
+
     def hosts_for(self, server: BackendServer) -> list[HostRecord]:
         """Return the hosts that may serve a server, the first choice first.
 
--- a/src/rattanhollow/serving/_served.py
+++ b/src/rattanhollow/serving/_served.py
@@ -119,6 +119,7 @@
         self.reachable = True
         self.switching = False
         self._unreachable_since_s = 0.0
+        self._behind_since_s: float | None = None
         self._parts = parts
         self._pool = ConnectionPool(max(1, connections - CONNECTIONS_SPARED))
         self._slots: SlotQueue[_Ticket] = SlotQueue(server.slots)
@@ -171,6 +172,13 @@
             return 0.0
         return self._parts.clock() - self._unreachable_since_s
 
+    @property
+    def behind_s(self) -> float:
+        """For how long the server lacked every position that was asked of it."""
+        if self._behind_since_s is None:
+            return 0.0
+        return self._parts.clock() - self._behind_since_s
+
     @property
     def stuck_s(self) -> float:
         """For how long the oldest commit under way has not been answered."""
@@ -453,6 +461,11 @@
     ) -> Done:
         """Decide what becomes of connection and transaction, and answer."""
         success = reply.reason is None
+        if reply.reason is Reason.BEHIND:
+            if self._behind_since_s is None:
+                self._behind_since_s = self._parts.clock()
+        elif success and work.floor is not None:
+            self._behind_since_s = None
         writes = _writes(work)
         still_open = False
         if work.scope in (Scope.ALONE, Scope.PROVEN):
--- a/src/rattanhollow/succession/__init__.py
+++ b/src/rattanhollow/succession/__init__.py
@@ -10,7 +10,12 @@
     advance,
     claim,
 )
-from rattanhollow.succession._replace import ReplaceParts, Task, replace_primary
+from rattanhollow.succession._replace import (
+    ReplaceParts,
+    Task,
+    release_held,
+    replace_primary,
+)
 
 __all__ = [
     "SUCCESSION_KIND",
@@ -28,5 +33,6 @@
     "choose",
     "claim",
     "next_term",
+    "release_held",
     "replace_primary",
 ]
--- a/src/rattanhollow/succession/_choose.py
+++ b/src/rattanhollow/succession/_choose.py
@@ -23,8 +23,12 @@
 
 
 def next_term(statuses: Collection[ServerStatus]) -> int:
-    """Return a term above all that the servers know."""
-    terms = [max(s.term, s.held_term, s.received.term) for s in statuses]
+    """Return the term behind the newest that any server has seen led.
+
+    Not behind one at which a server is merely held: a promotion to an earlier
+    term would leave it so.
+    """
+    terms = [max(status.term, status.received.term) for status in statuses]
     return max(terms, default=0) + 1
 
 
--- a/src/rattanhollow/succession/_guardian.py
+++ b/src/rattanhollow/succession/_guardian.py
@@ -7,8 +7,13 @@
 import trio
 
 from rattanhollow.observe import log_event
-from rattanhollow.serving import BackendServer, CommandKind, ServerStatus
-from rattanhollow.succession._replace import ReplaceParts, Task, replace_primary
+from rattanhollow.serving import BackendServer, CommandKind
+from rattanhollow.succession._replace import (
+    ReplaceParts,
+    Task,
+    release_held,
+    replace_primary,
+)
 
 LOOK_INTERVAL_S = 0.1
 # How long a primary must be without answers here before other hosts are asked.
@@ -20,8 +25,10 @@
 STUCK_AFTER_S = 1.2
 RETRY_S = 0.4
 RETRY_AT_MOST_S = 3.0
-# Orders that were lost may be carried out up to twelve seconds later.
-AFTERCARE_S = (3.0, 6.0, 13.0)
+# Another coordinator's claim that makes no progress for so long is taken over.
+CLAIM_AGE_S = 2.5
+# A replica that lacks every position asked of it for so long may be held.
+BEHIND_AFTER_S = 1.5
 
 
 class Concern(NamedTuple):
@@ -39,6 +46,8 @@
     whether the store describes it no more. ``is_mine(service)`` whether this
     host is to act. ``suspicion_s(server)`` and ``stuck_s(server)``
     tell for how long a served server has not answered, and its oldest commit.
+    ``behind()`` gives served replicas and for how long they lacked all that was
+    asked of them.
     ``others_reach(server)`` asks other hosts; None where too few answer.
     ``switching(server, on)`` keeps new transactions from a server;
     ``announce(server)`` tells the other hosts of a new primary.
@@ -52,6 +61,7 @@
     is_mine: Callable[[str], bool]
     suspicion_s: Callable[[BackendServer], float]
     stuck_s: Callable[[BackendServer], float]
+    behind: Callable[[], list[tuple[BackendServer, float]]]
     others_reach: Callable[[BackendServer], Awaitable[bool | None]]
     switching: Callable[[BackendServer, bool], None]
     announce: Callable[[BackendServer], Awaitable[None]]
@@ -67,6 +77,8 @@
         self.not_before_s = 0.0
         self.failures = 0
         self.running = False
+        self.claim_seen = ("", 0.0)
+        self.repair_not_before_s = 0.0
 
 
 class Guardian:
@@ -76,20 +88,39 @@
         self._parts = parts
         self._watches: dict[str, _Watch] = {}
 
+    def saw_claim(self, service: str, claim_id: str) -> None:
+        """Note another coordinator's claim that is under way."""
+        watch = self._watches.setdefault(service, _Watch())
+        if watch.claim_seen[0] != claim_id:
+            watch.claim_seen = (claim_id, self._parts.clock())
+
     async def run(self) -> None:
         """Watch until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(LOOK_INTERVAL_S)
                 for service in self._parts.services():
-                    watch = self._watches.setdefault(service, _Watch())
-                    due = self._parts.clock() >= watch.not_before_s
-                    if watch.running or not due or not self._parts.is_mine(service):
-                        continue
-                    concern = self._concern(service, watch)
-                    if concern is not None:
-                        watch.running = True
-                        nursery.start_soon(self._act, service, watch, concern, nursery)
+                    self._look(service, nursery)
+                for server, behind_s in self._parts.behind():
+                    if behind_s >= BEHIND_AFTER_S:
+                        self._look_at_replica(server, nursery)
+
+    def _look(self, service: str, nursery: trio.Nursery) -> None:
+        watch = self._watches.setdefault(service, _Watch())
+        due = self._parts.clock() >= watch.not_before_s
+        if watch.running or not due or not self._parts.is_mine(service):
+            return
+        concern = self._concern(service, watch)
+        if concern is not None:
+            watch.running = True
+            nursery.start_soon(self._act, service, watch, concern)
+
+    def _look_at_replica(self, server: BackendServer, nursery: trio.Nursery) -> None:
+        watch = self._watches.setdefault(server.service, _Watch())
+        due = self._parts.clock() >= watch.repair_not_before_s
+        if not watch.running and due:
+            watch.repair_not_before_s = self._parts.clock() + BEHIND_AFTER_S
+            nursery.start_soon(self._repair, server, watch)
 
     def _concern(self, service: str, watch: _Watch) -> Concern | None:
         servers = self._parts.servers(service)
@@ -116,9 +147,7 @@
             return Concern("its commits stay unanswered", reachable=True)
         return None
 
-    async def _act(
-        self, service: str, watch: _Watch, concern: Concern, nursery: trio.Nursery
-    ) -> None:
+    async def _act(self, service: str, watch: _Watch, concern: Concern) -> None:
         try:
             done = await self._replace(service, concern)
         finally:
@@ -130,7 +159,6 @@
             watch.failures += 1
             pause_s = min(RETRY_AT_MOST_S, RETRY_S * 2**watch.failures)
             watch.not_before_s = self._parts.clock() + pause_s
-        nursery.start_soon(self._care_after, service)
 
     async def _replace(self, service: str, concern: Concern) -> bool:
         leader = self._parts.leader(service)
@@ -153,13 +181,7 @@
         if leader is not None:
             self._parts.switching(leader, True)
         try:
-            task = Task(
-                service=service,
-                copies=self._parts.copies(service),
-                old_leader=leader,
-                reachable=concern.reachable,
-                claim_id=uuid.uuid4().hex,
-            )
+            task = self._task(service, leader, concern.reachable)
             replaced = await replace_primary(task, self._parts.replace)
         finally:
             if leader is not None:
@@ -172,26 +194,33 @@
         await self._parts.announce(replaced.unwrap())
         return True
 
-    async def _care_after(self, service: str) -> None:
-        """Let go of replicas that a late order made stop receiving."""
-        began_s = self._parts.clock()
-        for after_s in AFTERCARE_S:
-            await trio.sleep(max(0.0, began_s + after_s - self._parts.clock()))
-            watch = self._watches[service]
-            if watch.running or not self._parts.is_mine(service):
-                continue
-            orders = self._parts.replace.orders
-            servers = self._parts.servers(service)
-            statuses = await orders.give_all(servers, CommandKind.STATUS)
-            stopped = [s for s in servers if _stays_held(statuses[s.id])]
-            led = any(
-                status is not None and status.leads for status in statuses.values()
-            )
-            if stopped and led and not watch.running:
-                names = [server.id for server in stopped]
-                log_event("succession.let_go", service=service, servers=names)
-                await orders.give_all(stopped, CommandKind.LET_GO)
-
+    def _task(
+        self, service: str, leader: BackendServer | None, reachable: bool
+    ) -> Task:
+        claim_id, seen_at_s = self._watches[service].claim_seen
+        stale = self._parts.clock() - seen_at_s >= CLAIM_AGE_S
+        return Task(
+            service=service,
+            copies=self._parts.copies(service),
+            old_leader=leader,
+            reachable=reachable,
+            claim_id=uuid.uuid4().hex,
+            may_override=claim_id if stale else "",
+        )
 
-def _stays_held(status: ServerStatus | None) -> bool:
-    return status is not None and not status.leads and status.held_term > 0
+    async def _repair(self, server: BackendServer, watch: _Watch) -> None:
+        """Let a replica go that is held although nothing is under way."""
+        orders = self._parts.replace.orders
+        status = await orders.give(server, CommandKind.STATUS)
+        leader = self._parts.leader(server.service)
+        held = status is not None and not status.leads and status.held_term > 0
+        if not held or leader is None or watch.running:
+            return
+        task = self._task(server.service, leader, reachable=True)
+        released = await release_held(task, server, self._parts.replace)
+        log_event(
+            "succession.released",
+            service=server.service,
+            server=server.id,
+            failure=released.err(),
+        )
--- a/src/rattanhollow/succession/_record.py
+++ b/src/rattanhollow/succession/_record.py
@@ -42,25 +42,36 @@
 NOTHING_YET = SuccessionRecord(0, "", "", "", Phase.ENDED)
 
 
-class Claimed(NamedTuple):
-    """A claim that was won, and the record that it replaced."""
+class ClaimedByOther(NamedTuple):
+    """Another coordinator's claim is under way."""
 
-    record: SuccessionRecord
-    previous: SuccessionRecord
+    holder: str
+    claim_id: str
 
 
 async def claim(
-    store: ObjectStore, service: str, holder: str, claim_id: str, old_leader: str
-) -> Result[Claimed, StoreFailure | str]:
-    """Claim the next fencing token, with the target of an unfinished claim."""
-    previous = NOTHING_YET
+    store: ObjectStore,
+    service: str,
+    holder: str,
+    claim_id: str,
+    old_leader: str,
+    may_override: str = "",
+) -> Result[SuccessionRecord, StoreFailure | ClaimedByOther]:
+    """Claim the next fencing token, with the target of an unfinished claim.
+
+    A claim that is under way is only taken over where it is ``may_override``:
+    its coordinator may be holding servers or letting them go.
+    """
 
-    def change(spec: dict[str, Any] | None) -> Result[dict[str, Any] | None, str]:
-        nonlocal previous
+    def change(
+        spec: dict[str, Any] | None,
+    ) -> Result[dict[str, Any] | None, ClaimedByOther]:
         current = from_spec(SuccessionRecord, spec) if spec else NOTHING_YET
         if current.claim_id == claim_id:
             return Ok(None)
-        previous = current
+        busy = current.phase is not Phase.ENDED
+        if busy and current.claim_id != may_override:
+            return Err(ClaimedByOther(current.holder, current.claim_id))
         unfinished = current.phase is Phase.CHOSEN
         claimed = SuccessionRecord(
             token=current.token + 1,
@@ -74,9 +85,7 @@
         return Ok(to_spec(claimed))
 
     written = await update(store, SUCCESSION_KIND, service, change, attempts=4)
-    return written.map(
-        lambda stored: Claimed(from_spec(SuccessionRecord, stored.spec), previous)
-    )
+    return written.map(lambda stored: from_spec(SuccessionRecord, stored.spec))
 
 
 async def advance(
--- a/src/rattanhollow/succession/_replace.py
+++ b/src/rattanhollow/succession/_replace.py
@@ -18,6 +18,7 @@
 from rattanhollow.succession._choose import Member, Stopped, choose, next_term
 from rattanhollow.succession._orders import Orders
 from rattanhollow.succession._record import (
+    ClaimedByOther,
     Phase,
     SuccessionRecord,
     advance,
@@ -28,6 +29,9 @@
 # that was lost may be carried out many seconds later.
 PROMOTION_TIMEOUT_S = 4.0
 LOOK_INTERVAL_S = 0.1
+# Another coordinator takes a claim over that it has seen for longer than this
+# and an order's time: what is held then is no longer this coordinator's to let go.
+LET_GO_WITHIN_S = 1.5
 ACCEPTED = 200
 REFUSED = 409
 
@@ -38,7 +42,8 @@
     ``promote(service, server, holder, token)`` gives the platform's answer,
     ``covers(server, status)`` whether a server's log can be relied on to hold
     what it acknowledged. ``members(service)`` reads the service's servers anew
-    from the store; None where that failed.
+    from the store; None where that failed. ``saw_claim(service, claim_id)`` is
+    told of another coordinator's claim.
     """
 
     store: ObjectStore
@@ -47,16 +52,22 @@
     holder: str
     covers: Callable[[BackendServer, ServerStatus], bool]
     members: Callable[[str], Awaitable[list[BackendServer] | None]]
+    saw_claim: Callable[[str, str], None]
+    clock: Callable[[], float]
 
 
 class Task(NamedTuple):
-    """One replacement; ``reachable`` whether the old primary still answers."""
+    """One replacement; ``reachable`` whether the old primary still answers.
+
+    ``may_override`` is another coordinator's claim that made no progress.
+    """
 
     service: str
     copies: int
     old_leader: BackendServer | None
     reachable: bool
     claim_id: str
+    may_override: str = ""
 
     @property
     def old_leader_id(self) -> str:
@@ -69,15 +80,14 @@
 ) -> Result[BackendServer, str]:
     """Replace the primary and return the new one.
 
-    After an ``Err`` nothing is held any more, unless a promotion may still be
-    carried out.
+    After an ``Err`` replicas may still be held: by a later coordinator, or for
+    the next one to go on with.
     """
-    claimed = await claim(
-        parts.store, task.service, parts.holder, task.claim_id, task.old_leader_id
-    )
+    claimed_at_s = parts.clock()
+    claimed = await _claim(task, parts)
     if claimed.is_err():
-        return Err(f"claim: {claimed.unwrap_err()}")
-    record = claimed.unwrap().record
+        return Err(claimed.unwrap_err())
+    record = claimed.unwrap()
     log_event(
         "succession.claimed",
         service=task.service,
@@ -101,7 +111,8 @@
         # The platform may still promote it: another one must not be named.
         chosen = Ok(earlier)
     if chosen.is_err():
-        await _let_go(task, stopped.unwrap().replicas, record, parts)
+        if parts.clock() - claimed_at_s <= LET_GO_WITHIN_S:
+            await _let_go(task, stopped.unwrap().replicas, record, parts)
         return Err(f"choose: {chosen.unwrap_err()}")
     target = chosen.unwrap()
     record = record._replace(
@@ -109,7 +120,7 @@
     )
     written = await advance(parts.store, task.service, record)
     if written.is_err():
-        await _let_go(task, stopped.unwrap().replicas, record, parts)
+        # Whoever claimed meanwhile may rely on what is held.
         return Err(f"choose: {written.unwrap_err()}")
     log_event(
         "succession.chosen",
@@ -122,6 +133,46 @@
     return await _promote(task, record, target, parts)
 
 
+async def release_held(
+    task: Task, server: BackendServer, parts: ReplaceParts
+) -> Result[None, str]:
+    """Let a replica receive again that was made to stop for nothing.
+
+    An order to stop may be carried out late, and a coordinator may die behind
+    giving it.
+    """
+    claimed = await _claim(task, parts)
+    if claimed.is_err():
+        return Err(claimed.unwrap_err())
+    record = claimed.unwrap()
+    if record.phase is Phase.CHOSEN:
+        return Err("a promotion may still be carried out")
+    leads = None
+    if task.old_leader is not None:
+        leads = await parts.orders.give(task.old_leader, CommandKind.STATUS)
+    if leads is not None and leads.leads:
+        await parts.orders.give(server, CommandKind.LET_GO)
+    ended = await advance(parts.store, task.service, record._replace(phase=Phase.ENDED))
+    return ended.map_err(str)
+
+
+async def _claim(task: Task, parts: ReplaceParts) -> Result[SuccessionRecord, str]:
+    claimed = await claim(
+        parts.store,
+        task.service,
+        parts.holder,
+        task.claim_id,
+        task.old_leader_id,
+        task.may_override,
+    )
+    if claimed.is_ok():
+        return Ok(claimed.unwrap())
+    failure = claimed.unwrap_err()
+    if isinstance(failure, ClaimedByOther):
+        parts.saw_claim(task.service, failure.claim_id)
+    return Err(f"claim: {failure}")
+
+
 def _find(
     members: list[BackendServer], record: SuccessionRecord
 ) -> BackendServer | None:
@@ -170,7 +221,6 @@
             stopped = Member(primary, status)
     again = await parts.members(task.service)
     if again is None:
-        await parts.orders.give_all(replicas, CommandKind.LET_GO)
         return Err("stop: the store gave no list")
     known = {server.id for server in members}
     joined = [s for s in again if s.id not in known and s.id != task.old_leader_id]
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,8 +8,8 @@
 
 import pytest
 import trio
-import trio.testing
 
+from jumping import run_jumping
 from rattanhollow.configuration import Consistency, Route
 from rattanhollow.coordination import Position
 from rattanhollow.platform import read_server
@@ -205,7 +205,7 @@
             await scenario(Bench(nursery, script))
             nursery.cancel_scope.cancel()
 
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    run_jumping(main)
 
 
 async def done(server: str, work: Work) -> Done:
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 import trio
-import trio.testing
 
+from jumping import run_jumping
 from rattanhollow.coordination import Position
 from rattanhollow.serving import (
     BackendServer,
@@ -76,7 +76,7 @@
             await scenario(Stage(nursery, connections))
             nursery.cancel_scope.cancel()
 
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    run_jumping(main)
 
 
 def work(kind: WorkKind = WorkKind.READ, **changes: Any) -> Work:
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -12,9 +12,9 @@
 
 import pytest
 import trio
-import trio.testing
 from result import Err, Ok, Result
 
+from jumping import run_jumping
 from rattanhollow.coordination import Position
 from rattanhollow.platform import parse_status
 from rattanhollow.serving import (
@@ -35,6 +35,7 @@
     Task,
     choose,
     claim,
+    release_held,
     replace_primary,
 )
 from rattanhollow_standins.platform import DatabaseServer, ServiceGroup, memory_end
@@ -75,6 +76,7 @@
         self.known = list(self.databases)
         self._served: dict[str, Served] = {}
         self._claims = itertools.count(1)
+        self.claims_seen: list[str] = []
 
     def parts(
         self, holder: str = "h", covers: Callable[..., bool] = lambda s, t: True
@@ -87,20 +89,31 @@
             holder=holder,
             covers=covers,
             members=self._members,
+            saw_claim=lambda service, claim_id: self.claims_seen.append(claim_id),
+            clock=trio.current_time,
         )
 
     async def replace(
         self, reachable: bool = True, **options: Any
     ) -> Result[BackendServer, str]:
-        """Replace the first database as the primary."""
-        task = Task(
+        """Replace the first database; a claim that stands still is taken over."""
+        replaced = await replace_primary(self.task(reachable), self.parts(**options))
+        if replaced.is_err() and self.claims_seen:
+            await trio.sleep(2.5)
+            task = self.task(reachable)
+            replaced = await replace_primary(task, self.parts(**options))
+        return replaced
+
+    def task(self, reachable: bool = True) -> Task:
+        """Return the task of replacing the first database."""
+        return Task(
             service=SERVICE,
             copies=1,
             old_leader=server(self.databases[0]),
             reachable=reachable,
             claim_id=f"c{next(self._claims)}",
+            may_override=self.claims_seen[-1] if self.claims_seen else "",
         )
-        return await replace_primary(task, self.parts(**options))
 
     async def commit(self, count: int = 1) -> None:
         """Commit at whoever leads, if it is acknowledged in time."""
@@ -132,7 +145,7 @@
         return Err("no answer")
 
 
-def on_stage(scenario: Callable[[Theatre], Awaitable[Any]]) -> None:
+def on_stage(scenario: Callable[[Theatre], Awaitable[Any]], seed: int = 0) -> None:
     """Run a scenario in time that jumps; nothing acknowledged may be lost."""
 
     async def main() -> None:
@@ -143,7 +156,7 @@
             assert not theatre.group.lost
             nursery.cancel_scope.cancel()
 
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    run_jumping(main, seed)
 
 
 def test_a_leaving_primary_hands_over() -> None:
@@ -301,15 +314,70 @@
     on_stage(scenario)
 
 
+def test_a_second_coordinator_leaves_nobody_held() -> None:
+    """A replica held by both is free again behind the one promotion."""
+
+    async def scenario(theatre: Theatre) -> None:
+        theatre.databases[0].draining = True
+        first = await claim(theatre.store, SERVICE, "a", "lost", "i-0")
+        assert first.is_ok()
+        for database in theatre.databases[1:]:
+            theatre.group.hold(database, theatre.group.term + 1)
+        replaced = await theatre.replace(holder="b")
+        assert replaced.is_ok()
+        assert not any(database.held_term for database in theatre.databases)
+
+    on_stage(scenario)
+
+
+def test_a_coordinator_that_lost_its_claim_lets_nobody_go() -> None:
+    """Whoever claimed meanwhile relies on what is held."""
+
+    async def scenario(theatre: Theatre) -> None:
+        members = theatre._members
+
+        async def read_members(service: str) -> list[BackendServer]:
+            stored = (await theatre.store.get("successions", SERVICE)).ok()
+            assert stored is not None
+            spec = {**stored.spec, "claim_id": "other", "holder": "b"}
+            await theatre.store.put("successions", SERVICE, spec, stored.version)
+            return await members(service)
+
+        theatre._members = read_members  # type: ignore[method-assign]
+        assert (await replace_primary(theatre.task(), theatre.parts())).is_err()
+        assert all(database.held_term for database in theatre.databases[1:])
+
+    on_stage(scenario)
+
+
+def test_a_replica_held_for_nothing_is_released() -> None:
+    """By a claim, while the primary leads; never while a promotion is pending."""
+
+    async def scenario(theatre: Theatre) -> None:
+        held = theatre.databases[1]
+        theatre.group.hold(held, theatre.group.term + 1)
+        released = await release_held(theatre.task(), server(held), theatre.parts())
+        assert released.is_ok() and not held.held_term
+        theatre.group.hold(held, theatre.group.term + 1)
+        stored = (await theatre.store.get("successions", SERVICE)).ok()
+        assert stored is not None
+        spec = {**stored.spec, "phase": "chosen", "claim_id": "x"}
+        await theatre.store.put("successions", SERVICE, spec, stored.version)
+        refused = await release_held(theatre.task(), server(held), theatre.parts())
+        assert refused.is_err() and held.held_term
+
+    on_stage(scenario)
+
+
 def test_an_answer_of_the_store_that_is_lost_costs_no_second_claim() -> None:
     """A coordinator recognises its own claim."""
 
     async def scenario(theatre: Theatre) -> None:
         theatre.table.faults.lose_answers = 1
         claimed = await claim(theatre.store, SERVICE, "h", "c", "i-0")
-        assert claimed.ok().record.token == 1
+        assert claimed.ok().token == 1
         again = await claim(theatre.store, SERVICE, "h", "c", "i-0")
-        assert again.ok().record.token == 1
+        assert again.ok().token == 1
 
     on_stage(scenario)
 
@@ -328,7 +396,7 @@
     on_stage(scenario)
 
 
-@pytest.mark.parametrize("seed", range(40))
+@pytest.mark.parametrize("seed", range(100))
 def test_no_schedule_of_faults_loses_a_commit(seed: int) -> None:
     """Random deaths, silence, late orders and coordinators, commits meanwhile."""
     rng = random.Random(seed)
@@ -378,6 +446,13 @@
                 theatre.promotions.late_s = 0.0
 
         async def coordinate(holder: str) -> None:
+            seen = ("", 0.0)
+
+            def saw_claim(service: str, claim_id: str) -> None:
+                nonlocal seen
+                if seen[0] != claim_id:
+                    seen = (claim_id, trio.current_time())
+
             for number in range(6):
                 await trio.sleep(rng.uniform(0.2, 2))
                 leader = theatre.group.leader or theatre.databases[0]
@@ -387,9 +462,11 @@
                     old_leader=server(leader),
                     reachable=not leader.dark,
                     claim_id=f"{holder}{number}",
+                    may_override=seen[0] if trio.current_time() - seen[1] > 2.5 else "",
                 )
+                parts = theatre.parts(holder)._replace(saw_claim=saw_claim)
                 with trio.move_on_after(rng.choice([0.1, 0.5, 2, 9])):
-                    await replace_primary(task, theatre.parts(holder))
+                    await replace_primary(task, parts)
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(write)
@@ -397,7 +474,7 @@
             for holder in ("a", "b"):
                 nursery.start_soon(coordinate, holder)
 
-    on_stage(scenario)
+    on_stage(scenario, seed)
 
 
 def status(term: int, offset: int, held: int, leads: bool = False) -> ServerStatus:
@@ -433,13 +510,15 @@
     """The next claim knows whom the platform may still promote."""
 
     async def scenario(theatre: Theatre) -> None:
-        first = (await claim(theatre.store, SERVICE, "a", "c1", "i-0")).ok().record
+        first = (await claim(theatre.store, SERVICE, "a", "c1", "i-0")).ok()
         chosen = first._replace(phase=Phase.CHOSEN, target="i-1", target_born_ms=1)
         stored = (await theatre.store.get("successions", SERVICE)).ok()
         assert stored is not None
         spec = {**stored.spec, "phase": "chosen", "target": "i-1", "target_born_ms": 1}
         await theatre.store.put("successions", SERVICE, spec, stored.version)
-        second = (await claim(theatre.store, SERVICE, "b", "c2", "i-0")).ok().record
+        refused = await claim(theatre.store, SERVICE, "b", "c2", "i-0")
+        assert refused.err().claim_id == "c1"
+        second = (await claim(theatre.store, SERVICE, "b", "c2", "i-0", "c1")).ok()
         assert isinstance(second, SuccessionRecord)
         assert (second.token, second.target) == (first.token + 1, chosen.target)
 
