--- a/src/rattanhollow/platform/_caller.py
+++ b/src/rattanhollow/platform/_caller.py
@@ -25,6 +25,8 @@
 )
 
 RECEIVE_BYTES = 16_384
+# A request that crossed the farewell arrives within a round trip.
+LINGER_S = 0.15
 LOST = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 _CODES = {
@@ -89,6 +91,22 @@
         """Send an error that ends the session; False where the caller is gone."""
         return await self._send(_error(refused))
 
+    async def dismiss(self, refused: Refused) -> None:
+        """Send an error to a caller that waits for nothing, and say goodbye.
+
+        What still arrives is read and dropped: closing a connection with unread
+        bytes would reset it, and the error with it.
+        """
+        if not await self._send(_error(refused)):
+            return
+        with trio.move_on_after(LINGER_S):
+            try:
+                await self._stream.send_eof()
+                while await self._stream.receive_some(RECEIVE_BYTES):
+                    pass
+            except LOST:
+                return
+
     async def close(self) -> None:
         """Close at once."""
         await trio.aclose_forcefully(self._stream)
--- a/src/rattanhollow/session/_end.py
+++ b/src/rattanhollow/session/_end.py
@@ -48,6 +48,12 @@
     async def refuse(self, refused: Refused) -> bool:
         """Send an error behind which the connection is closed."""
 
+    async def dismiss(self, refused: Refused) -> None:
+        """Send an error to a caller that waits for nothing, and say goodbye.
+
+        A request that crosses the error is not run: the error answers it.
+        """
+
     async def close(self) -> None:
         """Close at once."""
 
--- a/src/rattanhollow/session/_serve.py
+++ b/src/rattanhollow/session/_serve.py
@@ -84,7 +84,9 @@
         received = None
         with trio.CancelScope() as session.waiting:
             received = await connection.receive()
-        if received is None or isinstance(received, Farewell):
+        if received is None:
+            break
+        if isinstance(received, Farewell):
             return
         session.busy = True
         if not isinstance(received, Request):
@@ -103,6 +105,8 @@
             if not await connection.answer(answer, session.state):
                 return
         session.busy = False
+    session.abandon()
+    await connection.dismiss(session.farewell())
 
 
 def _log_refusal(request: Request, answer: Answer, session: Session) -> None:
--- a/src/rattanhollow/session/_session.py
+++ b/src/rattanhollow/session/_session.py
@@ -31,6 +31,10 @@
 )
 
 
+# Another host takes the caller at once.
+LEAVING_RETRY_MS = 1
+
+
 class SessionParts(NamedTuple):
     """What a session needs of the rest of the host.
 
@@ -100,6 +104,12 @@
         self.closing = True
         self.waiting.cancel()
 
+    def farewell(self) -> Refused:
+        """Return what a caller is told whose session the host ends."""
+        if not self.may_go_on():
+            return Refused(Reason.NO_KEY)
+        return Refused(Reason.BUSY, "the host is leaving", LEAVING_RETRY_MS)
+
     def may_go_on(self) -> bool:
         """Whether the caller's key still is one of its organisation."""
         if not self._key_digest:
--- a/src/rattanhollow_standins/platform/_client.py
+++ b/src/rattanhollow_standins/platform/_client.py
@@ -16,7 +16,7 @@
 
 
 class Closed(Exception):
-    """The connection ended before the answer did."""
+    """The connection ended before the answer did; the text holds its last error."""
 
 
 class LineClient:
@@ -25,6 +25,7 @@
     def __init__(self, stream: trio.abc.Stream) -> None:
         self.stream = stream
         self.waiting = False
+        self._last_error = ""
         self._pending = b""
         self._count = 0
 
@@ -72,9 +73,11 @@
             except trio.BrokenResourceError as error:
                 raise Closed(str(error)) from error
             if not data:
-                raise Closed("ended")
+                raise Closed(f"ended: {self._last_error}")
             self._pending += data
         line, _, self._pending = self._pending.partition(b"\r\n")
+        if line.startswith(b"ERROR"):
+            self._last_error = line.decode()
         return line.decode()
 
     async def close(self) -> None:
