--- a/src/rattanhollow/session/_session.py
+++ b/src/rattanhollow/session/_session.py
@@ -30,7 +30,6 @@
     Write,
 )
 
-
 # Another host takes the caller at once.
 LEAVING_RETRY_MS = 1
 
