--- a/src/rattanhollow/cli/_main.py
+++ b/src/rattanhollow/cli/_main.py
@@ -65,6 +65,18 @@
     raise cappa.Exit(code=run_demo(command.without, command.hold, command.seed))
 
 
+def _explain(command: "ExplainCommand") -> None:
+    from rattanhollow.cli._explain import explain_request
+
+    explain_request(command.request, command.logs)
+
+
+def _host(command: "HostCommand") -> None:
+    from rattanhollow.host import run_host
+
+    run_host(command.settings)
+
+
 @cappa.command(name="proxy", invoke=_proxy)
 @dataclass
 class ProxyCommand:
@@ -141,6 +153,25 @@
     seed: Annotated[int, cappa.Arg(long="--seed")] = 1
 
 
+@cappa.command(name="explain", invoke=_explain)
+@dataclass
+class ExplainCommand:
+    """Tell one request's way through the hosts, and why it failed, from their logs."""
+
+    request: Annotated[str, cappa.Arg(help="The request's identifier.")]
+    logs: Annotated[
+        list[Path], cappa.Arg(help="Log files; standard input without any.")
+    ] = field(default_factory=list)
+
+
+@cappa.command(name="host", invoke=_host)
+@dataclass
+class HostCommand:
+    """Run a host that speaks lines until SIGTERM, then drain it."""
+
+    settings: SettingsFile
+
+
 @cappa.command(name="rattanhollow")
 @dataclass
 class Program:
@@ -155,6 +186,8 @@
         | KeysCommand
         | StandInCommand
         | DemoCommand
+        | ExplainCommand
+        | HostCommand
     ]
 
 
--- a/src/rattanhollow/coordination/__init__.py
+++ b/src/rattanhollow/coordination/__init__.py
@@ -28,7 +28,6 @@
 from rattanhollow.coordination._rendezvous import ranked
 from rattanhollow.coordination._shares import Holding, Share, ShareOwner
 from rattanhollow.coordination._suspicion import Vote, agreed
-from rattanhollow.coordination._token_bucket import TokenBucket
 from rattanhollow.coordination._token_pool import (
     DEPOSIT_S,
     KEPT_PART,
@@ -42,6 +41,7 @@
     kept_part,
     shard_of,
 )
+from rattanhollow.flow import TokenBucket
 
 __all__ = [
     "DEPOSIT_S",
--- a/src/rattanhollow/coordination/_token_pool.py
+++ b/src/rattanhollow/coordination/_token_pool.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from rattanhollow.coordination._token_bucket import TokenBucket
+from rattanhollow.flow import TokenBucket
 
 # A deposit is renewed several times before it ends. While it lasts behind its
 # broker's death, hosts have only what they kept.
--- /dev/null
+++ b/src/rattanhollow/flow/__init__.py
@@ -0,0 +1,5 @@
+"""Bounding how often something happens."""
+
+from rattanhollow.flow._token_bucket import TokenBucket
+
+__all__ = ["TokenBucket"]
--- a/src/rattanhollow/host/_answer_peers.py
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -4,13 +4,13 @@
 
 from rattanhollow.membership import Gossip, HostRecord, NeighbourWatch
 from rattanhollow.peer import (
+    CopyNews,
     CopyQuestion,
     DepositQuestion,
     HostAnswer,
     HostQuestion,
     LeaderNews,
     Message,
-    Pong,
     PoolQuestion,
     ReachAnswer,
     ReachQuestion,
@@ -44,13 +44,16 @@
         return parts.rates.answer_deposit(question)
     if isinstance(question, CopyQuestion):
         return parts.gossip.answer(question)
+    if isinstance(question, CopyNews):
+        parts.gossip.take(question)
+        return None
     if isinstance(question, ReachQuestion):
         served = parts.serving.serve(question.server)
         reaches = served is not None and await served.reaches()
         return ReachAnswer(reaches, own.zone)
     if isinstance(question, LeaderNews):
         parts.directory.saw_leader(question.service, question.server)
-        return Pong()
+        return None
     if isinstance(question, HostQuestion):
         is_other = question.host != own.name
         return HostAnswer(is_other and parts.neighbours.finds_silent(question))
--- a/src/rattanhollow/host/_platform.py
+++ b/src/rattanhollow/host/_platform.py
@@ -3,19 +3,25 @@
 from rattanhollow import platform
 from rattanhollow.host._ends import Ends
 from rattanhollow.net import HttpClient
+from rattanhollow.observe import Meter, kinds
 from rattanhollow.settings import LineHostSettings
 
 
-def platform_ends(settings: LineHostSettings) -> Ends:
-    """Return the protocols of the users' platform."""
+def platform_ends(settings: LineHostSettings, meter: Meter | None = None) -> Ends:
+    """Return the protocols of the users' platform; ``meter`` counts the calls."""
     address = settings.place.address
     upstreams = settings.upstreams
     store = HttpClient(address, *upstreams.store)
     promotion = HttpClient(address, *(upstreams.promotion or upstreams.store))
+    counting = meter if meter is not None else Meter()
+
+    def called(call: str, outcome: str) -> None:
+        counting.count(kinds.STORE_CALLS, call, outcome)
+
     return Ends(
         caller=platform.LineCaller,
         backend=platform.line_backend(address),
-        store=platform.object_store(store),
+        store=platform.object_store(store, called),
         promote=platform.promotion_call(promotion),
         read_routes=platform.read_routes,
         read_server=platform.read_server,
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -2,6 +2,7 @@
 
 import random
 import secrets
+import time
 from functools import partial
 
 import trio
@@ -26,7 +27,7 @@
     serve_http,
     tune_socket,
 )
-from rattanhollow.observe import log_event, log_failure
+from rattanhollow.observe import Meter, kinds, log_event, log_failure
 from rattanhollow.peer import Message, Peers, new_peer_keys
 from rattanhollow.rates import PooledRateParts, PooledRates
 from rattanhollow.routing import (
@@ -57,7 +58,11 @@
     """A running host; built by `build_host`."""
 
     def __init__(
-        self, settings: LineHostSettings, ends: Ends, rng: random.Random
+        self,
+        settings: LineHostSettings,
+        ends: Ends,
+        rng: random.Random,
+        meter: Meter,
     ) -> None:
         place = settings.place
         self.settings = settings
@@ -66,6 +71,7 @@
         self.sessions = Sessions()
         self.hosts = HostDirectory(lambda: None)
         self.directory = ServerDirectory(ends.read_server, now_s)
+        self.meter = meter
         self._ends = ends
         self._rng = rng
         self._incarnation = secrets.token_hex(4)
@@ -90,6 +96,7 @@
             self._connections_of,
             lambda: self.routes.transaction_idle_ms,
             now_s,
+            meter,
         )
         places = Places(place.zone, place.regions)
         self.agents = Agents(
@@ -105,6 +112,7 @@
                 clock=now_s,
                 settle_s=settings.rate_settle_ms / 1000,
                 slack=settings.rate_slack,
+                meter=meter,
             )
         )
         self._places = places
@@ -131,15 +139,19 @@
         )
         self.gossip = Gossip(self._followers, self._own, self.hosts, self.peers, rng)
         self._stopped = trio.Event()
+        self._serve_gauges()
 
     async def run(self) -> None:
         """Serve until cancelled, or until `stop` is through."""
         settings = self.settings
         readiness = await listen_at(*settings.listen.readiness)
+        address = settings.place.address
+        metrics = await listen_at(address, settings.listen.metrics_port)
         async with trio.open_nursery() as nursery:
             for follower in self._followers:
-                nursery.start_soon(follow, self._ends.store, follower, self._rng)
+                nursery.start_soon(self._follow, follower)
             nursery.start_soon(serve_http, readiness, self._answer_readiness)
+            nursery.start_soon(serve_http, metrics, self._answer_metrics)
             nursery.start_soon(self.peers.run, settings.listen.peer_port)
             nursery.start_soon(self.registration.run)
             nursery.start_soon(self._neighbours.run)
@@ -159,6 +171,16 @@
             await self._stopped.wait()
             nursery.cancel_scope.cancel()
 
+    def take_settings(self, settings: LineHostSettings) -> None:
+        """Take settings that were read anew; addresses need a new start."""
+        changed = [
+            name
+            for name in settings._fields
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        self.settings = settings
+        log_event("host.reloaded", changed=",".join(changed))
+
     async def stop(self) -> None:
         """Leave without cutting a request, within the time of the settings."""
         self.ready = False
@@ -167,6 +189,11 @@
         log_event("host.stopped", host=self.settings.place.name)
         self._stopped.set()
 
+    async def _follow(self, follower: Follower) -> None:
+        gossip = self.gossip
+        store = self._ends.store
+        await follow(store, follower, self._rng, gossip.is_relay, gossip.pass_on)
+
     async def _poll(self) -> None:
         """Read now and then what a watch that hears nothing would miss.
 
@@ -198,10 +225,14 @@
                 clock=now_s,
                 nursery=nursery,
                 name=self._incarnation,
+                meter=self.meter,
             )
         )
         session = SessionParts(lambda: self.routes, self.rates.admit, router, now_s)
-        return ServeParts(session, self.sessions, lambda: self.routes.version > 0)
+        return ServeParts(session, self.sessions, self._may_serve, self.meter)
+
+    def _may_serve(self) -> bool:
+        return self.routes.version > 0
 
     async def _serve_caller(self, parts: ServeParts, stream: trio.SocketStream) -> None:
         tune_socket(stream, CALLER_KEEPALIVE)
@@ -262,6 +293,23 @@
             return HttpReply(404)
         return HttpReply(200 if self.ready else 503)
 
+    def _answer_metrics(self, method: str, path: str) -> HttpReply:
+        if path != self._ends.metrics_path:
+            return HttpReply(404)
+        return HttpReply(200, self.meter.exposition())
+
+    def _serve_gauges(self) -> None:
+        """Serve what is known of the host's state whenever somebody asks."""
+        gauge = self.meter.gauge
+        gauge(kinds.CONFIGURATION_VERSION, lambda: self.routes.version)
+        gauge(kinds.SESSIONS, lambda: len(self.sessions))
+        gauge(kinds.HOSTS, lambda: len(self.hosts.all()))
+        gauge(kinds.STORE_SILENT_S, self._store_silent_s)
+
+    def _store_silent_s(self) -> float:
+        heard_at_s = max(follower.heard_at_s for follower in self._followers)
+        return time.monotonic() - heard_at_s
+
     async def _answer_peer(self, question: Message) -> Message | None:
         parts = Answerers(
             self.serving, self._neighbours, self.rates, self.gossip, self.directory
@@ -269,6 +317,12 @@
         return await answer_peer(question, self._own(), parts)
 
 
-def build_host(settings: LineHostSettings, ends: Ends, seed: int | None = None) -> Host:
+def build_host(
+    settings: LineHostSettings,
+    ends: Ends,
+    seed: int | None = None,
+    meter: Meter | None = None,
+) -> Host:
     """Return a host built from ``settings``, over the protocols of ``ends``."""
-    return Host(settings, ends, random.Random(seed))
+    counting = meter if meter is not None else Meter()
+    return Host(settings, ends, random.Random(seed), counting)
--- a/src/rattanhollow/host/_watch_primaries.py
+++ b/src/rattanhollow/host/_watch_primaries.py
@@ -23,7 +23,6 @@
 from rattanhollow.succession import Guardian, GuardianParts, Orders, ReplaceParts
 
 REACH_TIMEOUT_MS = 1_500
-NEWS_TIMEOUT_MS = 500
 ASKED_IN_A_ZONE = 2
 
 
@@ -196,4 +195,4 @@
     async with trio.open_nursery() as nursery:
         for record in parts.hosts.all():
             if record.name != parts.own().name:
-                nursery.start_soon(parts.peers.ask, record.peer, news, NEWS_TIMEOUT_MS)
+                nursery.start_soon(parts.peers.tell, record.peer, news)
--- a/src/rattanhollow/membership/_gossip.py
+++ b/src/rattanhollow/membership/_gossip.py
@@ -1,7 +1,9 @@
-"""Comparing followed copies with other hosts.
+"""Passing followed copies on from host to host.
 
-A host that the store turns away, or whose watch has gone silent, hears of changes
-from hosts that the store still serves.
+A few hosts of each availability zone watch the store and tell the others of
+their zone. All hosts compare copies with one of the few now and then: so a host
+hears of changes that the store turns away, whose watch has gone silent, or whose
+relays died.
 """
 
 import hashlib
@@ -11,8 +13,16 @@
 import trio
 
 from rattanhollow.membership._hosts import HostDirectory, HostRecord
+from rattanhollow.membership._relays import relays_of
 from rattanhollow.observe import log_event
-from rattanhollow.peer import Copy, CopyAnswer, CopyQuestion, CopyState, Peers
+from rattanhollow.peer import (
+    Copy,
+    CopyAnswer,
+    CopyNews,
+    CopyQuestion,
+    CopyState,
+    Peers,
+)
 from rattanhollow.store import Follower, Listing, Stored
 
 # With the few rounds that news needs to reach every host, within seconds.
@@ -21,7 +31,7 @@
 
 
 class Gossip:
-    """Asks one other host after another whether it knows anything newer."""
+    """Compares followed copies with other hosts, and passes them on."""
 
     def __init__(
         self,
@@ -36,15 +46,38 @@
         self._hosts = hosts
         self._peers = peers
         self._rng = rng
+        self._nursery: trio.Nursery | None = None
+
+    def is_relay(self) -> bool:
+        """Whether this host watches the store for others of its zone."""
+        own = self._own()
+        names = [record.name for record in relays_of(own.zone, self._reached())]
+        return own.name in names
 
     async def run(self) -> None:
-        """Ask until cancelled."""
-        while True:
-            await trio.sleep(INTERVAL_S * self._rng.uniform(0.8, 1.2))
-            others = [h for h in self._hosts.all() if h.name != self._own().name]
-            reached = [h for h in others if not self._peers.is_dark(h.peer)]
-            if reached:
-                await self._ask(self._rng.choice(reached))
+        """Compare until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            while True:
+                await trio.sleep(INTERVAL_S * self._rng.uniform(0.8, 1.2))
+                partners = self._partners()
+                if partners:
+                    await self._ask(self._rng.choice(partners))
+
+    def pass_on(self, follower: Follower) -> None:
+        """Tell the hosts of this zone of a copy that the store has changed."""
+        own = self._own()
+        if self._nursery is None or not self.is_relay():
+            return
+        news = CopyNews((_copy(follower),))
+        for record in self._reached():
+            if record.zone == own.zone and record.name != own.name:
+                self._nursery.start_soon(self._peers.tell, record.peer, news)
+
+    def take(self, news: CopyNews) -> None:
+        """Take what another host tells."""
+        for copy in news.copies:
+            self._take(copy, "")
 
     def answer(self, question: CopyQuestion) -> CopyAnswer:
         """Return the copies that are newer here."""
@@ -53,17 +86,29 @@
             follower = self._followers.get(state.kind)
             if follower is None or follower.version <= state.version:
                 continue
-            if digest_of_copy(follower) == state.digest:
-                continue
-            newer.append(
-                Copy(
-                    state.kind,
-                    follower.version,
-                    tuple((i.name, i.version, i.spec) for i in follower.items.values()),
-                )
-            )
+            if digest_of_copy(follower) != state.digest:
+                newer.append(_copy(follower))
         return CopyAnswer(tuple(newer))
 
+    def _reached(self) -> list[HostRecord]:
+        """Return this host and those that are not known to be dark."""
+        own = self._own()
+        others = [h for h in self._hosts.staying() if h.name != own.name]
+        return [own, *(h for h in others if not self._peers.is_dark(h.peer))]
+
+    def _partners(self) -> list[HostRecord]:
+        """Return the relays of all zones, those of this zone twice."""
+        own = self._own()
+        by_zone: dict[str, list[HostRecord]] = {}
+        for record in self._reached():
+            by_zone.setdefault(record.zone, []).append(record)
+        chosen = [
+            record
+            for zone, records in by_zone.items()
+            for record in relays_of(zone, records) * (2 if zone == own.zone else 1)
+        ]
+        return [record for record in chosen if record.name != own.name]
+
     async def _ask(self, record: HostRecord) -> None:
         states = tuple(
             CopyState(follower.kind, follower.version, digest_of_copy(follower))
@@ -71,19 +116,18 @@
         )
         asked = await self._peers.ask(record.peer, CopyQuestion(states), ASK_TIMEOUT_MS)
         answer = asked.ok()
-        if not isinstance(answer, CopyAnswer):
-            return
-        for copy in answer.copies:
-            self._take(copy, record)
+        if isinstance(answer, CopyAnswer):
+            for copy in answer.copies:
+                self._take(copy, record.name)
 
-    def _take(self, copy: Copy, record: HostRecord) -> None:
+    def _take(self, copy: Copy, host: str) -> None:
         follower = self._followers.get(copy.kind)
         if follower is None or copy.version <= follower.version:
             return
         log_event(
             "copy.from_host",
             kind=copy.kind,
-            host=record.name,
+            host=host,
             version=copy.version,
             known_version=follower.version,
         )
@@ -91,6 +135,11 @@
         follower.take_copy(Listing(copy.version, items))
 
 
+def _copy(follower: Follower) -> Copy:
+    items = tuple((i.name, i.version, i.spec) for i in follower.items.values())
+    return Copy(follower.kind, follower.version, items)
+
+
 def digest_of_copy(follower: Follower) -> int:
     """Return what two copies with the same objects have in common."""
     names = sorted(f"{i.name}\0{i.version}" for i in follower.items.values())
--- a/src/rattanhollow/peer/_connection.py
+++ b/src/rattanhollow/peer/_connection.py
@@ -81,6 +81,13 @@
         """Give the link up."""
         self._scope.cancel()
 
+    async def tell(self, news: Message) -> None:
+        """Send something that needs no answer."""
+        if not self._connected.is_set() and not self.dark:
+            with trio.move_on_after(CONNECT_WAIT_S):
+                await self._connected.wait()
+        self._socket.send([encode(next(self._numbers), news)])
+
     async def ask(
         self, question: Message, timeout_ms: int
     ) -> Result[Message, AskFailure]:
--- a/src/rattanhollow/peer/_link.py
+++ b/src/rattanhollow/peer/_link.py
@@ -108,6 +108,11 @@
         link = self._link(peer, self._nursery)
         return await link.ask(question, timeout_ms)
 
+    async def tell(self, peer: PeerAddress, news: Message) -> None:
+        """Send something that needs no answer, if the host is connected soon."""
+        if self._nursery is not None:
+            await self._link(peer, self._nursery).tell(news)
+
     def is_dark(self, peer: PeerAddress) -> bool:
         """Whether a host that was asked lately leaves questions unanswered."""
         link = self._links.get(peer.name)
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -183,6 +183,12 @@
     copies: tuple[Copy, ...]
 
 
+class CopyNews(NamedTuple):
+    """Tells of copies that the store has changed."""
+
+    copies: tuple[Copy, ...]
+
+
 class ReachQuestion(NamedTuple):
     """Asks whether a host reaches a backend server."""
 
@@ -228,6 +234,7 @@
     | DepositAnswer
     | CopyQuestion
     | CopyAnswer
+    | CopyNews
     | ReachQuestion
     | ReachAnswer
     | LeaderNews
@@ -258,6 +265,7 @@
     "deposit": DepositAnswer,
     "copy?": CopyQuestion,
     "copy": CopyAnswer,
+    "news": CopyNews,
     "reach?": ReachQuestion,
     "reach": ReachAnswer,
     "leader": LeaderNews,
--- a/src/rattanhollow/platform/_objects.py
+++ b/src/rattanhollow/platform/_objects.py
@@ -1,6 +1,6 @@
 """The platform's object store, as the store that the product knows."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 from urllib.parse import quote
 
@@ -28,14 +28,18 @@
 _TROUBLES = {404: Trouble.NOT_FOUND, 409: Trouble.CONFLICT, 410: Trouble.GONE}
 
 
-def object_store(client: HttpClient) -> ObjectStore:
-    """Return the store that ``client`` calls."""
+def object_store(
+    client: HttpClient, called: Callable[[str, str], None] = lambda call, outcome: None
+) -> ObjectStore:
+    """Return the store that ``client`` calls; ``called`` hears of each call."""
 
     async def call(
         method: str, path: str, body: Any = None, timeout_s: float = CALL_TIMEOUT_S
     ) -> Result[Any, StoreFailure]:
         content = b"" if body is None else msgspec.json.encode(body)
         answered = await client.call(method, f"/objects/{path}", timeout_s, content)
+        name = "watch" if "?watch=" in path else method.lower()
+        called(name, "none" if answered.is_err() else str(answered.unwrap().status))
         if answered.is_err():
             return Err(StoreFailure(Trouble.UNREACHABLE, answered.unwrap_err()))
         return _decode(answered.unwrap())
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -23,6 +23,7 @@
     shard_of,
 )
 from rattanhollow.membership import HostDirectory, HostRecord
+from rattanhollow.observe import Meter, kinds
 from rattanhollow.peer import (
     DepositAnswer,
     DepositQuestion,
@@ -49,6 +50,8 @@
 # organisations down to what hosts keep for a while.
 LEAST_BROKERS = 3
 HOSTS_PER_BROKER = 32
+# How many times as many hosts may take a broker's place.
+BROKERS_SPARED = 3
 # How many operations may wait, in parts of what an equal share gives meanwhile:
 # some hosts get more than others.
 WAITING_PART = 2.0
@@ -74,6 +77,7 @@
     clock: Callable[[], float]
     settle_s: float
     slack: int
+    meter: Meter
 
 
 class Admission(NamedTuple):
@@ -159,6 +163,12 @@
 
     async def admit(self, organisation: str) -> Admission:
         """Count one operation; it may wait for its turn within the rate."""
+        admission = await self._admit(organisation)
+        outcome = "admitted" if admission.admitted else "over"
+        self._parts.meter.count(kinds.ADMISSIONS, organisation, outcome)
+        return admission
+
+    async def _admit(self, organisation: str) -> Admission:
         limits = self._parts.organisations().get(organisation)
         if limits is None or not limits.rate_per_s:
             return Admission(limits is not None)
@@ -233,7 +243,9 @@
             if self._parts.clock() < self._counted_at_s:
                 continue
             own_name = self._parts.own().name
-            others = [h for h in self._parts.hosts.all() if h.name != own_name]
+            records = {h.name: h for h in self._parts.hosts.all()}
+            possible = _possible_brokers(list(records))
+            others = [records[name] for name in possible if name != own_name]
             async with trio.open_nursery() as nursery:
                 for record in others:
                     if record.name not in heard:
@@ -315,12 +327,14 @@
         now_s = self._parts.clock()
         wants: dict[str, list[TokenWant]] = defaultdict(list)
         shards: dict[str, list[int]] = defaultdict(list)
-        names = sorted(
-            record.name
-            for record in self._parts.hosts.staying()
-            if not self._parts.peers.is_dark(record.peer)
-        )
-        brokers = _brokers(names)
+        records = {record.name: record for record in self._parts.hosts.all()}
+        names = [
+            name
+            for name in _possible_brokers(list(records))
+            if not records[name].leaving
+            and not self._parts.peers.is_dark(records[name].peer)
+        ]
+        brokers = _brokers(names, len(records))
         if regular:
             for shard, broker in brokers.items():
                 if broker not in self._stamps:
@@ -399,10 +413,19 @@
             self._urgent.set()
 
 
-def _brokers(names: list[str]) -> dict[int, str]:
-    """Return the broker of each shard, out of the hosts that answer."""
+def _possible_brokers(names: list[str]) -> list[str]:
+    """Return the hosts that may be brokers where others don't answer."""
+    at_most = BROKERS_SPARED * _broker_count(len(names))
+    return ranked("rates", names)[:at_most]
+
+
+def _broker_count(hosts: int) -> int:
+    return LEAST_BROKERS + hosts // HOSTS_PER_BROKER
+
+
+def _brokers(names: list[str], hosts: int) -> dict[int, str]:
+    """Return the broker of each shard, out of the possible ones that answer."""
     if not names:
         return dict.fromkeys(range(SHARDS), "")
-    count = LEAST_BROKERS + len(names) // HOSTS_PER_BROKER
-    chosen = ranked("rates", names)[:count]
+    chosen = names[: _broker_count(hosts)]
     return {shard: ranked(f"rates-{shard}", chosen)[0] for shard in range(SHARDS)}
--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -8,7 +8,7 @@
 
 from rattanhollow.configuration import Consistency, Route
 from rattanhollow.coordination import Position
-from rattanhollow.observe import log_event
+from rattanhollow.observe import Meter, kinds, log_event
 from rattanhollow.routing._agents import Agents, Ran
 from rattanhollow.routing._directory import ServerDirectory
 from rattanhollow.routing._floors import Floors
@@ -57,6 +57,7 @@
     clock: Callable[[], float]
     nursery: trio.Nursery
     name: str
+    meter: Meter
 
 
 class Demand(NamedTuple):
@@ -200,6 +201,9 @@
             ran = await self._attempt(demand, server, scope, floor, budget_ms)
             done = last = ran.done
             if done.fate is Fate.DONE:
+                leader = self._parts.directory.leader(server.service)
+                leads = leader is not None and leader.id == server.id
+                self._parts.meter.count(kinds.READS, "primary" if leads else "replica")
                 placement = Placement(server, ran.host, ran.transaction)
                 return Outcome(_completed(done), placement, None, done.open)
             if not _may_repeat(done, repeatable=True):
@@ -226,6 +230,9 @@
         )
         ran = await self._parts.agents.run(server, work)
         self._learn(server, ran.done, asked_at_s)
+        done = ran.done
+        reason = done.reason.name if done.reason else done.obstacle.name
+        self._parts.meter.count(kinds.ATTEMPTS, done.fate.name, reason)
         if ran.done.fate is not Fate.DONE:
             log_event(
                 "attempt.failed",
@@ -235,7 +242,7 @@
                 host=ran.host,
                 scope=scope.value,
                 fate=ran.done.fate.value,
-                reason=ran.done.reason.name if ran.done.reason else "-",
+                reason=ran.done.reason.name if ran.done.reason else "",
                 obstacle=ran.done.obstacle.value,
                 detail=ran.done.detail,
                 floor=floor,
--- a/src/rattanhollow/serving/_served.py
+++ b/src/rattanhollow/serving/_served.py
@@ -6,7 +6,7 @@
 import trio
 from result import Err, Result
 
-from rattanhollow.observe import log_event
+from rattanhollow.observe import Meter, kinds, log_event
 from rattanhollow.serving._connections import ConnectionPool, ServerConnection
 from rattanhollow.serving._end import (
     BackendEnd,
@@ -68,6 +68,7 @@
     end: BackendEnd
     nursery: trio.Nursery
     clock: Callable[[], float]
+    meter: Meter
 
 
 class _Ticket:
@@ -163,6 +164,22 @@
             if transaction is not None:
                 transaction.running = False
                 transaction.used_at_s = self._parts.clock()
+        # A log that is behind is a matter of milliseconds, and of most reads.
+        if done.fate is not Fate.DONE and done.reason is not Reason.BEHIND:
+            log_event(
+                "work.failed",
+                request=work.request_id,
+                server=self.server.id,
+                scope=work.scope.value,
+                fate=done.fate.value,
+                reason=done.reason.name if done.reason else "",
+                obstacle=done.obstacle.value,
+                detail=done.detail,
+                busy=self._slots.busy,
+                waiting=self._slots.waiting,
+                transactions=len(self._transactions),
+                budget_ms=work.budget_ms,
+            )
         return done._replace(wait_ms=self.wait_ms)
 
     @property
@@ -267,7 +284,12 @@
     async def _run(self, work: Work, transaction: _Transaction | None) -> Done:
         deadline_s = self._parts.clock() + work.budget_ms / 1000
         while True:
+            came_s = self._parts.clock()
+            estimate_ms = self._slots.wait_ms(work.priority)
             await self._take_slot(work, deadline_s)
+            waited_ms = (self._parts.clock() - came_s) * 1000
+            self._parts.meter.time(kinds.QUEUE_WAIT_MS, waited_ms, self.server.id)
+            self._parts.meter.time(kinds.QUEUE_ESTIMATE_MS, estimate_ms, self.server.id)
             if transaction is not None or self._can_lend():
                 break
             self._free_slot(None)
@@ -284,6 +306,7 @@
         finally:
             cost_ms = (self._parts.clock() - began_s) * 1000
             self._free_slot(cost_ms if replied else None)
+            self._parts.meter.time(kinds.SERVER_MS, cost_ms, self.server.id)
         return self._settle(work, connection, transaction, reply)
 
     async def _take_slot(self, work: Work, deadline_s: float) -> None:
@@ -369,6 +392,10 @@
         finally:
             if opened is None or opened.is_err():
                 self._pool.closed()
+        outcome = "no answer"
+        if opened is not None:
+            outcome = "opened" if opened.is_ok() else opened.unwrap_err().value
+        self._parts.meter.count(kinds.CONNECTIONS_OPENED, self.server.id, outcome)
         if opened is not None and opened.is_ok():
             self._heard_at_s = self._parts.clock()
             return ServerConnection(opened.unwrap(), organisation)
--- a/src/rattanhollow/serving/_serving.py
+++ b/src/rattanhollow/serving/_serving.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from rattanhollow.observe import Meter
 from rattanhollow.serving._end import BackendEnd, BackendServer
 from rattanhollow.serving._served import Served, ServingParts
 from rattanhollow.serving._work import (
@@ -38,6 +39,7 @@
         connections: Callable[[str], int],
         idle_ms: Callable[[], int],
         clock: Callable[[], float],
+        meter: Meter,
     ) -> None:
         self._end = end
         self._is_first = is_first
@@ -45,6 +47,7 @@
         self._connections = connections
         self._idle_ms = idle_ms
         self._clock = clock
+        self._meter = meter
         self._served: dict[str, Served] = {}
         self._nursery: trio.Nursery | None = None
 
@@ -108,7 +111,7 @@
             self._give_up(server_id)
         if known is None or self._nursery is None:
             return None
-        parts = ServingParts(self._end, self._nursery, self._clock)
+        parts = ServingParts(self._end, self._nursery, self._clock, self._meter)
         served = Served(known, self._connections(known.service), parts)
         self._served[server_id] = served
         self._nursery.start_soon(served.watch)
--- a/src/rattanhollow/session/_serve.py
+++ b/src/rattanhollow/session/_serve.py
@@ -6,7 +6,7 @@
 import trio
 
 from rattanhollow.configuration import digest_of
-from rattanhollow.observe import log_event
+from rattanhollow.observe import Meter, kinds, log_event
 from rattanhollow.session._end import (
     BadLine,
     CallerConnection,
@@ -26,6 +26,7 @@
     session: SessionParts
     sessions: Sessions
     may_serve: Callable[[], bool]
+    meter: Meter
 
 
 async def serve_caller(connection: CallerConnection, parts: ServeParts) -> None:
@@ -37,7 +38,7 @@
         session.mid_request = lambda: connection.mid_request
         number = parts.sessions.add(session)
         try:
-            await _serve(connection, session)
+            await _serve(connection, session, parts)
         finally:
             parts.sessions.remove(number)
             session.abandon()
@@ -57,6 +58,7 @@
         return None
     session = _admit(opening, parts)
     if isinstance(session, Refused):
+        parts.meter.count(kinds.SESSIONS_REFUSED, session.reason.name)
         log_event("session.refused", route=opening.route, reason=session.reason.name)
         await connection.refuse(session)
         return None
@@ -79,7 +81,9 @@
     return Session(opening.route, digest, owner, parts.session)
 
 
-async def _serve(connection: CallerConnection, session: Session) -> None:
+async def _serve(
+    connection: CallerConnection, session: Session, parts: ServeParts
+) -> None:
     while not (session.closing and idle(session)):
         received = None
         with trio.CancelScope() as session.waiting:
@@ -97,8 +101,10 @@
             if not await connection.answer(bad, session.state):
                 return
         else:
+            began_s = parts.session.clock()
             answer = await session.handle(received)
-            _log_refusal(received, answer, session)
+            took_ms = (parts.session.clock() - began_s) * 1000
+            _report(received, answer, session, took_ms, parts.meter)
             if isinstance(answer, Refused) and answer.ends:
                 await connection.refuse(answer)
                 return
@@ -109,18 +115,29 @@
     await connection.dismiss(session.farewell())
 
 
-def _log_refusal(request: Request, answer: Answer, session: Session) -> None:
-    if isinstance(answer, Refused):
-        log_event(
-            "request.refused",
-            request=request.id,
-            statement=type(request.statement).__name__,
-            organisation=session.organisation,
-            reason=answer.reason.name,
-            detail=answer.detail,
-            retry_after_ms=answer.retry_after_ms,
-            state=session.state.name,
-        )
+def _report(
+    request: Request, answer: Answer, session: Session, took_ms: float, meter: Meter
+) -> None:
+    """Log and count what became of a statement."""
+    outcome = answer.reason.name if isinstance(answer, Refused) else "DONE"
+    statement = type(request.statement).__name__
+    consistency = session.consistency
+    meter.count(kinds.REQUESTS, consistency, statement, outcome)
+    meter.time(kinds.REQUEST_MS, took_ms, consistency)
+    refused = isinstance(answer, Refused)
+    log_event(
+        "request.refused" if refused else "request.done",
+        request=request.id,
+        statement=statement,
+        organisation=session.organisation,
+        route=session.route_name,
+        reason=outcome,
+        detail=answer.detail if isinstance(answer, Refused) else "",
+        retry_after_ms=answer.retry_after_ms if isinstance(answer, Refused) else 0,
+        took_ms=round(took_ms, 1),
+        state=session.state.name,
+        **session.trace(),
+    )
 
 
 def idle(session: Session) -> bool:
--- a/src/rattanhollow/session/_session.py
+++ b/src/rattanhollow/session/_session.py
@@ -84,6 +84,7 @@
         self._read_only = False
         self._route: Route | None = None
         self._placement: Placement | None = None
+        self._server = self._host = ""
 
     @property
     def state(self) -> SessionState:
@@ -94,6 +95,26 @@
             return SessionState.FAILED
         return SessionState.OPEN
 
+    @property
+    def route_name(self) -> str:
+        """The name that the caller asked for."""
+        return self._route_name
+
+    @property
+    def consistency(self) -> str:
+        """What the session's route promises, as text."""
+        return self._route.consistency.value if self._route is not None else "none"
+
+    def trace(self) -> dict[str, object]:
+        """Return what decided about the last statement, for the log."""
+        placement = self._placement
+        return {
+            "configuration": self._parts.routes().version,
+            "floor": self._floor,
+            "server": placement.server.id if placement is not None else self._server,
+            "host": placement.host if placement is not None else self._host,
+        }
+
     def close_when_idle(self) -> None:
         """End the session once no request is under way.
 
@@ -237,6 +258,10 @@
 
     def _take(self, outcome: Outcome, work: Work) -> None:
         """Bring the session into the state behind a statement."""
+        self._server = self._host = ""
+        if outcome.placement is not None:
+            self._server = outcome.placement.server.id
+            self._host = outcome.placement.host
         if outcome.committed is not None:
             floor = self._floor or outcome.committed
             self._floor = max(floor, outcome.committed)
--- a/src/rattanhollow/store/_follow.py
+++ b/src/rattanhollow/store/_follow.py
@@ -18,13 +18,16 @@
 
 RETRY_LOW_S = 0.1
 RETRY_HIGH_S = 0.6
+# How often a host that needs not watch looks whether it has to.
+INACTIVE_LOOK_S = 0.5
+GATHER_S = 0.05
 
 
 class Follower:
     """The newest known objects of one kind; their versions never go back.
 
     ``heard_at_s`` is the monotonic time of the last sign of life. ``must_list``
-    where a watch can't go on from ``version``.
+    where a watch can't go on from ``version``. ``changes`` counts what changed.
     """
 
     def __init__(self, kind: str, on_change: Callable[[Stored | None, str], None]):
@@ -34,6 +37,7 @@
         self.heard_at_s = 0.0
         self.listed = trio.Event()
         self.must_list = True
+        self.changes = 0
         self._on_change = on_change
 
     def take_list(self, listing: Listing) -> None:
@@ -84,27 +88,46 @@
         if known is not None and known.version >= item.version:
             return
         self.items[item.name] = item
+        self.changes += 1
         self._on_change(item, item.name)
 
     def _forget(self, name: str) -> None:
         if self.items.pop(name, None) is not None:
+            self.changes += 1
             self._on_change(None, name)
 
     def _heard(self) -> None:
         self.heard_at_s = time.monotonic()
 
 
-async def follow(store: ObjectStore, follower: Follower, rng: random.Random) -> None:
+async def follow(
+    store: ObjectStore,
+    follower: Follower,
+    rng: random.Random,
+    active: Callable[[], bool] = lambda: True,
+    changed: Callable[[Follower], None] = lambda follower: None,
+) -> None:
     """List, then watch, then start again; runs until cancelled.
 
+    Where another host watches for this one, ``active()`` is False: then there is
+    one list at the start only. ``changed`` hears of what the store told.
     Pauses between failures are random, so that many hosts don't return to a
     recovered store at once.
     """
     pause_s = RETRY_LOW_S
     while True:
-        heard = await _list(store, follower) if follower.must_list else True
-        if not follower.must_list:
+        if follower.listed.is_set() and not active():
+            await trio.sleep(INACTIVE_LOOK_S)
+            continue
+        changes = follower.changes
+        if follower.must_list:
+            heard = await _list(store, follower)
+        else:
             heard = await _watch(store, follower)
+        if follower.changes != changes:
+            changed(follower)
+            # What changes together is heard of by one more call.
+            await trio.sleep(GATHER_S)
         if heard:
             pause_s = RETRY_LOW_S
             continue
@@ -124,17 +147,17 @@
 
 
 async def _watch(store: ObjectStore, follower: Follower) -> bool:
-    """Watch until a failure; whether the store was heard at all."""
+    """Watch until the watch ends; whether the store was heard at all."""
     heard = False
-    while True:
-        async for event in store.watch(follower.kind, follower.version):
-            if event.is_ok():
-                heard = True
-                follower.take_event(event.unwrap())
-                continue
-            failure = event.unwrap_err()
-            log_event("store.watch_failed", kind=follower.kind, reason=failure)
-            if failure.trouble is Trouble.GONE:
-                follower.must_list = True
-                return True
-            return heard
+    async for event in store.watch(follower.kind, follower.version):
+        if event.is_ok():
+            heard = True
+            follower.take_event(event.unwrap())
+            continue
+        failure = event.unwrap_err()
+        log_event("store.watch_failed", kind=follower.kind, reason=failure)
+        if failure.trouble is Trouble.GONE:
+            follower.must_list = True
+            return True
+        return heard
+    return heard
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -12,6 +12,7 @@
 from jumping import run_jumping
 from rattanhollow.configuration import Consistency, Route
 from rattanhollow.coordination import Position
+from rattanhollow.observe import Meter
 from rattanhollow.platform import read_server
 from rattanhollow.routing import (
     Demand,
@@ -159,6 +160,7 @@
                 clock=trio.current_time,
                 nursery=nursery,
                 name="host",
+                meter=Meter(),
             )
         )
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -11,6 +11,7 @@
 
 from jumping import run_jumping
 from rattanhollow.coordination import Position
+from rattanhollow.observe import Meter
 from rattanhollow.serving import (
     BackendServer,
     Done,
@@ -39,7 +40,10 @@
         self.group = ServiceGroup(SERVICE, self.databases, nursery)
         self.opened: list[MemoryConnection] = []
         self.parts = ServingParts(
-            memory_end([self.group], self.opened), nursery, trio.current_time
+            memory_end([self.group], self.opened),
+            nursery,
+            trio.current_time,
+            Meter(),
         )
         self.primary = self.serve(0, connections)
         self._nursery = nursery
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -16,6 +16,7 @@
 
 from jumping import run_jumping
 from rattanhollow.coordination import Position
+from rattanhollow.observe import Meter
 from rattanhollow.platform import parse_status
 from rattanhollow.serving import (
     BackendServer,
@@ -133,7 +134,7 @@
         served = self._served.get(target.id)
         if served is None:
             end = memory_end([self.group])
-            parts = ServingParts(end, self.nursery, trio.current_time)
+            parts = ServingParts(end, self.nursery, trio.current_time, Meter())
             served = self._served[target.id] = Served(target, 8, parts)
         return await served.command(command, timeout_s)
 
