A stopping host takes no new sessions before it takes its leave

Ruled out: a session that was closed while busy. Now the listener closes first, and what has just connected is served to its end. test_a_session_that_opens_at_the_last_moment_is_served fails without it.

--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -3,6 +3,7 @@
 import random
 import secrets
 import time
+from collections.abc import Awaitable, Callable
 from functools import partial
 
 import trio
@@ -11,7 +12,7 @@
 from rattanhollow.host._answer_peers import Answerers, answer_peer
 from rattanhollow.host._clock import now_s
 from rattanhollow.host._ends import Ends
-from rattanhollow.host._stop import stop_serving
+from rattanhollow.host._stop import Stopping, stop_serving
 from rattanhollow.host._watch_primaries import WatchedParts, build_guardian
 from rattanhollow.membership import (
     Gossip,
@@ -139,6 +140,8 @@
         )
         self.gossip = Gossip(self._followers, self._own, self.hosts, self.peers, rng)
         self._stopped = trio.Event()
+        self._accepting = trio.CancelScope()
+        self._connections = 0
         self._serve_gauges()
 
     async def run(self) -> None:
@@ -165,7 +168,7 @@
             callers = await listen_at(*settings.listen.callers)
             await self._configurations.listed.wait()
             await self._servers.listed.wait()
-            nursery.start_soon(trio.serve_listeners, serve, [callers])
+            nursery.start_soon(self._accept, serve, callers, nursery)
             self.ready = True
             log_event("host.ready", host=settings.place.name)
             await self._stopped.wait()
@@ -184,11 +187,27 @@
     async def stop(self) -> None:
         """Leave without cutting a request, within the time of the settings."""
         self.ready = False
-        stop_s = self.settings.stop_s
-        await stop_serving(self.sessions, self.serving, self.registration, stop_s)
+        parts = Stopping(
+            sessions=self.sessions,
+            serving=self.serving,
+            registration=self.registration,
+            connections=lambda: self._connections,
+            stop_accepting=self._accepting.cancel,
+        )
+        await stop_serving(parts, self.settings.stop_s)
         log_event("host.stopped", host=self.settings.place.name)
         self._stopped.set()
 
+    async def _accept(
+        self,
+        serve: Callable[[trio.SocketStream], Awaitable[None]],
+        listener: trio.SocketListener,
+        nursery: trio.Nursery,
+    ) -> None:
+        with self._accepting:
+            await trio.serve_listeners(serve, [listener], handler_nursery=nursery)
+        await listener.aclose()
+
     async def _follow(self, follower: Follower) -> None:
         gossip = self.gossip
         store = self._ends.store
@@ -236,11 +255,14 @@
 
     async def _serve_caller(self, parts: ServeParts, stream: trio.SocketStream) -> None:
         tune_socket(stream, CALLER_KEEPALIVE)
+        self._connections += 1
         try:
             await serve_caller(self._ends.caller(stream), parts)
         except Exception as error:
             # One session must not end the process.
             log_failure("session.failed", error)
+        finally:
+            self._connections -= 1
 
     async def _note_registration(self) -> None:
         await self.registration.written.wait()
--- a/src/rattanhollow/host/_stop.py
+++ b/src/rattanhollow/host/_stop.py
@@ -1,5 +1,8 @@
 """Leaving without cutting a request."""
 
+from collections.abc import Callable
+from typing import NamedTuple
+
 import trio
 
 from rattanhollow.membership import Registration
@@ -14,30 +17,53 @@
 FAREWELL_S = 0.5
 
 
-async def stop_serving(
-    sessions: Sessions,
-    serving: Serving,
-    registration: Registration,
-    within_s: float,
-) -> None:
-    """Close the sessions as they become idle; returns when none is left.
+class Stopping(NamedTuple):
+    """What leaving has to do with.
+
+    ``connections()`` counts callers' connections, those that just open included;
+    ``stop_accepting()`` takes no more of them.
+    """
+
+    sessions: Sessions
+    serving: Serving
+    registration: Registration
+    connections: Callable[[], int]
+    stop_accepting: Callable[[], None]
+
 
-    New ones are still served: the balancer learns late that this host leaves.
-    An open transaction has half of ``within_s`` to end. Work that other hosts
-    have under way here is waited for, too.
+async def stop_serving(parts: Stopping, within_s: float) -> None:
+    """Close the sessions as they become idle; returns when nothing is left to do.
+
+    New ones are served until the last has ended: the balancer learns late, or
+    not at all, that this host leaves. An open transaction has half of
+    ``within_s`` to end. Work that other hosts have under way here is waited for.
     """
     began_s = trio.current_time()
     with trio.move_on_after(within_s - FAREWELL_S):
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(registration.announce_leaving)
+            nursery.start_soon(parts.registration.announce_leaving)
             await trio.sleep(BALANCER_NOTICES_S)
-            while len(sessions) or not serving.idle:
-                late = trio.current_time() - began_s > within_s / 2
-                for session in sessions.all():
-                    in_transaction = session.state is not SessionState.IDLE
-                    if not in_transaction or (late and not session.busy):
-                        session.close_when_idle()
-                await trio.sleep(LOOK_INTERVAL_S)
+            late_at_s = began_s + within_s / 2
+            await _until(lambda: parts.connections() == 0, parts, late_at_s)
+            parts.stop_accepting()
+            await _until(lambda: _done(parts), parts, late_at_s)
             nursery.cancel_scope.cancel()
+    parts.stop_accepting()
     with trio.move_on_after(FAREWELL_S):
-        await registration.remove()
+        await parts.registration.remove()
+
+
+def _done(parts: Stopping) -> bool:
+    return parts.connections() == 0 and parts.serving.idle
+
+
+async def _until(
+    reached: Callable[[], bool], parts: Stopping, late_at_s: float
+) -> None:
+    while not reached():
+        late = trio.current_time() > late_at_s
+        for session in parts.sessions.all():
+            in_transaction = session.state is not SessionState.IDLE
+            if not in_transaction or (late and not session.busy):
+                session.close_when_idle()
+        await trio.sleep(LOOK_INTERVAL_S)
--- a/tests/test_line_cluster.py
+++ b/tests/test_line_cluster.py
@@ -301,6 +301,45 @@
     with_cluster(scenario)
 
 
+def test_a_session_that_opens_at_the_last_moment_is_served(with_cluster: Any) -> None:
+    """Callers that still come while the host takes its leave lose no request."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        cut = served = 0
+        gone = False
+        for server in cluster.group.servers.values():
+            server.work_s = 0.05
+        cluster.table.faults.delay_s = 0.1
+
+        async def come_and_ask() -> None:
+            nonlocal cut, served
+            try:
+                client, error = await cluster.client(0, "newest")
+            except (OSError, Closed):
+                return
+            if error:
+                return
+            try:
+                answer = await client.query("READ a")
+                served += not answer.error
+            except Closed as closed:
+                cut += "BUSY" not in str(closed)
+
+        async def stop() -> None:
+            nonlocal gone
+            await cluster.hosts[0].stop()
+            gone = True
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop)
+            while not gone:
+                nursery.start_soon(come_and_ask)
+                await trio.sleep(0.02)
+        assert served and not cut
+
+    with_cluster(scenario)
+
+
 def test_hosts_are_listed_once_each(with_cluster: Any) -> None:
     """A host that died is replaced by its next start under the same name."""
 
