--- a/src/rattanhollow/coordination/_token_pool.py
+++ b/src/rattanhollow/coordination/_token_pool.py
@@ -102,16 +102,28 @@
         self._clock = clock
         self._deposits: dict[int, dict[str, _Deposit]] = {}
         self._buckets: dict[str, TokenBucket] = {}
+        # Parts worked out, by burst, while a shard's deposits stay the same, and
+        # a time before which none of them ends.
+        self._parts: dict[int, dict[float, float]] = {}
+        self._lasting_until_s: dict[int, float] = {}
 
     def take_deposit(
         self, host: str, shard: int, base: float, stamped_at_s: float
-    ) -> None:
+    ) -> bool:
         """Take what a host doesn't keep of its own part ``base``.
 
-        It was sent after this broker's time ``stamped_at_s``.
+        It was sent after this broker's time ``stamped_at_s``. Returns whether
+        more, or less, is deposited than before.
         """
-        deposit = _Deposit(base, stamped_at_s + DEPOSIT_S)
-        self._deposits.setdefault(shard, {})[host] = deposit
+        deposits = self._deposits.setdefault(shard, {})
+        known = deposits.get(host)
+        deposit = deposits[host] = _Deposit(base, stamped_at_s + DEPOSIT_S)
+        lasting_until_s = self._lasting_until_s.get(shard, math.inf)
+        self._lasting_until_s[shard] = min(lasting_until_s, deposit.until_s)
+        if known is not None and known.base == base and known.until_s > self._clock():
+            return False
+        self._parts.pop(shard, None)
+        return True
 
     def holds_until_s(self, host: str) -> float:
         """Return until when tokens of a host's deposits may be handed out.
@@ -139,9 +151,22 @@
         self.grant(TokenWant(organisation, 0), rate_per_s, burst)
 
     def _part(self, shard: int, burst: float) -> float:
+        self._end_deposits(shard)
+        parts = self._parts.setdefault(shard, {})
+        if burst not in parts:
+            bases = [item.base for item in self._deposits.get(shard, {}).values()]
+            parts[burst] = sum(base * (1 - kept_part(burst, base)) for base in bases)
+        return parts[burst]
+
+    def _end_deposits(self, shard: int) -> None:
         now_s = self._clock()
-        deposits = self._deposits.get(shard, {})
-        for host in [h for h, item in deposits.items() if item.until_s <= now_s]:
+        if now_s < self._lasting_until_s.get(shard, math.inf):
+            return
+        deposits = self._deposits[shard]
+        ended = [host for host, item in deposits.items() if item.until_s <= now_s]
+        for host in ended:
             del deposits[host]
-        bases = [item.base for item in deposits.values()]
-        return sum(base * (1 - kept_part(burst, base)) for base in bases)
+        if ended:
+            self._parts.pop(shard, None)
+        ends = [item.until_s for item in deposits.values()]
+        self._lasting_until_s[shard] = min(ends, default=math.inf)
--- a/src/rattanhollow/host/_answer_peers.py
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -7,6 +7,7 @@
     CopyNews,
     CopyQuestion,
     DepositQuestion,
+    FloorQuestion,
     HostAnswer,
     HostQuestion,
     LeaderNews,
@@ -16,7 +17,7 @@
     ReachQuestion,
 )
 from rattanhollow.rates import PooledRates
-from rattanhollow.routing import ServerDirectory
+from rattanhollow.routing import Floors, ServerDirectory
 from rattanhollow.serving import ProofQuestion, Serving, Work
 
 
@@ -28,6 +29,7 @@
     rates: PooledRates
     gossip: Gossip
     directory: ServerDirectory
+    floors: Floors
 
 
 async def answer_peer(
@@ -38,6 +40,8 @@
         return await parts.serving.work(question)
     if isinstance(question, ProofQuestion):
         return await parts.serving.prove(question.server)
+    if isinstance(question, FloorQuestion):
+        return await parts.floors.answer(question.service)
     if isinstance(question, PoolQuestion):
         return parts.rates.answer(question)
     if isinstance(question, DepositQuestion):
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -9,6 +9,7 @@
 import trio
 
 from rattanhollow.configuration import NO_ROUTES, RouteTable
+from rattanhollow.coordination import ranked
 from rattanhollow.host._answer_peers import Answerers, answer_peer
 from rattanhollow.host._clock import now_s
 from rattanhollow.host._ends import Ends
@@ -29,7 +30,13 @@
     tune_socket,
 )
 from rattanhollow.observe import Meter, kinds, log_event, log_failure
-from rattanhollow.peer import Message, Peers, new_peer_keys
+from rattanhollow.peer import (
+    FloorAnswer,
+    FloorQuestion,
+    Message,
+    Peers,
+    new_peer_keys,
+)
 from rattanhollow.rates import PooledRateParts, PooledRates
 from rattanhollow.routing import (
     AgentParts,
@@ -53,6 +60,8 @@
 # How often the fleet reads the store beside its watches. With a round or two of
 # gossip, a change is in force within a third of the time that operators allow.
 POLL_INTERVAL_S = 1.5
+# A host nearby asks the primary across regions, at worst; then this one does.
+NEARBY_TIMEOUT_MS = 300
 
 
 class Host:
@@ -103,7 +112,7 @@
         self.agents = Agents(
             AgentParts(self._own, self.hosts, self.peers, self.serving, places)
         )
-        self.floors = Floors(self._prove, now_s)
+        self.floors = Floors(self._prove, now_s, self._ask_nearby)
         self.rates = PooledRates(
             PooledRateParts(
                 organisations=lambda: self.routes.organisations,
@@ -111,6 +120,7 @@
                 hosts=self.hosts,
                 peers=self.peers,
                 clock=now_s,
+                region_of=places.region,
                 settle_s=settings.rate_settle_ms / 1000,
                 slack=settings.rate_slack,
                 meter=meter,
@@ -286,6 +296,24 @@
             self.directory.saw_no_leader(leader.id)
         return answer
 
+    async def _ask_nearby(self, service: str) -> FloorAnswer | None:
+        """Ask the host that asks the service's primary for all of this region."""
+        own = self._own()
+        region = self._places.region(own.zone)
+        nearby = {
+            record.name: record
+            for record in self.hosts.staying()
+            if self._places.region(record.zone) == region
+            and not self.peers.is_dark(record.peer)
+        }
+        asking = ranked(f"floors-{service}", {*nearby, own.name})[0]
+        if asking == own.name:
+            return None
+        question = FloorQuestion(service)
+        asked = await self.peers.ask(nearby[asking].peer, question, NEARBY_TIMEOUT_MS)
+        answer = asked.ok()
+        return answer if isinstance(answer, FloorAnswer) else None
+
     def _take_routes(self, stored: Stored | None, name: str) -> None:
         if name != self._ends.configuration_name:
             return
@@ -334,7 +362,12 @@
 
     async def _answer_peer(self, question: Message) -> Message | None:
         parts = Answerers(
-            self.serving, self._neighbours, self.rates, self.gossip, self.directory
+            self.serving,
+            self._neighbours,
+            self.rates,
+            self.gossip,
+            self.directory,
+            self.floors,
         )
         return await answer_peer(question, self._own(), parts)
 
--- a/src/rattanhollow/membership/_gossip.py
+++ b/src/rattanhollow/membership/_gossip.py
@@ -28,6 +28,9 @@
 # With the few rounds that news needs to reach every host, within seconds.
 INTERVAL_S = 0.7
 ASK_TIMEOUT_MS = 400
+# How often a host that is no relay asks beyond its zone, whose relays may all
+# be turned away.
+ELSEWHERE_PART = 0.2
 
 
 class Gossip:
@@ -97,15 +100,21 @@
         return [own, *(h for h in others if not self._peers.is_dark(h.peer))]
 
     def _partners(self) -> list[HostRecord]:
-        """Return the relays of all zones, those of this zone twice."""
+        """Return whom to ask: relays of all zones ask one another.
+
+        All others ask those of their own zone, which are near: what a relay
+        hears from elsewhere it passes on.
+        """
         own = self._own()
         by_zone: dict[str, list[HostRecord]] = {}
         for record in self._reached():
             by_zone.setdefault(record.zone, []).append(record)
+        elsewhere = self.is_relay() or self._rng.random() < ELSEWHERE_PART
         chosen = [
             record
             for zone, records in by_zone.items()
-            for record in relays_of(zone, records) * (2 if zone == own.zone else 1)
+            for record in relays_of(zone, records)
+            if zone == own.zone or elsewhere
         ]
         return [record for record in chosen if record.name != own.name]
 
@@ -133,6 +142,8 @@
         )
         items = [Stored(copy.kind, *item) for item in copy.items]
         follower.take_copy(Listing(copy.version, items))
+        if host:
+            self.pass_on(follower)
 
 
 def _copy(follower: Follower) -> Copy:
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-from rattanhollow.coordination import GroupState, Stamp, TokenGrant, TokenWant
+from rattanhollow.coordination import (
+    GroupState,
+    Position,
+    Stamp,
+    TokenGrant,
+    TokenWant,
+)
 from rattanhollow.serving import Done, ProofAnswer, ProofQuestion, Work
 
 PROTOCOL_VERSION = 2
@@ -202,6 +208,19 @@
     zone: str
 
 
+class FloorQuestion(NamedTuple):
+    """Asks how far the log of a service's primary reached lately."""
+
+    service: str
+
+
+class FloorAnswer(NamedTuple):
+    """``position`` was proven at most ``age_ms`` before the answer; None: unknown."""
+
+    position: Position | None
+    age_ms: int = 0
+
+
 class LeaderNews(NamedTuple):
     """Tells that a backend server leads its service."""
 
@@ -237,6 +256,8 @@
     | CopyNews
     | ReachQuestion
     | ReachAnswer
+    | FloorQuestion
+    | FloorAnswer
     | LeaderNews
 )
 
@@ -268,6 +289,8 @@
     "news": CopyNews,
     "reach?": ReachQuestion,
     "reach": ReachAnswer,
+    "floor?": FloorQuestion,
+    "floor": FloorAnswer,
     "leader": LeaderNews,
 }
 _NAMES = {record: name for name, record in MESSAGE_TYPES.items()}
--- a/src/rattanhollow/rates/__init__.py
+++ b/src/rattanhollow/rates/__init__.py
@@ -1,6 +1,15 @@
 """The rate and burst of each organisation, kept over the whole fleet."""
 
+from rattanhollow.rates._brokers import brokers_by_region, possible_brokers
 from rattanhollow.rates._pooled import Admission, PooledRateParts, PooledRates
 from rattanhollow.rates._rates import RateParts, Rates
 
-__all__ = ["Admission", "PooledRateParts", "PooledRates", "RateParts", "Rates"]
+__all__ = [
+    "Admission",
+    "PooledRateParts",
+    "PooledRates",
+    "RateParts",
+    "Rates",
+    "brokers_by_region",
+    "possible_brokers",
+]
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -10,7 +10,6 @@
 from rattanhollow.configuration import Organisation
 from rattanhollow.coordination import (
     DEPOSIT_S,
-    SHARDS,
     TOKEN_S,
     Depositor,
     Stamp,
@@ -19,7 +18,6 @@
     TokenGrant,
     TokenWant,
     kept_part,
-    ranked,
     shard_of,
 )
 from rattanhollow.membership import HostDirectory, HostRecord
@@ -31,6 +29,11 @@
     PoolAnswer,
     PoolQuestion,
 )
+from rattanhollow.rates._brokers import (
+    Brokers,
+    brokers_by_region,
+    possible_brokers,
+)
 
 # Deposits last for several of these.
 ASK_INTERVAL_S = 0.5
@@ -46,12 +49,6 @@
 # The part of the allowed slack that all hosts together begin with; the rest is
 # for tokens that were fetched before a window and used in it.
 STARTING_PART = 0.75
-# Each host asks all brokers, so that few cost less; the death of one takes its
-# organisations down to what hosts keep for a while.
-LEAST_BROKERS = 3
-HOSTS_PER_BROKER = 32
-# How many times as many hosts may take a broker's place.
-BROKERS_SPARED = 3
 # How many operations may wait, in parts of what an equal share gives meanwhile:
 # some hosts get more than others.
 WAITING_PART = 2.0
@@ -66,6 +63,7 @@
 class PooledRateParts(NamedTuple):
     """What the limits need of the rest of the host; ``clock`` never stops.
 
+    ``region_of(zone)`` gives an availability zone's region.
     ``settle_s`` is how long a host that has just registered is not yet counted
     by all others, ``slack`` how many operations may go above rate and burst.
     """
@@ -75,6 +73,7 @@
     hosts: HostDirectory
     peers: Peers
     clock: Callable[[], float]
+    region_of: Callable[[str], str]
     settle_s: float
     slack: int
     meter: Meter
@@ -112,6 +111,8 @@
         self.waiters: deque[_Waiter] = deque()
         self.dry_until_s = -math.inf
         self.wait_ms = 0
+        # How many regions had too few tokens for those that wait now.
+        self.regions_tried = 0
         self.asked = 0
         self.demand_per_s = 0.0
         self._tokens: deque[_Tokens] = deque()
@@ -242,10 +243,12 @@
             await trio.sleep(LOOK_INTERVAL_S)
             if self._parts.clock() < self._counted_at_s:
                 continue
-            own_name = self._parts.own().name
+            own = self._parts.own()
             records = {h.name: h for h in self._parts.hosts.all()}
-            possible = _possible_brokers(list(records))
-            others = [records[name] for name in possible if name != own_name]
+            regions = self._names_by_region()
+            nearby = regions.get(self._parts.region_of(own.zone), [])
+            possible = possible_brokers(nearby, len(regions))
+            others = [records[name] for name in possible if name != own.name]
             async with trio.open_nursery() as nursery:
                 for record in others:
                     if record.name not in heard:
@@ -263,15 +266,18 @@
     def answer(self, question: PoolQuestion) -> PoolAnswer:
         """Take deposits of another host, and grant it tokens."""
         own = self._parts.own().incarnation
+        organisations = self._parts.organisations()
         if question.stamp.broker == own:
-            for shard in question.shards:
-                self._broker.take_deposit(
+            changed = {
+                shard
+                for shard in question.shards
+                if self._broker.take_deposit(
                     question.host, shard, question.base, question.stamp.at_s
                 )
-        organisations = self._parts.organisations()
-        for name, limits in organisations.items():
-            if shard_of(name) in question.shards:
-                self._broker.refresh(name, limits.rate_per_s, limits.burst)
+            }
+            for name, limits in organisations.items():
+                if shard_of(name) in changed:
+                    self._broker.refresh(name, limits.rate_per_s, limits.burst)
         grants = []
         for want in question.wants:
             known = organisations.get(want.organisation)
@@ -327,16 +333,11 @@
         now_s = self._parts.clock()
         wants: dict[str, list[TokenWant]] = defaultdict(list)
         shards: dict[str, list[int]] = defaultdict(list)
-        records = {record.name: record for record in self._parts.hosts.all()}
-        names = [
-            name
-            for name in _possible_brokers(list(records))
-            if not records[name].leaving
-            and not self._parts.peers.is_dark(records[name].peer)
-        ]
-        brokers = _brokers(names, len(records))
+        regions = self._brokers()
+        if not regions:
+            return
         if regular:
-            for shard, broker in brokers.items():
+            for shard, broker in regions[0].items():
                 if broker not in self._stamps:
                     # It would ignore a deposit; its answer has the first stamp.
                     shards.setdefault(broker, [])
@@ -345,6 +346,7 @@
         for name, local in self._local.items():
             tokens = self._wanted(local, now_s, regular)
             if tokens:
+                brokers = regions[local.regions_tried % len(regions)]
                 wants[brokers[shard_of(name)]].append(TokenWant(name, tokens))
         assert self._nursery is not None
         for broker in {*shards, *wants}:
@@ -356,6 +358,23 @@
                 self._ask, broker, tuple(shards[broker]), tuple(wants[broker])
             )
 
+    def _names_by_region(self) -> dict[str, list[str]]:
+        names: dict[str, list[str]] = defaultdict(list)
+        for record in self._parts.hosts.all():
+            names[self._parts.region_of(record.zone)].append(record.name)
+        return names
+
+    def _brokers(self) -> list[Brokers]:
+        """Return the brokers of all regions, those of this host's region first."""
+        own_region = self._parts.region_of(self._parts.own().zone)
+        return brokers_by_region(own_region, self._names_by_region(), self._answers)
+
+    def _answers(self, name: str) -> bool:
+        record = self._parts.hosts.find(name)
+        if record is None or record.leaving:
+            return False
+        return not self._parts.peers.is_dark(record.peer)
+
     def _wanted(self, local: _Local, now_s: float, regular: bool) -> int:
         tokens = len(local.waiters)
         ahead = local.demand_per_s * ASK_INTERVAL_S
@@ -384,6 +403,8 @@
         finally:
             self._asking.discard(broker)
         if not isinstance(answer, PoolAnswer):
+            for want in wants:
+                self._try_next_region(want.organisation)
             return
         known = self._stamps.get(broker)
         self._stamps[broker] = answer.stamp
@@ -394,38 +415,37 @@
         for grant in answer.grants:
             self._take_grant(grant, wanted.get(grant.organisation, 0), asked_at_s)
 
+    def _try_next_region(self, organisation: str) -> bool:
+        """Ask elsewhere for what is missing; False where all were asked lately."""
+        local = self._local.get(organisation)
+        if local is None or not local.waiters:
+            return True
+        dry = self._parts.clock() < local.dry_until_s
+        local.regions_tried += 1
+        if dry or local.regions_tried >= len(self._names_by_region()):
+            local.regions_tried = 0
+            return False
+        self._urgent.set()
+        return True
+
     def _take_grant(self, grant: TokenGrant, wanted: int, asked_at_s: float) -> None:
         local = self._local.get(grant.organisation)
         if local is None:
             return
         now_s = self._parts.clock()
         local.add(grant.tokens, asked_at_s + TOKEN_S)
-        if grant.tokens < wanted:
-            local.dry_until_s = now_s + DRY_S
-            local.wait_ms = min(RETRY_AT_MOST_MS, grant.wait_ms)
         while local.waiters and local.take(now_s):
             local.waiters.popleft().decide(admitted=True)
+        if grant.tokens >= wanted:
+            local.regions_tried = 0
+        elif self._try_next_region(grant.organisation):
+            return
+        else:
+            local.dry_until_s = now_s + DRY_S
+            local.wait_ms = min(RETRY_AT_MOST_MS, grant.wait_ms)
         own_ms = local.bucket.wait_for_token_s() * 1000
         if local.waiters and min(own_ms, grant.wait_ms) > WAIT_AT_MOST_S * 1000:
             while local.waiters:
                 local.waiters.popleft().decide(admitted=False)
         if local.waiters:
             self._urgent.set()
-
-
-def _possible_brokers(names: list[str]) -> list[str]:
-    """Return the hosts that may be brokers where others don't answer."""
-    at_most = BROKERS_SPARED * _broker_count(len(names))
-    return ranked("rates", names)[:at_most]
-
-
-def _broker_count(hosts: int) -> int:
-    return LEAST_BROKERS + hosts // HOSTS_PER_BROKER
-
-
-def _brokers(names: list[str], hosts: int) -> dict[int, str]:
-    """Return the broker of each shard, out of the possible ones that answer."""
-    if not names:
-        return dict.fromkeys(range(SHARDS), "")
-    chosen = names[: _broker_count(hosts)]
-    return {shard: ranked(f"rates-{shard}", chosen)[0] for shard in range(SHARDS)}
--- a/src/rattanhollow/routing/_places.py
+++ b/src/rattanhollow/routing/_places.py
@@ -13,6 +13,10 @@
     zone: str
     region_of: dict[str, str]
 
+    def region(self, zone: str) -> str:
+        """Return the region of a zone; one that isn't known is a region of its own."""
+        return self.region_of.get(zone, zone)
+
     def distance(self, one: str, other: str) -> int:
         """Return 0 within a zone, 1 within a region, 2 otherwise."""
         if one == other:
--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -264,17 +264,25 @@
         service = demand.route.service
         known = self._parts.floors.known(service, now_s - age_s)
         if known is None:
-            answer = await self._parts.floors.newest(service)
-            while answer.is_err():
-                if self._budget_ms(demand) < LEAST_ATTEMPT_MS:
-                    return None
-                await trio.sleep(RETRY_PAUSE_S)
-                answer = await self._parts.floors.newest(service)
-            known = answer.unwrap()
+            known = await self._proven_since(demand, now_s - age_s)
+            if known is None:
+                return None
         elif self._parts.floors.known(service, now_s - age_s * RENEW_AT_PART) is None:
             self._renew(service)
         return max(known, demand.floor) if demand.floor is not None else known
 
+    async def _proven_since(self, demand: Demand, since_s: float) -> Position | None:
+        service, floors = demand.route.service, self._parts.floors
+        await floors.renew(service)
+        known = floors.known(service, since_s)
+        while known is None and self._budget_ms(demand) >= LEAST_ATTEMPT_MS:
+            answer = await floors.newest(service)
+            if answer.is_ok():
+                return answer.unwrap()
+            await trio.sleep(RETRY_PAUSE_S)
+            known = floors.known(service, since_s)
+        return known
+
     def _renew(self, service: str) -> None:
         if service in self._renewing:
             return
@@ -283,7 +291,7 @@
 
     async def _renew_now(self, service: str) -> None:
         try:
-            await self._parts.floors.newest(service)
+            await self._parts.floors.renew(service)
         finally:
             self._renewing.discard(service)
 
--- a/src/rattanhollow/succession/_replace.py
+++ b/src/rattanhollow/succession/_replace.py
@@ -103,6 +103,10 @@
         status = await parts.orders.give(earlier, CommandKind.STATUS)
         if status is not None and status.leads:
             return await _end(task, record, earlier, parts)
+    if task.old_leader is None:
+        leading = await _find_leading(members, parts)
+        if leading is not None:
+            return await _end(task, record, leading, parts)
     stopped = await _stop(task, members, parts)
     if stopped.is_err():
         return Err(stopped.unwrap_err())
@@ -185,6 +189,23 @@
     return None
 
 
+async def _find_leading(
+    members: list[BackendServer], parts: ReplaceParts
+) -> BackendServer | None:
+    """Return the server that leads the newest term, where all had lost sight of it.
+
+    It may have been deposed and not know: whoever writes there learns that.
+    """
+    statuses = await parts.orders.give_all(members, CommandKind.STATUS)
+    answered = {name: s for name, s in statuses.items() if s is not None}
+    newest = max((status.term for status in answered.values()), default=0)
+    for server in members:
+        status = answered.get(server.id)
+        if status is not None and status.leads and status.term >= newest:
+            return server
+    return None
+
+
 def _logs(stopped: Stopped) -> list[str]:
     members = list(stopped.replicas)
     if stopped.primary is not None:
--- a/src/rattanhollow_standins/platform/_group.py
+++ b/src/rattanhollow_standins/platform/_group.py
@@ -9,6 +9,10 @@
 NET_S = 0.001
 
 
+class Unanswered(Exception):
+    """The connection stays open and says nothing any more."""
+
+
 class Entry(NamedTuple):
     """One committed write."""
 
@@ -19,7 +23,10 @@
 
 
 class Run(NamedTuple):
-    """A statement that a server ran, with what it was told of the session."""
+    """A statement that a server ran, with what it was told of the session.
+
+    ``at_s`` is trio's time.
+    """
 
     request_id: str
     text: str
@@ -27,6 +34,7 @@
     values: dict[str, str]
     in_transaction: bool
     position: Position
+    at_s: float
 
 
 class DatabaseServer:
@@ -223,15 +231,20 @@
         self._writes: list[Entry] = []
 
     async def query(self, request_id: str, text: str) -> list[str]:
-        """Run one statement and return the lines of its answer."""
+        """Run one statement and return the lines of its answer.
+
+        Raises:
+            Unanswered: it gets no answer, and nor does what follows.
+
+        """
         if self.server.dark:
-            await trio.sleep_forever()
+            raise Unanswered
         lines = await self._run(request_id, text)
         if self.server.dark:
-            await trio.sleep_forever()
+            raise Unanswered
         if self.server.lose_answers and request_id != "-":
             self.server.lose_answers -= 1
-            await trio.sleep_forever()
+            raise Unanswered
         end = self.server.end if self.server.leads else self.server.applied_end
         return [*lines, f"READY {self.state} {end.term}.{end.offset}"]
 
@@ -273,7 +286,7 @@
         late_s = self.server.late_orders_s
         if late_s and word != "STATUS":
             self.group._nursery.start_soon(self._later, late_s, word, rest)
-            await trio.sleep_forever()
+            raise Unanswered
         self._carry_out(word, rest)
         server = self.server
         role = "primary" if server.leads else "replica"
@@ -319,7 +332,8 @@
         deposed = plain and (not self.server.leads or self._term != self.group.term)
         if deposed and not (kind == "COMMIT" and not self._writes):
             return self._error("READONLY")
-        if kind == "WRITE" and (self._read_only or not self.server.leads):
+        read_only = self.state == "T" and self._read_only
+        if kind == "WRITE" and (read_only or not self.server.leads):
             return self._error("READONLY")
         async with self.server.slots:
             busy = int(self.server.slots.borrowed_tokens)
@@ -333,7 +347,13 @@
         server = self.server
         inside = self.state == "T"
         run = Run(
-            request_id, text, self.who, dict(self.values), inside, server.applied_end
+            request_id,
+            text,
+            self.who,
+            dict(self.values),
+            inside,
+            server.applied_end,
+            trio.current_time(),
         )
         server.runs.append(run)
         proof = f"COMPLETE {server.id}.{request_id}"
--- a/src/rattanhollow_standins/platform/_memory.py
+++ b/src/rattanhollow_standins/platform/_memory.py
@@ -13,7 +13,11 @@
     OpenFailure,
     Reply,
 )
-from rattanhollow_standins.platform._group import ServerSession, ServiceGroup
+from rattanhollow_standins.platform._group import (
+    ServerSession,
+    ServiceGroup,
+    Unanswered,
+)
 
 
 class MemoryConnection:
@@ -53,10 +57,7 @@
                 if self.silent:
                     await trio.sleep_forever()
                 for command in commands:
-                    text = encode_command(command).decode().removesuffix("\r\n")
-                    _, request_id, statement = text.split(" ", 2)
-                    lines = await self.session.query(request_id, statement)
-                    replies.append(parse_lines(lines))
+                    replies.append(await self._answer(command))
         except trio.Cancelled:
             self.abort()
             raise
@@ -64,6 +65,15 @@
             return Err(Lost("closed while waiting"))
         return Ok(replies)
 
+    async def _answer(self, command: Command) -> Reply:
+        text = encode_command(command).decode().removesuffix("\r\n")
+        _, request_id, statement = text.split(" ", 2)
+        try:
+            return parse_lines(await self.session.query(request_id, statement))
+        except Unanswered:
+            await trio.sleep_forever()
+            raise
+
 
 def memory_end(
     groups: list[ServiceGroup], opened: list[MemoryConnection] | None = None
--- a/src/rattanhollow_standins/platform/_serve.py
+++ b/src/rattanhollow_standins/platform/_serve.py
@@ -11,9 +11,11 @@
     DatabaseServer,
     ServerSession,
     ServiceGroup,
+    Unanswered,
 )
 
 RECEIVE_BYTES = 65_536
+DARK_LOOK_S = 0.05
 
 
 async def serve_database(
@@ -39,11 +41,24 @@
         await _converse(group, server, stream)
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         return
+    except Unanswered:
+        await _stay_silent(server, stream)
     finally:
         server.connections -= 1
         await trio.aclose_forcefully(stream)
 
 
+async def _stay_silent(server: DatabaseServer, stream: trio.SocketStream) -> None:
+    """Say nothing until the other end closes; a dark server notices that late."""
+    while server.dark:
+        await trio.sleep(DARK_LOOK_S)
+    try:
+        while await stream.receive_some(RECEIVE_BYTES):
+            pass
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        return
+
+
 async def _converse(
     group: ServiceGroup, server: DatabaseServer, stream: trio.SocketStream
 ) -> None:
@@ -59,7 +74,7 @@
         fields = line.decode().split(" ", 2)
         if session is None:
             if server.dark:
-                await trio.sleep_forever()
+                raise Unanswered
             _, service, who = fields
             who, _, expected = who.partition(" ")
             error = ""
--- /dev/null
+++ b/src/rattanhollow_standins/soak/__main__.py
@@ -0,0 +1,48 @@
+"""Runs soaks: ``python -m rattanhollow_standins.soak --seeds 50 --jobs 4``."""
+
+import argparse
+import random
+import sys
+from concurrent.futures import ProcessPoolExecutor
+
+from rattanhollow_standins.soak._run import SoakReport, soak
+
+FIRST_NET = 40
+
+
+def main() -> int:
+    """Run the soaks asked for; 1 where a promise was broken."""
+    parser = argparse.ArgumentParser(prog="soak", description=__doc__)
+    parser.add_argument("--seeds", type=int, default=10, help="how many")
+    parser.add_argument("--first", type=int, help="the first seed; fresh ones without")
+    parser.add_argument("--jobs", type=int, default=3, help="at a time")
+    arguments = parser.parse_args()
+    first = arguments.first
+    if first is None:
+        first = random.SystemRandom().randrange(1_000_000)
+    seeds = range(first, first + arguments.seeds)
+    nets = [FIRST_NET + n % 60 for n in range(len(seeds))]
+    failed = 0
+    with ProcessPoolExecutor(arguments.jobs) as pool:
+        for report in pool.map(soak, seeds, nets):
+            failed += bool(report.broken)
+            print(describe(report), flush=True)
+    print(f"{len(seeds) - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+def describe(report: SoakReport) -> str:
+    """Return what became of one soak; where a promise broke, all about it."""
+    lines = [
+        f"seed={report.seed} answered={report.answered} refused={report.refused}"
+        f" promotions={report.promotions} broken={len(report.broken)}"
+    ]
+    if report.broken:
+        lines += [f"  {text}" for text in report.broken[:20]]
+        lines += [f"  at {text}" for text in report.notes]
+        lines.append(f"  logs: {report.folder}")
+    return "\n".join(lines)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/rattanhollow_standins/soak/_fleet.py
@@ -0,0 +1,230 @@
+"""The fleet of a soak: stand-ins of the platform here, hosts as processes."""
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from rattanhollow_standins.platform import (
+    DatabaseServer,
+    LineClient,
+    ServiceGroup,
+    serve_database,
+    serve_objects,
+)
+from rattanhollow_standins.platform._cluster import SETTINGS, ZONES, configuration
+from rattanhollow_standins.platform._serve import Promotions, serve_promotions
+from rattanhollow_standins.soak._link import FaultyLink
+from rattanhollow_standins.store import ObjectTable
+
+SERVICE = "bookings"
+PORT = 7_200
+CALLER_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 7_203, 7_204, 7_205, 7_206
+REPORT_S = 0.1
+# Above rate and burst, as operators allow.
+RATE_SLACK = 20
+RATE_PER_S = 30
+KEYS = {"kirk": "k-kirk-0123456789", "moor": "k-moor-0123456789"}
+WITHDRAWN_KEY = "k-kirk-withdrawn-1"
+START_WITHIN_S = 20.0
+
+
+class HostProcess:
+    """One host: its process, and what it writes."""
+
+    def __init__(self, number: int, address: str, settings: Path, log: Path) -> None:
+        self.number = number
+        self.address = address
+        self.disturbed_at_s = 0.0
+        self.stopping_since_s: float | None = None
+        self._settings = settings
+        self._log = log
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def runs(self) -> bool:
+        """Whether the process is there."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self) -> None:
+        """Start the process."""
+        self.stopping_since_s = None
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "rattanhollow.host"],
+                env={**os.environ, "RATTANHOLLOW_BOOT": str(self._settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send the process a signal, if it is there."""
+        if self._process is not None and self.runs:
+            self._process.send_signal(number)
+
+    async def until_ended(self, within_s: float) -> bool:
+        """Wait for the process to end by itself."""
+        with trio.move_on_after(within_s):
+            while self.runs:
+                await trio.sleep(0.05)
+        return not self.runs
+
+    def end(self) -> None:
+        """End the process at once, and wait for that."""
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait()
+
+
+class SoakFleet:
+    """Everything that one soak runs; ``net`` keeps soaks apart."""
+
+    def __init__(self, net: int, hosts: int, folder: Path) -> None:
+        self.table = ObjectTable()
+        self.hosts: list[HostProcess] = []
+        self.store_links: list[FaultyLink] = []
+        self.server_links: dict[str, FaultyLink] = {}
+        self.group: ServiceGroup
+        self.promotions: Promotions
+        self._net = net
+        self._count = hosts
+        self._folder = folder
+
+    def address(self, part: int, number: int) -> str:
+        """Return a loopback address of this fleet."""
+        return f"127.{self._net}.{part}.{number}"
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run until cancelled; ends the processes that it started."""
+        try:
+            async with trio.open_nursery() as nursery:
+                await self._start(nursery)
+                task_status.started()
+        finally:
+            for host in self.hosts:
+                host.end()
+
+    def configure(self, version: int, withdrawn: bool = False) -> None:
+        """Write the operators' configuration; with or without the spare key."""
+        tenants = [
+            {
+                "name": name,
+                "api_keys": [key],
+                "rate_per_s": RATE_PER_S,
+                "burst": RATE_PER_S,
+            }
+            for name, key in KEYS.items()
+        ]
+        if not withdrawn:
+            tenants[0]["api_keys"].append(WITHDRAWN_KEY)  # type: ignore[attr-defined]
+        content = configuration(version, tenants=tenants)
+        known = self.table.get("config", "main")
+        if known is None:
+            self.table.create("config", "main", content)
+        else:
+            self.table.replace("config", "main", content, known.version)
+
+    async def client(self, host: HostProcess, route: str, key: str) -> LineClient:
+        """Begin a session; raises OSError or Closed where that fails."""
+        stream = await trio.open_tcp_stream(host.address, CALLER_PORT)
+        client = LineClient(stream)
+        error = await client.start(route, key)
+        if error:
+            await client.close()
+            raise ConnectionError(error)
+        return client
+
+    async def is_ready(self, host: HostProcess) -> bool:
+        """Ask a host as the balancer does."""
+        try:
+            stream = await trio.open_tcp_stream(host.address, READY_PORT)
+            async with stream:
+                await stream.send_all(b"GET /readiness HTTP/1.1\r\nhost: x\r\n\r\n")
+                return (await stream.receive_some(100)).startswith(b"HTTP/1.1 200")
+        except (OSError, trio.BrokenResourceError):
+            return False
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        servers = [DatabaseServer(f"i-{n}", zone) for n, zone in enumerate(ZONES)]
+        self.group = ServiceGroup(SERVICE, servers, nursery)
+        self.promotions = Promotions([self.group], nursery)
+        store = (self.address(0, 1), PORT)
+        orders = (self.address(0, 2), PORT)
+        await nursery.start(serve_objects, self.table, *store, {})
+        await nursery.start(serve_promotions, self.promotions, *orders)
+        for number, server in enumerate(servers):
+            inner = (self.address(3, number + 1), PORT)
+            await nursery.start(serve_database, self.group, server, *inner)
+            link = FaultyLink((self.address(2, number + 1), PORT), inner)
+            self.server_links[server.id] = link
+            await nursery.start(link.run)
+        self.configure(1)
+        nursery.start_soon(self._describe_servers)
+        for number in range(self._count):
+            link = FaultyLink((self.address(4, number + 1), PORT), store)
+            self.store_links.append(link)
+            await nursery.start(link.run)
+            self.hosts.append(self._host(number))
+        with trio.fail_after(START_WITHIN_S):
+            for host in self.hosts:
+                host.start()
+            for host in self.hosts:
+                while not await self.is_ready(host):
+                    await trio.sleep(0.05)
+
+    def _host(self, number: int) -> HostProcess:
+        zones = list(ZONES)
+        address = self.address(1, number + 1)
+        settings = self._folder / f"host-{number}.ini"
+        content = SETTINGS.format(
+            number=number,
+            address=address,
+            zone=zones[number % len(zones)],
+            regions=", ".join(f"{z}:{r}" for z, r in ZONES.items()),
+            callers=CALLER_PORT,
+            ready=READY_PORT,
+            peers=PEER_PORT,
+            metrics=METRICS_PORT,
+            store=self.address(4, number + 1),
+            store_port=PORT,
+            promotion=self.address(0, 2),
+            promotion_port=PORT,
+        )
+        settings.write_text(f"{content}slack = {RATE_SLACK}\n")
+        return HostProcess(
+            number, address, settings, self._folder / f"host-{number}.log"
+        )
+
+    async def _describe_servers(self) -> None:
+        """Describe the databases in the store; a dark one's entry lapses."""
+        while True:
+            for number, server in enumerate(self.group.servers.values()):
+                self._describe(number, server)
+            await trio.sleep(REPORT_S)
+
+    def _describe(self, number: int, server: DatabaseServer) -> None:
+        known = self.table.get("servers", server.id)
+        if server.dark or self.table.faults.down:
+            return
+        spec: dict[str, Any] = {
+            "service": SERVICE,
+            "address": f"{self.address(2, number + 1)}:{PORT}",
+            "zone": server.zone,
+            "version": "v1",
+            "slots": server.slot_count,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "born": server.born_ms,
+            "db_role": "primary" if server.leads else "replica",
+            "seq_no": 1,
+        }
+        if known is None:
+            self.table.create("servers", server.id, spec)
+        elif known.spec != spec:
+            self.table.replace("servers", server.id, spec, known.version)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -188,6 +188,19 @@
     on_stage(scenario)
 
 
+def test_a_primary_that_nobody_knew_of_is_found() -> None:
+    """Where all lost sight of the primary, one that leads goes on leading."""
+
+    async def scenario(theatre: Theatre) -> None:
+        task = theatre.task(reachable=False)._replace(old_leader=None)
+        replaced = await replace_primary(task, theatre.parts())
+        assert replaced.ok().id == "i-0"
+        assert not theatre.promotions.orders
+        assert not any(d.held_term for d in theatre.databases)
+
+    on_stage(scenario)
+
+
 def test_one_replica_alone_is_not_promoted() -> None:
     """What only the other replica holds may have been acknowledged."""
 
