--- a/src/rattanhollow/coordination/_token_pool.py
+++ b/src/rattanhollow/coordination/_token_pool.py
@@ -133,22 +133,30 @@
         ends = [item[host].until_s for item in self._deposits.values() if host in item]
         return max(ends, default=-math.inf)
 
-    def grant(self, want: TokenWant, rate_per_s: float, burst: float) -> TokenGrant:
-        """Hand out tokens of an organisation's rate, as many as there are."""
+    def grant(
+        self, want: TokenWant, rate_per_s: float, burst: float, extra: float = 0.0
+    ) -> TokenGrant:
+        """Hand out tokens of an organisation's rate, as many as there are.
+
+        ``extra`` is how much deeper than ``burst`` the buckets of all brokers
+        together may be.
+        """
         bucket = self._buckets.get(want.organisation)
         if bucket is None:
             bucket = self._buckets[want.organisation] = TokenBucket(self._clock)
         part = self._part(shard_of(want.organisation), burst)
-        bucket.resize(rate_per_s * part, burst * part)
+        bucket.resize(rate_per_s * part, (burst + extra) * part)
         tokens = 0
         while tokens < want.tokens and bucket.take():
             tokens += 1
         wait_ms = min(int(bucket.wait_for_token_s() * 1000) + 1, 60_000)
         return TokenGrant(want.organisation, tokens, wait_ms)
 
-    def refresh(self, organisation: str, rate_per_s: float, burst: float) -> None:
+    def refresh(
+        self, organisation: str, rate_per_s: float, burst: float, extra: float = 0.0
+    ) -> None:
         """Bring an organisation's bucket up to the deposits that there are now."""
-        self.grant(TokenWant(organisation, 0), rate_per_s, burst)
+        self.grant(TokenWant(organisation, 0), rate_per_s, burst, extra)
 
     def _part(self, shard: int, burst: float) -> float:
         self._end_deposits(shard)
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -148,7 +148,14 @@
                 read_servers=self._read_servers,
             )
         )
-        self.gossip = Gossip(self._followers, self._own, self.hosts, self.peers, rng)
+        self.gossip = Gossip(
+            self._followers,
+            self._own,
+            self.hosts,
+            self.peers,
+            rng,
+            settings.configuration_ms / 1000,
+        )
         self._stopped = trio.Event()
         self._accepting = trio.CancelScope()
         self._connections = 0
--- a/src/rattanhollow/membership/_gossip.py
+++ b/src/rattanhollow/membership/_gossip.py
@@ -25,8 +25,8 @@
 )
 from rattanhollow.store import Follower, Listing, Stored
 
-# With the few rounds that news needs to reach every host, within seconds.
-INTERVAL_S = 0.7
+# News needs a few rounds to reach every host within the time that operators give.
+ROUNDS_IN_TIME = 5
 ASK_TIMEOUT_MS = 400
 # How often a host that is no relay asks beyond its zone, whose relays may all
 # be turned away.
@@ -34,7 +34,10 @@
 
 
 class Gossip:
-    """Compares followed copies with other hosts, and passes them on."""
+    """Compares followed copies with other hosts, and passes them on.
+
+    ``in_force_s`` is how soon a change has to be known to every host.
+    """
 
     def __init__(
         self,
@@ -43,12 +46,14 @@
         hosts: HostDirectory,
         peers: Peers,
         rng: random.Random,
+        in_force_s: float,
     ) -> None:
         self._followers = {follower.kind: follower for follower in followers}
         self._own = own
         self._hosts = hosts
         self._peers = peers
         self._rng = rng
+        self._interval_s = in_force_s / ROUNDS_IN_TIME
         self._nursery: trio.Nursery | None = None
 
     def is_relay(self) -> bool:
@@ -62,7 +67,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             while True:
-                await trio.sleep(INTERVAL_S * self._rng.uniform(0.8, 1.2))
+                await trio.sleep(self._interval_s * self._rng.uniform(0.8, 1.2))
                 partners = self._partners()
                 if partners:
                     await self._ask(self._rng.choice(partners))
--- a/src/rattanhollow/membership/_hosts.py
+++ b/src/rattanhollow/membership/_hosts.py
@@ -25,6 +25,9 @@
 RING_SEED = "ring"
 NEIGHBOURS = 2
 RETRY_PAUSE_S = 1.0
+# Where there are many hosts, a dead one's record does less harm: neighbours are
+# asked as rarely as to make this many questions a second over the fleet.
+QUESTIONS_PER_S = 40
 REPORT_SPREAD_S = 2.0
 
 
@@ -199,7 +202,8 @@
     async def run(self) -> None:
         """Ask the neighbours now and then, until cancelled."""
         while True:
-            await trio.sleep(self._ask_s)
+            hosts = len(self._hosts.all())
+            await trio.sleep(max(self._ask_s, hosts * NEIGHBOURS / QUESTIONS_PER_S))
             neighbours = self._after(self._own().name)
             asked = {record.incarnation for record in neighbours}
             for gone in self._silent_since_s.keys() - asked:
--- a/src/rattanhollow/peer/_connection.py
+++ b/src/rattanhollow/peer/_connection.py
@@ -1,13 +1,14 @@
 """The questions to one other host, and whether it still answers."""
 
 import itertools
+import struct
 import time
+from collections.abc import Callable
 from typing import NamedTuple
 
 import trio
 import zmq
 from result import Err, Ok, Result
-from zmq.utils.monitor import parse_monitor_message
 
 from rattanhollow.observe import log_event
 from rattanhollow.peer._messages import Message, MessageRefused, Ping, decode, encode
@@ -16,13 +17,19 @@
 # A host that answers does so in milliseconds. These leave room for a starved one
 # and for a region's distance; a dark one costs its callers the second.
 PING_AFTER_S = 0.2
+LOOK_INTERVAL_S = 0.1
 DARK_AFTER_S = 0.7
 # How often a host that is dark is tried again.
 RETRY_DARK_S = 0.3
+# How long one connection to a dark host is tried: a packet that was lost while it
+# opened is sent again after a second.
+CONNECT_ANEW_S = 2.5
 # How long a question waits for the connection to come up.
 CONNECT_WAIT_S = 0.4
 PING_NUMBER = 0
 
+# ZeroMQ's own reader of these loads asyncio, a tenth of what a start costs.
+_MONITOR_EVENT = struct.Struct("=HI")
 _UP = zmq.EVENT_HANDSHAKE_SUCCEEDED
 _DOWN = zmq.EVENT_DISCONNECTED
 
@@ -48,12 +55,24 @@
 
 
 class PeerLink:
-    """A connection to one host; ``dark`` while it leaves questions unanswered."""
-
-    def __init__(self, name: str, socket: TrioSocket) -> None:
+    """A connection to one host; ``dark`` while it leaves questions unanswered.
+
+    ``on_asked()`` is called when a question was sent: from then on `look` has to
+    be called every `LOOK_INTERVAL_S` while the link is ``watched``.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        socket: TrioSocket,
+        endpoint: str,
+        on_asked: Callable[[], None],
+    ) -> None:
         self.name = name
         self.dark = False
         self._socket = socket
+        self._endpoint = endpoint
+        self._connected_at_s = time.monotonic()
         self._monitor = TrioSocket(socket.raw.get_monitor_socket(_UP | _DOWN))
         self._scope = trio.CancelScope()
         self._numbers = itertools.count(PING_NUMBER + 1)
@@ -61,7 +80,7 @@
         self._heard_at_s = 0.0
         self._pinged_at_s = 0.0
         self._connected = trio.Event()
-        self._asked = trio.Event()
+        self._on_asked = on_asked
 
     async def run(self) -> None:
         """Hand out answers until closed."""
@@ -70,7 +89,6 @@
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._receive)
                     nursery.start_soon(self._follow_connection)
-                    nursery.start_soon(self._watch)
         finally:
             self._fail_all("the link was closed")
             self._socket.raw.disable_monitor()
@@ -102,10 +120,10 @@
         pending = _Pending(time.monotonic())
         if not self._socket.send([encode(number, question)]):
             self.dark = self.dark or not self._connected.is_set()
-            self._asked.set()
+            self._on_asked()
             return Err(AskFailure(f"no connection to {self.name}", sent=False))
         self._pending[number] = pending
-        self._asked.set()
+        self._on_asked()
         try:
             with trio.move_on_at(trio.current_time() + until_s - time.monotonic()):
                 await pending.done.wait()
@@ -130,7 +148,7 @@
 
     async def _follow_connection(self) -> None:
         while True:
-            event = parse_monitor_message(await self._monitor.receive())["event"]
+            event, _ = _MONITOR_EVENT.unpack((await self._monitor.receive())[0])
             if event == _UP:
                 self._connected.set()
                 self._heard()
@@ -138,19 +156,19 @@
                 self._connected = trio.Event()
                 self._fail_all(f"the connection to {self.name} ended")
 
-    async def _watch(self) -> None:
-        """Ping while answers are due, and find the host dark without a sign."""
-        while True:
-            if not self._pending and not self.dark:
-                self._asked = trio.Event()
-                await self._asked.wait()
-            await trio.sleep(RETRY_DARK_S if self.dark else PING_AFTER_S / 2)
-            self._look()
+    @property
+    def watched(self) -> bool:
+        """Whether answers are due, or the host is to be tried again."""
+        return bool(self._pending) or self.dark
 
-    def _look(self) -> None:
+    def look(self) -> None:
+        """Ping while answers are due, and find the host dark without a sign."""
         now_s = time.monotonic()
         if self.dark:
-            self._ping(now_s)
+            if now_s - self._connected_at_s >= CONNECT_ANEW_S:
+                self._connect_anew(now_s)
+            elif now_s - self._pinged_at_s >= RETRY_DARK_S:
+                self._ping(now_s)
             return
         oldest_s = min((p.asked_at_s for p in self._pending.values()), default=now_s)
         silent_s = now_s - max(oldest_s, self._heard_at_s)
@@ -158,9 +176,20 @@
             self.dark = True
             log_event("peer.dark", peer=self.name, silent_ms=int(silent_s * 1000))
             self._fail_all(f"{self.name} is dark")
+            self._connect_anew(now_s)
         elif silent_s >= PING_AFTER_S and now_s - self._pinged_at_s >= PING_AFTER_S:
             self._ping(now_s)
 
+    def _connect_anew(self, now_s: float) -> None:
+        """Leave a connection that may have gone silent while new ones work."""
+        self._connected_at_s = now_s
+        self._connected = trio.Event()
+        try:
+            self._socket.raw.disconnect(self._endpoint)
+            self._socket.raw.connect(self._endpoint)
+        except zmq.ZMQError as error:
+            log_event("peer.not_connected", peer=self.name, reason=error)
+
     def _ping(self, now_s: float) -> None:
         self._pinged_at_s = now_s
         self._socket.send([encode(PING_NUMBER, Ping())])
--- a/src/rattanhollow/peer/_link.py
+++ b/src/rattanhollow/peer/_link.py
@@ -9,7 +9,7 @@
 from result import Err, Result
 
 from rattanhollow.observe import log_event, log_failure
-from rattanhollow.peer._connection import AskFailure, PeerLink
+from rattanhollow.peer._connection import LOOK_INTERVAL_S, AskFailure, PeerLink
 from rattanhollow.peer._messages import (
     LARGEST_MESSAGE_BYTES,
     Message,
@@ -22,9 +22,11 @@
 from rattanhollow.peer._socket import TrioSocket
 
 QUEUED_MESSAGES = 1_000
-# ZeroMQ's own heartbeats close a connection that has gone silent while idle.
-HEARTBEAT_INTERVAL_MS = 3_000
-HEARTBEAT_TIMEOUT_MS = 6_000
+# ZeroMQ's own heartbeats clear away connections whose other end is gone; a host
+# that leaves questions unanswered is connected to anew long before. Each costs
+# both ends two messages, at every one of their connections.
+HEARTBEAT_INTERVAL_MS = 15_000
+HEARTBEAT_TIMEOUT_MS = 30_000
 # How long sent bytes may stay unacknowledged: the links are short ones.
 USER_TIMEOUT_MS = 2_000
 RECONNECT_MS = 50
@@ -79,6 +81,7 @@
         self._links: dict[str, PeerLink] = {}
         self._peers: dict[str, PeerAddress] = {}
         self._nursery: trio.Nursery | None = None
+        self._asked = trio.Event()
 
     async def run(self, port: int) -> None:
         """Answer at ``port`` until cancelled."""
@@ -89,6 +92,7 @@
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
                 nursery.start_soon(self._authenticate, authenticator)
+                nursery.start_soon(self._watch)
                 await self._answer(server)
         finally:
             self._nursery = None
@@ -118,13 +122,28 @@
         link = self._links.get(peer.name)
         return link is not None and self._peers[peer.name] == peer and link.dark
 
+    async def _watch(self) -> None:
+        """Look after the links from which answers are due."""
+        while True:
+            watched = [link for link in self._links.values() if link.watched]
+            if not watched:
+                self._asked = trio.Event()
+                await self._asked.wait()
+            await trio.sleep(LOOK_INTERVAL_S)
+            for link in list(self._links.values()):
+                if link.watched:
+                    link.look()
+
     def _link(self, peer: PeerAddress, nursery: trio.Nursery) -> PeerLink:
         link = self._links.get(peer.name)
         if link is not None and self._peers[peer.name] == peer:
             return link
         if link is not None:
             link.close()
-        fresh = PeerLink(peer.name, TrioSocket(self._client_socket(peer)))
+        socket = TrioSocket(self._client_socket(peer))
+        fresh = PeerLink(
+            peer.name, socket, self._endpoint(peer), lambda: self._asked.set()
+        )
         self._links[peer.name] = fresh
         self._peers[peer.name] = peer
         nursery.start_soon(fresh.run)
@@ -143,9 +162,12 @@
         # arrives late runs for nobody.
         socket.setsockopt(zmq.IMMEDIATE, 1)
         socket.curve_serverkey = peer.public_key.encode()
-        socket.connect(f"tcp://{self._address}:0;{peer.address}:{peer.port}")
+        socket.connect(self._endpoint(peer))
         return socket
 
+    def _endpoint(self, peer: PeerAddress) -> str:
+        return f"tcp://{self._address}:0;{peer.address}:{peer.port}"
+
     def _socket(self, kind: int) -> zmq.Socket:
         socket = self._context.socket(kind)
         socket.curve_publickey = self._keys.public
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -46,9 +46,12 @@
 WAIT_AT_MOST_S = 0.25
 # Timers may fire a little early.
 SLEEP_SLACK_S = 0.002
-# The part of the allowed slack that all hosts together begin with; the rest is
-# for tokens that were fetched before a window and used in it.
+# The part of the allowed slack that all hosts of a small fleet together begin
+# with; the rest is for tokens that were fetched before a window and used in it.
 STARTING_PART = 0.75
+# In a large fleet no host would begin with a whole token: there the brokers'
+# buckets are deeper by this part, which evens out what small organisations ask.
+DEEPER_PART = 0.6
 # How many operations may wait, in parts of what an equal share gives meanwhile:
 # some hosts get more than others.
 WAITING_PART = 2.0
@@ -111,8 +114,10 @@
         self.waiters: deque[_Waiter] = deque()
         self.dry_until_s = -math.inf
         self.wait_ms = 0
-        # How many regions had too few tokens for those that wait now.
+        # How many regions had too few tokens for those that wait now, and when the
+        # first of these has more.
         self.regions_tried = 0
+        self.least_wait_ms = RETRY_AT_MOST_MS
         self.asked = 0
         self.demand_per_s = 0.0
         self._tokens: deque[_Tokens] = deque()
@@ -267,6 +272,7 @@
         """Take deposits of another host, and grant it tokens."""
         own = self._parts.own().incarnation
         organisations = self._parts.organisations()
+        extra = self._extra()
         if question.stamp.broker == own:
             changed = {
                 shard
@@ -277,12 +283,12 @@
             }
             for name, limits in organisations.items():
                 if shard_of(name) in changed:
-                    self._broker.refresh(name, limits.rate_per_s, limits.burst)
+                    self._broker.refresh(name, limits.rate_per_s, limits.burst, extra)
         grants = []
         for want in question.wants:
             known = organisations.get(want.organisation)
             if known is not None:
-                grant = self._broker.grant(want, known.rate_per_s, known.burst)
+                grant = self._broker.grant(want, known.rate_per_s, known.burst, extra)
                 grants.append(grant)
         return PoolAnswer(Stamp(own, self._parts.clock()), tuple(grants))
 
@@ -296,10 +302,18 @@
         local = self._local.get(organisation)
         if local is None:
             local = self._local[organisation] = _Local(self._parts.clock)
-            hosts = max(1, len(self._parts.hosts.all()))
-            local.bucket.start_with(self._parts.slack * STARTING_PART / hosts)
+            local.bucket.start_with(self._starting_tokens())
         return local
 
+    def _starting_tokens(self) -> float:
+        hosts = max(1, len(self._parts.hosts.all()))
+        tokens = self._parts.slack * STARTING_PART / hosts
+        return tokens if tokens >= 1 else 0.0
+
+    def _extra(self) -> float:
+        """Return how much deeper than their bursts the brokers' buckets may be."""
+        return 0.0 if self._starting_tokens() else self._parts.slack * DEEPER_PART
+
     def _base(self) -> float:
         """Return this host's own part: equal for all hosts that the store lists.
 
@@ -438,13 +452,15 @@
             local.waiters.popleft().decide(admitted=True)
         if grant.tokens >= wanted:
             local.regions_tried = 0
-        elif self._try_next_region(grant.organisation):
+            local.least_wait_ms = RETRY_AT_MOST_MS
+            return
+        local.least_wait_ms = min(local.least_wait_ms, grant.wait_ms)
+        if self._try_next_region(grant.organisation):
             return
-        else:
-            local.dry_until_s = now_s + DRY_S
-            local.wait_ms = min(RETRY_AT_MOST_MS, grant.wait_ms)
+        local.dry_until_s = now_s + DRY_S
+        local.wait_ms, local.least_wait_ms = local.least_wait_ms, RETRY_AT_MOST_MS
         own_ms = local.bucket.wait_for_token_s() * 1000
-        if local.waiters and min(own_ms, grant.wait_ms) > WAIT_AT_MOST_S * 1000:
+        if local.waiters and min(own_ms, local.wait_ms) > WAIT_AT_MOST_S * 1000:
             while local.waiters:
                 local.waiters.popleft().decide(admitted=False)
         if local.waiters:
--- a/src/rattanhollow/serving/_serving.py
+++ b/src/rattanhollow/serving/_serving.py
@@ -16,6 +16,8 @@
 )
 
 EXPIRE_INTERVAL_S = 0.5
+# A host that serves no server has nothing to look after.
+IDLE_INTERVAL_S = 2.0
 # How long idle connections are kept at a server that falls to this host, and at
 # one that it served for a while in place of another host.
 KEPT_IDLE_S = 10.0
@@ -56,7 +58,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             while True:
-                await trio.sleep(EXPIRE_INTERVAL_S)
+                await trio.sleep(EXPIRE_INTERVAL_S if self._served else IDLE_INTERVAL_S)
                 self.refresh()
                 for served in self._served.values():
                     served.expire(self._idle_ms() / 1000)
--- a/src/rattanhollow/store/_follow.py
+++ b/src/rattanhollow/store/_follow.py
@@ -18,8 +18,9 @@
 
 RETRY_LOW_S = 0.1
 RETRY_HIGH_S = 0.6
-# How often a host that needs not watch looks whether it has to.
-INACTIVE_LOOK_S = 0.5
+# How often a host that needs not watch looks whether it has to. It compares its
+# copies with other hosts meanwhile.
+INACTIVE_LOOK_S = 1.5
 GATHER_S = 0.05
 
 
--- a/src/rattanhollow/succession/_guardian.py
+++ b/src/rattanhollow/succession/_guardian.py
@@ -16,6 +16,8 @@
 )
 
 LOOK_INTERVAL_S = 0.1
+# How often a host that is to act for no service looks whether it has become so.
+IDLE_LOOK_INTERVAL_S = 0.5
 # How long a primary must be without answers here before other hosts are asked.
 SUSPECT_AFTER_S = 0.1
 # A service without any known primary waits this long for one to describe itself.
@@ -98,7 +100,8 @@
         """Watch until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                await trio.sleep(LOOK_INTERVAL_S)
+                acts = any(map(self._parts.is_mine, self._parts.services()))
+                await trio.sleep(LOOK_INTERVAL_S if acts else IDLE_LOOK_INTERVAL_S)
                 for service in self._parts.services():
                     self._look(service, nursery)
                 for server, behind_s in self._parts.behind():
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -4,15 +4,24 @@
 hundreds of hosts in three regions, one of which floods or loses its broker.
 """
 
+import math
 import random
 
 import pytest
 import trio
 
-from rattanhollow.coordination import SHARDS, Position
+from rattanhollow.coordination import (
+    SHARDS,
+    Position,
+    TokenBroker,
+    TokenBucket,
+    TokenWant,
+    shard_of,
+)
 from rattanhollow.membership import Gossip, HostDirectory, HostRecord
 from rattanhollow.peer import FloorAnswer
 from rattanhollow.rates import brokers_by_region, possible_brokers
+from rattanhollow.rates._pooled import DEEPER_PART, WAIT_AT_MOST_S
 from rattanhollow.routing import Floors
 from rattanhollow.serving import ProofAnswer
 from rattanhollow.store import Stored
@@ -151,7 +160,7 @@
         def is_dark(self, peer: object) -> bool:
             return False
 
-    return Gossip([], lambda: records[name], directory, Links(), rng)  # type: ignore[arg-type]
+    return Gossip([], lambda: records[name], directory, Links(), rng, 5.0)  # type: ignore[arg-type]
 
 
 def test_most_hosts_compare_copies_within_their_zone() -> None:
@@ -168,3 +177,88 @@
             assert any(p.zone == "lothian-a" for p in partners)
             far += any(p.zone != "lothian-a" for p in partners)
     assert far <= 0.35 * 20 * 22
+
+
+SMALL_RATE = 3.0
+SLACK = 20
+PARTS = (24, 22, 19)
+STEP_S = 0.05
+WINDOW_S = 5.0
+
+
+def _run_small_organisation(
+    seed: int, asked_per_s: float, extra: float, steps: int = 4_000
+) -> tuple[list[float], int]:
+    """Return when operations were admitted, and how many were refused.
+
+    Three brokers hold the deposits of 65 hosts; each operation comes in a region
+    at random, asks the other regions for what is missing at home, and waits.
+    """
+    rng = random.Random(seed)
+    clock = _Clock()
+    brokers = [TokenBroker(clock) for _ in PARTS]
+    shard = shard_of("kirk")
+    admitted: list[float] = []
+    refused = 0
+    waiting: list[tuple[int, float]] = []
+    for _ in range(steps):
+        clock.now_s += STEP_S
+        for number, hosts in enumerate(PARTS):
+            for host in range(hosts):
+                brokers[number].take_deposit(f"{host}", shard, 1 / 65, clock())
+        for _ in range(_poisson(rng, asked_per_s * STEP_S)):
+            waiting.append((rng.randrange(3), clock() + WAIT_AT_MOST_S))
+        for item in list(waiting):
+            order = [brokers[(item[0] + offset) % 3] for offset in range(3)]
+            want = TokenWant("kirk", 1)
+            if any(b.grant(want, SMALL_RATE, SMALL_RATE, extra).tokens for b in order):
+                admitted.append(clock())
+                waiting.remove(item)
+            elif clock() >= item[1]:
+                refused += 1
+                waiting.remove(item)
+    return admitted, refused
+
+
+def _refused_by_one_bucket(seed: int, asked_per_s: float) -> int:
+    rng = random.Random(seed)
+    clock = _Clock()
+    bucket = TokenBucket(clock)
+    bucket.resize(SMALL_RATE, SMALL_RATE)
+    refused = 0
+    for _ in range(4_000):
+        clock.now_s += STEP_S
+        for _ in range(_poisson(rng, asked_per_s * STEP_S)):
+            rng.randrange(3)
+            refused += not bucket.take()
+    return refused
+
+
+def _poisson(rng: random.Random, mean: float) -> int:
+    count, product = 0, rng.random()
+    while product > math.exp(-mean):
+        count += 1
+        product *= rng.random()
+    return count
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_small_organisation_of_a_large_fleet_gets_its_rate(seed: int) -> None:
+    """No more is refused than by one bucket of its rate and burst for the fleet."""
+    asked_per_s = SMALL_RATE / 1.6
+    _, refused = _run_small_organisation(seed, asked_per_s, SLACK * DEEPER_PART)
+    _, refused_without = _run_small_organisation(seed, asked_per_s, 0.0)
+    refused_by_one = _refused_by_one_bucket(seed, asked_per_s)
+    assert refused <= refused_by_one < refused_without
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_deeper_buckets_keep_a_flood_within_what_operators_allow(seed: int) -> None:
+    """In any window a flood gets rate, burst and the allowed slack at most."""
+    admitted, _ = _run_small_organisation(seed, 50.0, SLACK * DEEPER_PART, steps=1_000)
+    allowed = (SMALL_RATE * WINDOW_S + SMALL_RATE) * 1.1 + SLACK
+    start = 0
+    for end, at_s in enumerate(admitted):
+        while at_s - admitted[start] >= WINDOW_S:
+            start += 1
+        assert end - start + 1 <= allowed
