--- a/src/rattanhollow/membership/_hosts.py
+++ b/src/rattanhollow/membership/_hosts.py
@@ -67,6 +67,16 @@
         """Return all hosts, leaving ones included."""
         return list(self._records.values())
 
+    @property
+    def count(self) -> int:
+        """How many hosts there are, leaving ones included."""
+        return len(self._records)
+
+    @property
+    def changes(self) -> int:
+        """How often a record has come, gone or changed."""
+        return self.follower.changes
+
     def staying(self) -> list[HostRecord]:
         """Return the hosts that are not leaving."""
         return [record for record in self._records.values() if not record.leaving]
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -61,6 +61,8 @@
 AHEAD_FROM = 1.0
 DEMAND_SMOOTHING = 0.4
 RETRY_AT_MOST_MS = 2_000
+# Callers that come back sooner find the same few tokens.
+LEAST_RETRY_MS = 50
 
 
 class PooledRateParts(NamedTuple):
@@ -83,10 +85,14 @@
 
 
 class Admission(NamedTuple):
-    """Whether an operation is within the rate, and when a refused one may return."""
+    """Whether an operation is within the rate, and when a refused one may return.
+
+    ``detail`` tells what decided about a refused one.
+    """
 
     admitted: bool
     retry_after_ms: int = 0
+    detail: str = ""
 
 
 class _Tokens(NamedTuple):
@@ -152,6 +158,8 @@
         self._broker = TokenBroker(parts.clock)
         self._local: dict[str, _Local] = {}
         self._stamps: dict[str, Stamp] = {}
+        self._grouped: dict[str, list[str]] = {}
+        self._grouped_at = -1
         self._counted_at_s = math.inf
         self._asking: set[str] = set()
         self._regular_at_s = 0.0
@@ -185,7 +193,7 @@
         if not local.waiters and local.take(now_s):
             return Admission(True)
         if now_s < local.dry_until_s and len(local.waiters) >= self._room(limits):
-            return Admission(False, local.wait_ms)
+            return self._over(local, limits, "no token lately")
         waiter = _Waiter()
         local.waiters.append(waiter)
         self._urgent.set()
@@ -194,7 +202,18 @@
         finally:
             if not waiter.decided.is_set():
                 local.waiters.remove(waiter)
-        return Admission(waiter.admitted, local.wait_ms)
+        if waiter.admitted:
+            return Admission(True)
+        decided = "no token" if waiter.decided.is_set() else "no token in time"
+        return self._over(local, limits, decided)
+
+    def _over(self, local: _Local, limits: Organisation, why: str) -> Admission:
+        demand = round(local.demand_per_s, 1)
+        detail = (
+            f"{why}: rate_per_s={limits.rate_per_s} burst={limits.burst}"
+            f" demand_here_per_s={demand} regions_tried={local.regions_tried}"
+        )
+        return Admission(False, max(LEAST_RETRY_MS, local.wait_ms), detail)
 
     async def _wait(self, local: _Local, waiter: _Waiter, until_s: float) -> None:
         """Wait for a token that is fetched, or for the next of the own part."""
@@ -294,7 +313,7 @@
 
     def _room(self, limits: Organisation) -> int:
         """Return how many operations may wait while there are too few tokens."""
-        hosts = max(1, len(self._parts.hosts.all()))
+        hosts = max(1, self._parts.hosts.count)
         share_per_s = limits.rate_per_s / hosts
         return max(1, round(share_per_s * WAIT_AT_MOST_S * WAITING_PART))
 
@@ -306,7 +325,7 @@
         return local
 
     def _starting_tokens(self) -> float:
-        hosts = max(1, len(self._parts.hosts.all()))
+        hosts = max(1, self._parts.hosts.count)
         tokens = self._parts.slack * STARTING_PART / hosts
         return tokens if tokens >= 1 else 0.0
 
@@ -322,8 +341,9 @@
         """
         if self._parts.clock() < self._counted_at_s:
             return 0.0
-        names = {record.name for record in self._parts.hosts.all()}
-        return 1.0 / len(names | {self._parts.own().name})
+        hosts = self._parts.hosts
+        listed = hosts.find(self._parts.own().name) is not None
+        return 1.0 / (hosts.count + (0 if listed else 1))
 
     def _resize(self, name: str, local: _Local, limits: Organisation) -> None:
         now_s = self._parts.clock()
@@ -373,10 +393,14 @@
             )
 
     def _names_by_region(self) -> dict[str, list[str]]:
-        names: dict[str, list[str]] = defaultdict(list)
-        for record in self._parts.hosts.all():
-            names[self._parts.region_of(record.zone)].append(record.name)
-        return names
+        changes = self._parts.hosts.changes
+        if changes != self._grouped_at:
+            self._grouped_at = changes
+            self._grouped = defaultdict(list)
+            for record in self._parts.hosts.all():
+                region = self._parts.region_of(record.zone)
+                self._grouped[region].append(record.name)
+        return self._grouped
 
     def _brokers(self) -> list[Brokers]:
         """Return the brokers of all regions, those of this host's region first."""
--- a/src/rattanhollow/routing/_agents.py
+++ b/src/rattanhollow/routing/_agents.py
@@ -1,6 +1,7 @@
 """Reaching backend servers through the hosts that serve them."""
 
-from collections.abc import Callable
+import itertools
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from rattanhollow.coordination import ranked
@@ -50,13 +51,13 @@
 
     def __init__(self, parts: AgentParts) -> None:
         self._parts = parts
-        self._ranked: dict[tuple[str, str], list[str]] = {}
-        self._ranked_for: tuple[HostRecord, ...] = ()
+        self._ranked: dict[tuple[str, str], list[HostRecord]] = {}
+        self._ranked_for: tuple[int, HostRecord] | None = None
 
     async def run(self, server: BackendServer, work: Work) -> Ran:
         """Run work at a server, through the first host that reaches it."""
         detail = "no host is left to serve it"
-        for record in self.hosts_for(server)[:HOSTS_TRIED]:
+        for record in itertools.islice(self.hosts_for(server), HOSTS_TRIED):
             done = await self.run_at(record.name, work)
             not_served = done.obstacle in (Obstacle.NOT_SERVED, Obstacle.HOST_LOST)
             if done.fate is not Fate.NOT_RUN or not not_served:
@@ -84,7 +85,7 @@
     async def prove(self, server: BackendServer) -> ProofAnswer:
         """Return a log position that ``server`` proves as the primary."""
         answer = ProofAnswer(None, "no host is left to ask")
-        for record in self.hosts_for(server)[:HOSTS_TRIED]:
+        for record in itertools.islice(self.hosts_for(server), HOSTS_TRIED):
             if record.name == self._parts.own().name:
                 answer = await self._parts.serving.prove(server.id)
             else:
@@ -102,46 +103,43 @@
 
     def serves_first(self, server: BackendServer) -> bool:
         """Whether a server falls to this host."""
-        hosts = self.hosts_for(server)
-        return bool(hosts) and hosts[0].name == self._parts.own().name
+        first = next(self.hosts_for(server), None)
+        return first is not None and first.name == self._parts.own().name
 
-    def hosts_for(self, server: BackendServer) -> list[HostRecord]:
-        """Return the hosts that may serve a server, the first choice first.
+    def hosts_for(self, server: BackendServer) -> Iterator[HostRecord]:
+        """Yield the hosts that may serve a server, the first choice first.
 
         Hosts of the server's availability zone go first, then those of its
         region, then all others; a host that leaves, or doesn't answer, is
         passed over.
         """
-        records = self._candidates()
-        names = self._rank(server.id, server.zone, records)
-        by_name = {record.name: record for record in records}
         own = self._parts.own().name
-        return [
-            by_name[name]
-            for name in names
-            if name == own or not self._parts.peers.is_dark(by_name[name].peer)
-        ]
+        for record in self._ranking(server.id, server.zone):
+            if record.name == own or not self._parts.peers.is_dark(record.peer):
+                yield record
 
-    def _candidates(self) -> tuple[HostRecord, ...]:
+    def _ranking(self, server_id: str, zone: str) -> list[HostRecord]:
         own = self._parts.own()
-        others = [h for h in self._parts.hosts.staying() if h.name != own.name]
-        return tuple(others if own.leaving else [*others, own])
-
-    def _rank(
-        self, server_id: str, zone: str, records: tuple[HostRecord, ...]
-    ) -> list[str]:
-        if records != self._ranked_for:
-            self._ranked_for = records
+        hosts = (self._parts.hosts.changes, own)
+        if hosts != self._ranked_for:
+            self._ranked_for = hosts
             self._ranked.clear()
         key = (server_id, zone)
         if key not in self._ranked:
-            by_distance: dict[int, list[str]] = {0: [], 1: [], 2: []}
-            for record in records:
-                distance = self._parts.places.distance(zone, record.zone)
-                by_distance[distance].append(record.name)
-            self._ranked[key] = [
-                name
-                for distance in sorted(by_distance)
-                for name in ranked(server_id, by_distance[distance])
-            ]
+            self._ranked[key] = self._rank(server_id, zone, own)
         return self._ranked[key]
+
+    def _rank(self, server_id: str, zone: str, own: HostRecord) -> list[HostRecord]:
+        records = {h.name: h for h in self._parts.hosts.staying()}
+        records.pop(own.name, None)
+        if not own.leaving:
+            records[own.name] = own
+        by_distance: dict[int, list[str]] = {0: [], 1: [], 2: []}
+        for record in records.values():
+            distance = self._parts.places.distance(zone, record.zone)
+            by_distance[distance].append(record.name)
+        return [
+            records[name]
+            for distance in sorted(by_distance)
+            for name in ranked(server_id, by_distance[distance])
+        ]
--- a/src/rattanhollow/session/_session.py
+++ b/src/rattanhollow/session/_session.py
@@ -193,8 +193,9 @@
         if self.organisation:
             admission = await self._parts.admit(self.organisation)
             if not admission.admitted:
-                retry_after_ms = admission.retry_after_ms
-                return Refused(Reason.OVER_RATE, retry_after_ms=retry_after_ms)
+                return Refused(
+                    Reason.OVER_RATE, admission.detail, admission.retry_after_ms
+                )
         return route
 
     async def _run(self, request: Request) -> Answer:
