--- a/src/rattanhollow/coordination/_token_pool.py
+++ b/src/rattanhollow/coordination/_token_pool.py
@@ -16,8 +16,10 @@
 from rattanhollow.flow import TokenBucket
 
 # A deposit is renewed several times before it ends. While it lasts behind its
-# broker's death, hosts have only what they kept.
-DEPOSIT_S = 2.0
+# broker's death, or its depositor's, hosts have only what they kept.
+DEPOSIT_S = 1.5
+# How long behind its start a broker's buckets begin with their extra depth.
+YOUNG_S = 3.0
 # The part of its own share that a host never deposits.
 KEPT_PART = 0.5
 # Organisations whose parts are deposited together.
@@ -106,6 +108,8 @@
         # a time before which none of them ends.
         self._parts: dict[int, dict[float, float]] = {}
         self._lasting_until_s: dict[int, float] = {}
+        self._started_at_s = clock()
+        self._credited: dict[str, float] = {}
 
     def take_deposit(
         self, host: str, shard: int, base: float, stamped_at_s: float
@@ -139,13 +143,18 @@
         """Hand out tokens of an organisation's rate, as many as there are.
 
         ``extra`` is how much deeper than ``burst`` the buckets of all brokers
-        together may be.
+        together may be. Behind a start they begin with that much: nothing was
+        handed out for a while.
         """
         bucket = self._buckets.get(want.organisation)
         if bucket is None:
             bucket = self._buckets[want.organisation] = TokenBucket(self._clock)
         part = self._part(shard_of(want.organisation), burst)
         bucket.resize(rate_per_s * part, (burst + extra) * part)
+        credited = self._credited.get(want.organisation, 0.0)
+        if part > credited and self._clock() - self._started_at_s < YOUNG_S:
+            self._credited[want.organisation] = part
+            bucket.add(extra * (part - credited))
         tokens = 0
         while tokens < want.tokens and bucket.take():
             tokens += 1
--- a/src/rattanhollow/flow/_token_bucket.py
+++ b/src/rattanhollow/flow/_token_bucket.py
@@ -31,6 +31,11 @@
         """Begin with some tokens, which the bucket's user accounts for."""
         self._level = tokens
 
+    def add(self, tokens: float) -> None:
+        """Add tokens, up to the burst; the bucket's user accounts for them."""
+        self._fill()
+        self._level = min(self._burst, self._level + tokens)
+
     def take(self) -> bool:
         """Take one token, if there is one."""
         self._fill()
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -36,22 +36,25 @@
 )
 
 # Deposits last for several of these.
-ASK_INTERVAL_S = 0.5
+ASK_INTERVAL_S = 0.4
 # Questions to a broker are this far apart at least, so that they gather wants.
 ASK_SPACING_S = 0.02
 ASK_TIMEOUT_MS = 400
 # How often a host that has started asks those that did not answer yet.
 LOOK_INTERVAL_S = 0.1
-# How long an operation waits for a token.
+# How long an operation waits for a token: two questions to another region, and no
+# more than this part of the time within which its caller expects the answer.
 WAIT_AT_MOST_S = 0.25
+WAIT_PART = 0.2
 # Timers may fire a little early.
 SLEEP_SLACK_S = 0.002
 # The part of the allowed slack that all hosts of a small fleet together begin
 # with; the rest is for tokens that were fetched before a window and used in it.
 STARTING_PART = 0.75
 # In a large fleet no host would begin with a whole token: there the brokers'
-# buckets are deeper by this part, which evens out what small organisations ask.
-DEEPER_PART = 0.6
+# buckets are deeper by this part, which evens out what small organisations ask,
+# and begin with it. So a window may hold it twice, and some tokens fetched before.
+DEEPER_PART = 0.4
 # How many operations may wait, in parts of what an equal share gives meanwhile:
 # some hosts get more than others.
 WAITING_PART = 2.0
@@ -175,14 +178,18 @@
         at_s = self._parts.clock() + settle_s
         self._counted_at_s = min(self._counted_at_s, at_s)
 
-    async def admit(self, organisation: str) -> Admission:
-        """Count one operation; it may wait for its turn within the rate."""
-        admission = await self._admit(organisation)
+    async def admit(self, organisation: str, target_ms: int) -> Admission:
+        """Count one operation; it may wait a little for its turn within the rate.
+
+        ``target_ms`` is the latency that its caller expects.
+        """
+        wait_s = min(WAIT_AT_MOST_S, target_ms / 1000 * WAIT_PART)
+        admission = await self._admit(organisation, wait_s)
         outcome = "admitted" if admission.admitted else "over"
         self._parts.meter.count(kinds.ADMISSIONS, organisation, outcome)
         return admission
 
-    async def _admit(self, organisation: str) -> Admission:
+    async def _admit(self, organisation: str, wait_s: float) -> Admission:
         limits = self._parts.organisations().get(organisation)
         if limits is None or not limits.rate_per_s:
             return Admission(limits is not None)
@@ -198,7 +205,7 @@
         local.waiters.append(waiter)
         self._urgent.set()
         try:
-            await self._wait(local, waiter, now_s + WAIT_AT_MOST_S)
+            await self._wait(local, waiter, now_s + wait_s)
         finally:
             if not waiter.decided.is_set():
                 local.waiters.remove(waiter)
--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -29,6 +29,11 @@
 # A proof of the primary is renewed when it is older than this part of the age
 # that reads may have: reads then go on for the rest while no primary answers.
 RENEW_AT_PART = 0.4
+# What a server that fails its work is held to cost more than others; as all that
+# is known of waits, it is forgotten within a second.
+FAILING_COSTS_MS = 1_000.0
+# How often a read that only the primary may answer is repeated where it fails.
+FAILURES_REPEATED = 2
 # Below this rest of a statement's time another attempt is no use.
 LEAST_ATTEMPT_MS = 20
 
@@ -155,6 +160,7 @@
         )
         passed_over: set[str] = set()
         last: Done | None = None
+        failures = 0
         while True:
             server = self._primary(demand.route.service, passed_over)
             budget_ms = self._budget_ms(demand)
@@ -174,6 +180,10 @@
                 self._parts.directory.saw_no_leader(server.id)
                 passed_over.add(server.id)
                 continue
+            if done.reason is Reason.FAILED and reads:
+                failures += 1
+                if failures <= FAILURES_REPEATED:
+                    continue
             if _may_repeat(done, reads or scope is Scope.BEGIN):
                 if done.obstacle is Obstacle.OVERLOADED:
                     return Outcome(_given_up(done))
@@ -198,7 +208,9 @@
                 passed_over.clear()
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
-            ran = await self._attempt(demand, server, scope, floor, budget_ms)
+            others = self._reader(demand.route.service, {*passed_over, server.id})
+            movable = others is not None
+            ran = await self._attempt(demand, server, scope, floor, budget_ms, movable)
             done = last = ran.done
             if done.fate is Fate.DONE:
                 leader = self._parts.directory.leader(server.service)
@@ -206,6 +218,10 @@
                 self._parts.meter.count(kinds.READS, "primary" if leads else "replica")
                 placement = Placement(server, ran.host, ran.transaction)
                 return Outcome(_completed(done), placement, None, done.open)
+            if done.reason is Reason.FAILED and movable:
+                # It read nothing: another server may do better.
+                passed_over.add(server.id)
+                continue
             if not _may_repeat(done, repeatable=True):
                 return Outcome(_refusal(done, reads=True))
             passed_over.add(server.id)
@@ -217,6 +233,7 @@
         scope: Scope,
         floor: Position | None,
         budget_ms: int,
+        movable: bool = False,
     ) -> Ran:
         asked_at_s = self._parts.clock()
         # Each attempt opens a transaction of its own: what an earlier one left
@@ -226,6 +243,7 @@
             scope=scope,
             floor=floor,
             budget_ms=budget_ms,
+            movable=movable,
             transaction=f"{self._parts.name}-{next(self._numbers)}",
         )
         ran = await self._parts.agents.run(server, work)
@@ -255,7 +273,10 @@
         if done.led and done.position is not None:
             self._parts.floors.saw(server.service, asked_at_s, done.position)
             self._parts.directory.saw_leader(server.service, server.id)
-        self._wait_ms[server.id] = (self._parts.clock(), float(done.wait_ms))
+        wait_ms = float(done.wait_ms)
+        if done.reason is Reason.FAILED or done.obstacle is Obstacle.FAILING:
+            wait_ms += FAILING_COSTS_MS
+        self._wait_ms[server.id] = (self._parts.clock(), wait_ms)
 
     async def _floor(self, demand: Demand) -> Position | None:
         """Return the position that a read must see, None where none is proven."""
--- a/src/rattanhollow/serving/_served.py
+++ b/src/rattanhollow/serving/_served.py
@@ -17,6 +17,7 @@
     OpenFailure,
     Reply,
 )
+from rattanhollow.serving._health import Health
 from rattanhollow.serving._slots import LOWEST_PRIORITY, SlotQueue
 from rattanhollow.serving._work import (
     Done,
@@ -124,6 +125,7 @@
         self._parts = parts
         self._pool = ConnectionPool(max(1, connections - CONNECTIONS_SPARED))
         self._slots: SlotQueue[_Ticket] = SlotQueue(server.slots)
+        self._health = Health()
         self._transactions: dict[str, _Transaction] = {}
         self._exchanges: dict[ServerConnection, float] = {}
         self._commits: dict[ServerConnection, float] = {}
@@ -150,6 +152,8 @@
             return not_run(Obstacle.NOT_SERVED, f"{self.server.id} is unreachable")
         if self.switching and _must_lead(work):
             return not_run(Obstacle.SWITCHING, "the primary is being replaced")
+        if work.movable and self._health.turns_away(self._parts.clock()):
+            return not_run(Obstacle.FAILING, f"{self.server.id} fails its work")
         transaction = None
         if work.scope is Scope.WITHIN:
             transaction = self._transactions.get(work.transaction)
@@ -164,6 +168,7 @@
             if transaction is not None:
                 transaction.running = False
                 transaction.used_at_s = self._parts.clock()
+        self._note_health(done)
         # A log that is behind is a matter of milliseconds, and of most reads.
         if done.fate is not Fate.DONE and done.reason is not Reason.BEHIND:
             log_event(
@@ -189,6 +194,11 @@
             return 0.0
         return self._parts.clock() - self._unreachable_since_s
 
+    @property
+    def failing_part(self) -> float:
+        """The part of the last work that the server failed."""
+        return self._health.failing_part(self._parts.clock())
+
     @property
     def behind_s(self) -> float:
         """For how long the server lacked every position that was asked of it."""
@@ -309,6 +319,11 @@
             self._parts.meter.time(kinds.SERVER_MS, cost_ms, self.server.id)
         return self._settle(work, connection, transaction, reply)
 
+    def _note_health(self, done: Done) -> None:
+        failed = done.reason is Reason.FAILED or done.obstacle is Obstacle.LOST
+        if failed or done.fate is Fate.DONE:
+            self._health.note(failed, self._parts.clock())
+
     async def _take_slot(self, work: Work, deadline_s: float) -> None:
         if self._slots.take():
             return
--- a/src/rattanhollow/serving/_work.py
+++ b/src/rattanhollow/serving/_work.py
@@ -39,7 +39,8 @@
     and ``shape`` what was prepared. ``values`` are the session's, all of them.
     ``transaction`` identifies the caller's transaction over the fleet. After
     ``budget_ms`` nobody waits for the answer any more. ``target_ms`` is the
-    latency that the caller expects.
+    latency that the caller expects. ``movable`` work can be done by another
+    server.
     """
 
     server: str
@@ -56,6 +57,7 @@
     priority: int = 0
     budget_ms: int = 0
     target_ms: int = 0
+    movable: bool = False
 
 
 class Fate(enum.Enum):
@@ -75,6 +77,7 @@
 class Obstacle(enum.Enum):
     """Why work was not run, or its fate is unknown.
 
+    ``FAILING``: the server fails most of its work, and another one can do it.
     ``NOT_SERVED``: this host can't reach the server or knows none of that
     identifier. ``OVERLOADED``: the queue is too long. ``NO_TRANSACTION``: the
     transaction is not open here any more. ``SWITCHING``: the primary is being
@@ -87,6 +90,7 @@
     OVERLOADED = "overloaded"
     NO_TRANSACTION = "no transaction"
     SWITCHING = "switching"
+    FAILING = "failing"
     LOST = "lost"
     HOST_LOST = "host lost"
 
--- a/src/rattanhollow/session/_session.py
+++ b/src/rattanhollow/session/_session.py
@@ -37,12 +37,12 @@
 class SessionParts(NamedTuple):
     """What a session needs of the rest of the host.
 
-    ``routes()`` is the configuration in force, ``admit(organisation)`` counts
-    one operation.
+    ``routes()`` is the configuration in force, ``admit(organisation, target_ms)``
+    counts one operation.
     """
 
     routes: Callable[[], RouteTable]
-    admit: Callable[[str], Awaitable[Admission]]
+    admit: Callable[[str, int], Awaitable[Admission]]
     router: Router
     clock: Callable[[], float]
 
@@ -191,7 +191,7 @@
         if route is None or not (self._key_digest or route.open):
             return Refused(Reason.NO_ROUTE)
         if self.organisation:
-            admission = await self._parts.admit(self.organisation)
+            admission = await self._parts.admit(self.organisation, route.target_ms)
             if not admission.admitted:
                 return Refused(
                     Reason.OVER_RATE, admission.detail, admission.retry_after_ms
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -262,3 +262,34 @@
         while at_s - admitted[start] >= WINDOW_S:
             start += 1
         assert end - start + 1 <= allowed
+
+
+@pytest.mark.parametrize("rate", [1.0, 3.0, 5.0, 40.0])
+@pytest.mark.parametrize("at_step", range(0, 100, 7))
+def test_a_restart_of_all_keeps_a_flood_within_what_operators_allow(
+    rate: float, at_step: int
+) -> None:
+    """All brokers start anew in the middle of a window, with their extra depth."""
+    clock = _Clock()
+    shard = shard_of("kirk")
+    extra = SLACK * DEEPER_PART
+    brokers = [TokenBroker(clock) for _ in PARTS]
+    admitted: list[float] = []
+    for step in range(300):
+        clock.now_s += STEP_S
+        if step == 100 + at_step:
+            brokers = [TokenBroker(clock) for _ in PARTS]
+        for broker, hosts in zip(brokers, PARTS, strict=True):
+            for host in range(hosts):
+                broker.take_deposit(f"{host}", shard, 1 / 65, clock())
+            # A pause lets the buckets fill before the flood.
+            if step >= 100:
+                want = TokenWant("kirk", 1_000)
+                granted = broker.grant(want, rate, rate, extra).tokens
+                admitted += [clock()] * granted
+    allowed = (rate * WINDOW_S + rate) * 1.1 + SLACK
+    start = 0
+    for end, at_s in enumerate(admitted):
+        while at_s - admitted[start] >= WINDOW_S:
+            start += 1
+        assert end - start + 1 <= allowed
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -226,6 +226,69 @@
     return outcome.answer.reason
 
 
+def test_a_read_that_a_server_fails_is_asked_elsewhere() -> None:
+    """A server that fails what it is given costs a read one more question."""
+
+    async def script(server: str, work: Work) -> Done:
+        if server == "i-1":
+            return refused(Reason.FAILED)
+        return await done(server, work)
+
+    async def scenario(bench: Bench) -> None:
+        outcome = await bench.router.read(demand())
+        assert isinstance(outcome.answer, Completed)
+        assert bench.servers == ["i-1", "i-2"]
+        await bench.router.read(demand())
+        assert bench.servers[2:] == ["i-2"]
+
+    on_bench(script, scenario)
+
+
+def test_the_last_server_s_failure_is_passed_on() -> None:
+    """Where all fail, the caller hears of it at once."""
+
+    async def script(server: str, work: Work) -> Done:
+        return refused(Reason.FAILED)
+
+    async def scenario(bench: Bench) -> None:
+        assert reason_of(await bench.router.read(demand())) is Reason.FAILED
+        assert sorted(bench.servers) == ["i-0", "i-1", "i-2"]
+        assert [work.movable for _, work in bench.tried] == [True, True, False]
+
+    on_bench(script, scenario)
+
+
+def test_a_read_that_only_the_primary_may_answer_is_repeated_there() -> None:
+    """A primary that fails part of its work answers the next time, or not."""
+    failures = 0
+
+    async def script(server: str, work: Work) -> Done:
+        nonlocal failures
+        failures += 1
+        return refused(Reason.FAILED) if failures <= 2 else await done(server, work)
+
+    async def scenario(bench: Bench) -> None:
+        newest = demand(consistency=Consistency.NEWEST)
+        assert isinstance((await bench.router.read(newest)).answer, Completed)
+        assert bench.servers == ["i-0"] * 3
+
+    on_bench(script, scenario)
+
+
+@pytest.mark.parametrize("kind", [WorkKind.WRITE])
+def test_a_write_that_failed_is_not_repeated(kind: WorkKind) -> None:
+    """It ran: the caller decides what becomes of it."""
+
+    async def script(server: str, work: Work) -> Done:
+        return refused(Reason.FAILED)
+
+    async def scenario(bench: Bench) -> None:
+        assert reason_of(await bench.router.write(demand(kind))) is Reason.FAILED
+        assert bench.servers == ["i-0"]
+
+    on_bench(script, scenario)
+
+
 def test_reads_go_to_the_near_replica_with_a_floor() -> None:
     """The host's own zone first, the primary kept for what only it can do."""
 
--- a/tests/test_token_pool.py
+++ b/tests/test_token_pool.py
@@ -25,7 +25,7 @@
 RATE = 40.0
 BURST = 40.0
 STEP_S = 0.05
-ASK_S = 0.5
+ASK_S = 0.4
 WINDOW_S = 5.0
 
 
