--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -152,6 +152,36 @@
         return sum(item.left for item in self._tokens if item.until_s > now_s)
 
 
+class _Earlier:
+    """What is known of deposits of an earlier start of this host.
+
+    ``held_until_s`` is when the last that was told of ends.
+    """
+
+    def __init__(self, now_s: float) -> None:
+        self.held_until_s = now_s
+        self.asked: set[str] = set()
+        self._answered: set[str] = set()
+        self._first_seen: dict[str, str] = {}
+
+    def heard(self, record: HostRecord) -> bool:
+        """Whether a broker holds nothing, or has told until when it does."""
+        first = self._first_seen.setdefault(record.name, record.incarnation)
+        return first != record.incarnation or record.name in self._answered
+
+    def asks(self, record: HostRecord) -> bool:
+        """Whether to ask a broker now: not while an answer is due."""
+        if record.incarnation in self.asked:
+            return False
+        self.asked.add(record.incarnation)
+        return True
+
+    def answered(self, record: HostRecord, held_until_s: float) -> None:
+        """Note a broker's answer."""
+        self._answered.add(record.name)
+        self.held_until_s = max(self.held_until_s, held_until_s)
+
+
 class PooledRates:
     """Admits operations of organisations within their rates."""
 
@@ -255,39 +285,43 @@
                 await trio.sleep(ASK_SPACING_S)
 
     async def _look_for_earlier(self) -> None:
-        """Find out whether any broker holds what an earlier start deposited."""
-        heard: set[str] = set()
-        held_until_s = self._parts.clock()
-        until_s = held_until_s + DEPOSIT_S
-
-        async def ask(record: HostRecord) -> None:
-            nonlocal held_until_s
-            question = DepositQuestion(self._parts.own().name)
-            asked = await self._parts.peers.ask(record.peer, question, ASK_TIMEOUT_MS)
-            answer = asked.ok()
-            if isinstance(answer, DepositAnswer):
-                heard.add(record.name)
-                held_s = answer.held_ms / 1000
-                held_until_s = max(held_until_s, self._parts.clock() + held_s)
-
-        while self._parts.clock() < until_s:
-            await trio.sleep(LOOK_INTERVAL_S)
-            if self._parts.clock() < self._counted_at_s:
-                continue
-            own = self._parts.own()
-            records = {h.name: h for h in self._parts.hosts.all()}
-            regions = self._names_by_region()
-            nearby = regions.get(self._parts.region_of(own.zone), [])
-            possible = possible_brokers(nearby, len(regions))
-            others = [records[name] for name in possible if name != own.name]
-            async with trio.open_nursery() as nursery:
+        """Find out whether any broker holds what an earlier start deposited.
+
+        One that has itself started behind this host holds nothing.
+        """
+        earlier = _Earlier(self._parts.clock())
+        async with trio.open_nursery() as nursery:
+            while self._parts.clock() < earlier.held_until_s + DEPOSIT_S:
+                await trio.sleep(LOOK_INTERVAL_S)
+                if self._parts.clock() < self._counted_at_s:
+                    continue
+                others = [r for r in self._nearby_brokers() if not earlier.heard(r)]
+                if not others:
+                    left_s = earlier.held_until_s - self._parts.clock()
+                    await trio.sleep(max(0.0, left_s))
+                    self._depositor.nothing_earlier()
+                    break
                 for record in others:
-                    if record.name not in heard:
-                        nursery.start_soon(ask, record)
-            if heard >= {record.name for record in others}:
-                await trio.sleep(max(0.0, held_until_s - self._parts.clock()))
-                self._depositor.nothing_earlier()
-                return
+                    if earlier.asks(record):
+                        nursery.start_soon(self._ask_for_earlier, record, earlier)
+            nursery.cancel_scope.cancel()
+
+    def _nearby_brokers(self) -> list[HostRecord]:
+        """Return the other hosts of this region that may be brokers."""
+        own = self._parts.own()
+        regions = self._names_by_region()
+        nearby = regions.get(self._parts.region_of(own.zone), [])
+        found = map(self._parts.hosts.find, possible_brokers(nearby, len(regions)))
+        return [r for r in found if r is not None and r.name != own.name]
+
+    async def _ask_for_earlier(self, record: HostRecord, earlier: "_Earlier") -> None:
+        question = DepositQuestion(self._parts.own().name)
+        asked = await self._parts.peers.ask(record.peer, question, ASK_TIMEOUT_MS)
+        answer = asked.ok()
+        if isinstance(answer, DepositAnswer):
+            until_s = self._parts.clock() + answer.held_ms / 1000
+            earlier.answered(record, until_s)
+        earlier.asked.discard(record.incarnation)
 
     def answer_deposit(self, question: DepositQuestion) -> DepositAnswer:
         """Tell a host that has started whether anything of it is held here."""
--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -32,6 +32,8 @@
 # What a server that fails its work is held to cost more than others; as all that
 # is known of waits, it is forgotten within a second.
 FAILING_COSTS_MS = 1_000.0
+# The same for a server whose log is behind what all readers must see.
+BEHIND_COSTS_MS = 400.0
 # How often a read that only the primary may answer is repeated where it fails.
 FAILURES_REPEATED = 2
 # Below this rest of a statement's time another attempt is no use.
@@ -224,6 +226,9 @@
                 continue
             if not _may_repeat(done, repeatable=True):
                 return Outcome(_refusal(done, reads=True))
+            if done.reason is Reason.BEHIND and floor != demand.floor:
+                # Not for what this session alone has just written.
+                self._wait_ms[server.id] = (self._parts.clock(), BEHIND_COSTS_MS)
             passed_over.add(server.id)
 
     async def _attempt(
--- a/src/rattanhollow/serving/_served.py
+++ b/src/rattanhollow/serving/_served.py
@@ -6,6 +6,7 @@
 import trio
 from result import Err, Result
 
+from rattanhollow.coordination import Position
 from rattanhollow.observe import Meter, kinds, log_event
 from rattanhollow.serving._connections import ConnectionPool, ServerConnection
 from rattanhollow.serving._end import (
@@ -47,6 +48,9 @@
 TOO_MANY_PAUSE_S = 1.0
 # Connections left to hosts that look at the server without serving it.
 CONNECTIONS_SPARED = 2
+# How long what a log lacked is taken as lacking: replicas that are behind are so
+# for seconds, and each question occupies one of their slots.
+LACKED_FOR_S = 0.1
 # Whom a backend server is told of where no organisation's work is done.
 NOBODY = "-"
 
@@ -122,6 +126,7 @@
         self.switching = False
         self._unreachable_since_s = 0.0
         self._behind_since_s: float | None = None
+        self._lacked: tuple[Position, float] | None = None
         self._parts = parts
         self._pool = ConnectionPool(max(1, connections - CONNECTIONS_SPARED))
         self._slots: SlotQueue[_Ticket] = SlotQueue(server.slots)
@@ -152,6 +157,9 @@
             return not_run(Obstacle.NOT_SERVED, f"{self.server.id} is unreachable")
         if self.switching and _must_lead(work):
             return not_run(Obstacle.SWITCHING, "the primary is being replaced")
+        if self._surely_lacks(work):
+            detail = f"{self.server.id} was behind just now"
+            return Done(Fate.REFUSED, reason=Reason.BEHIND, detail=detail)
         if work.movable and self._health.turns_away(self._parts.clock()):
             return not_run(Obstacle.FAILING, f"{self.server.id} fails its work")
         transaction = None
@@ -319,6 +327,13 @@
             self._parts.meter.time(kinds.SERVER_MS, cost_ms, self.server.id)
         return self._settle(work, connection, transaction, reply)
 
+    def _surely_lacks(self, work: Work) -> bool:
+        """Whether the server's log lacked no more than work needs, just now."""
+        if self._lacked is None or work.floor is None or not work.movable:
+            return False
+        floor, at_s = self._lacked
+        return work.floor >= floor and self._parts.clock() - at_s < LACKED_FOR_S
+
     def _note_health(self, done: Done) -> None:
         failed = done.reason is Reason.FAILED or done.obstacle is Obstacle.LOST
         if failed or done.fate is Fate.DONE:
@@ -504,6 +519,8 @@
         """Decide what becomes of connection and transaction, and answer."""
         success = reply.reason is None
         if reply.reason is Reason.BEHIND:
+            if work.floor is not None:
+                self._lacked = (work.floor, self._parts.clock())
             if self._behind_since_s is None:
                 self._behind_since_s = self._parts.clock()
         elif success and work.floor is not None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -244,6 +244,28 @@
     on_bench(script, scenario)
 
 
+def test_a_replica_that_is_behind_is_left_for_a_while() -> None:
+    """While it lags reads begin elsewhere; what it alone lacks says nothing."""
+
+    async def script(server: str, work: Work) -> Done:
+        if server == "i-1":
+            return refused(Reason.BEHIND)
+        return await done(server, work)
+
+    async def scenario(bench: Bench) -> None:
+        await bench.router.read(demand(floor=Position(1, 90)))
+        assert bench.servers == ["i-1", "i-2"]
+        await bench.router.read(demand())
+        assert bench.servers[2:] == ["i-1", "i-2"]
+        await bench.router.read(demand())
+        assert bench.servers[4:] == ["i-2"]
+        await trio.sleep(1.0)
+        await bench.router.read(demand())
+        assert bench.servers[5:] == ["i-1", "i-2"]
+
+    on_bench(script, scenario)
+
+
 def test_the_last_server_s_failure_is_passed_on() -> None:
     """Where all fail, the caller hears of it at once."""
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -362,3 +362,22 @@
     taken = [pool.take("kirk", {"v": "1"}) for _ in range(3)]
     assert [c.values if c else None for c in taken] == [{"v": "1"}, {}, {"w": "2"}]
     assert pool.take("kirk", {}) is None
+
+
+def test_a_replica_that_is_behind_is_asked_rarely() -> None:
+    """A flood of reads that its log can't serve costs it ten questions a second."""
+
+    async def scenario(stage: Stage) -> None:
+        replica = stage.serve(1)
+        floor = Position(9, 9)
+        behind = work(server="i-1", floor=floor, movable=True)
+        for _ in range(100):
+            done = await replica.run(behind)
+            assert (done.fate, done.reason) == (Fate.REFUSED, Reason.BEHIND)
+            await trio.sleep(0.01)
+        metered = stage.parts.meter.exposition()
+        assert b"rattanhollow_server_ms_count" in metered
+        asked = float(metered.split(b"rattanhollow_server_ms_count")[1].split()[1])
+        assert asked <= 12
+
+    on_stage(scenario)
