--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -35,7 +35,6 @@
     FloorQuestion,
     Message,
     Peers,
-    new_peer_keys,
 )
 from rattanhollow.rates import PooledRateParts, PooledRates
 from rattanhollow.routing import (
@@ -85,17 +84,17 @@
         self._ends = ends
         self._rng = rng
         self._incarnation = secrets.token_hex(4)
-        keys = new_peer_keys()
         record = HostRecord(
             name=place.name,
             address=place.address,
             zone=place.zone,
             peer_port=settings.listen.peer_port,
-            public_key=keys.public.decode(),
+            # Callers' and backend servers' lines cross the same network in the clear.
+            public_key="",
             incarnation=self._incarnation,
         )
         self.registration = Registration(ends.store, record, rng, reports=False)
-        self.peers = Peers(place.address, keys, self.hosts.knows_key, self._answer_peer)
+        self.peers = Peers(place.address, None, self.hosts.knows_key, self._answer_peer)
         self._neighbours = NeighbourWatch(
             self._own, self.hosts, self.peers, ends.store, settings.membership
         )
--- a/src/rattanhollow/peer/_link.py
+++ b/src/rattanhollow/peer/_link.py
@@ -29,6 +29,9 @@
 HEARTBEAT_TIMEOUT_MS = 30_000
 # How long sent bytes may stay unacknowledged: the links are short ones.
 USER_TIMEOUT_MS = 2_000
+# A host that has no power drops the packet that opens a connection; the system
+# would send it again after one, three and seven seconds.
+CONNECT_TIMEOUT_MS = 600
 RECONNECT_MS = 50
 RECONNECT_HIGHEST_MS = 500
 AUTHENTICATION_ADDRESS = "inproc://zeromq.zap.01"
@@ -61,7 +64,10 @@
 class Peers:
     """The links of one host at ``address``.
 
-    ``allowed(public_key)`` says whether a key belongs to a host of the fleet;
+    With ``keys`` the links are encrypted, and ``allowed(public_key)`` says whether
+    a key belongs to a host of the fleet. A host's keys die with its process, so
+    after a restart no link comes up before both ends have read the other's new
+    record; without keys it does at once.
     ``handle(message)`` answers a question, or returns None where it has no
     answer. Links are made when a host is first asked.
     """
@@ -69,7 +75,7 @@
     def __init__(
         self,
         address: str,
-        keys: PeerKeys,
+        keys: PeerKeys | None,
         allowed: Callable[[str], bool],
         handle: Handler,
     ) -> None:
@@ -85,13 +91,16 @@
 
     async def run(self, port: int) -> None:
         """Answer at ``port`` until cancelled."""
-        authenticator = TrioSocket(self._context.socket(zmq.REP))
-        authenticator.raw.bind(AUTHENTICATION_ADDRESS)
+        authenticator = None
+        if self._keys is not None:
+            authenticator = TrioSocket(self._context.socket(zmq.REP))
+            authenticator.raw.bind(AUTHENTICATION_ADDRESS)
         server = TrioSocket(self._server_socket(port))
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
-                nursery.start_soon(self._authenticate, authenticator)
+                if authenticator is not None:
+                    nursery.start_soon(self._authenticate, authenticator)
                 nursery.start_soon(self._watch)
                 await self._answer(server)
         finally:
@@ -100,7 +109,8 @@
                 link.close()
             self._links.clear()
             server.close()
-            authenticator.close()
+            if authenticator is not None:
+                authenticator.close()
             self._context.destroy(linger=0)
 
     async def ask(
@@ -151,8 +161,9 @@
 
     def _server_socket(self, port: int) -> zmq.Socket:
         socket = self._socket(zmq.ROUTER)
-        socket.curve_server = 1
-        socket.zap_domain = b"rattanhollow"
+        if self._keys is not None:
+            socket.curve_server = 1
+            socket.zap_domain = b"rattanhollow"
         socket.bind(f"tcp://{self._address}:{port}")
         return socket
 
@@ -161,7 +172,9 @@
         # Nothing is kept for a connection that isn't there: a question that
         # arrives late runs for nobody.
         socket.setsockopt(zmq.IMMEDIATE, 1)
-        socket.curve_serverkey = peer.public_key.encode()
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        if self._keys is not None:
+            socket.curve_serverkey = peer.public_key.encode()
         socket.connect(self._endpoint(peer))
         return socket
 
@@ -170,8 +183,9 @@
 
     def _socket(self, kind: int) -> zmq.Socket:
         socket = self._context.socket(kind)
-        socket.curve_publickey = self._keys.public
-        socket.curve_secretkey = self._keys.secret
+        if self._keys is not None:
+            socket.curve_publickey = self._keys.public
+            socket.curve_secretkey = self._keys.secret
         socket.setsockopt(zmq.SNDHWM, QUEUED_MESSAGES)
         socket.setsockopt(zmq.RCVHWM, QUEUED_MESSAGES)
         socket.setsockopt(zmq.MAXMSGSIZE, LARGEST_MESSAGE_BYTES)
--- a/src/rattanhollow/proxy/_caller.py
+++ b/src/rattanhollow/proxy/_caller.py
@@ -33,8 +33,8 @@
     holds its transaction or its session state, ``term`` the term in which that
     began; ``running`` is the connection that works for it now. ``relayed`` is
     whether it was sent some of the answer to its request, ``busy`` whether one
-    is under way. ``ending`` is what it is told where the session
-    must end.
+    is under way, ``resting_since_s`` when the last one ended. ``ending`` is what
+    it is told where the session must end.
     """
 
     def __init__(
@@ -65,6 +65,7 @@
         self.flushed = False
         self.relayed = False
         self.busy = False
+        self.resting_since_s = self.began_at_s
 
     def raise_floor(self, position: Position) -> None:
         """Raise the floor to ``position``; it never falls."""
@@ -77,6 +78,13 @@
         resting = not self.busy and self.status == IDLE and not self.flushed
         return resting and not self.wire.mid_frame
 
+    @property
+    def resting_s(self) -> float:
+        """For how long it has sent nothing, 0 where something is under way."""
+        if not self.idle or self.wire.has_frames:
+            return 0.0
+        return time.monotonic() - self.resting_since_s
+
     @property
     def organisation(self) -> str:
         """The name of the caller's organisation."""
--- a/src/rattanhollow/proxy/_serve.py
+++ b/src/rattanhollow/proxy/_serve.py
@@ -1,5 +1,7 @@
 """Serving one logged-in caller: request after request, straight down."""
 
+import time
+
 import trio
 from result import Err, Ok, Result
 
@@ -113,9 +115,7 @@
 async def _next_request(caller: Caller, service: Service) -> list[Frame] | None:
     """Return the next request, or None where the session has to end."""
     if caller.status == IDLE and not caller.flushed:
-        if service.callers.leaving and not caller.wire.has_frames:
-            caller.ending = not_run("the host is leaving", sqlstates.LEAVING)
-            return None
+        caller.resting_since_s = time.monotonic()
         return await read_batch(caller.wire)
     idle_s = service.settings.limits.transaction_idle_ms / 1000
     with trio.move_on_after(idle_s):
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -40,6 +40,9 @@
 # Questions to a broker are this far apart at least, so that they gather wants.
 ASK_SPACING_S = 0.02
 ASK_TIMEOUT_MS = 400
+# How long a broker is waited for before one of another region is asked: a question
+# to the far end of the fleet and back.
+PATIENCE_S = 0.08
 # How often a host that has started asks those that did not answer yet.
 LOOK_INTERVAL_S = 0.1
 # How long an operation waits for a token: two questions to another region, and no
@@ -194,7 +197,8 @@
         self._grouped: dict[str, list[str]] = {}
         self._grouped_at = -1
         self._counted_at_s = math.inf
-        self._asking: set[str] = set()
+        # When each broker was asked that has not answered yet.
+        self._asking: dict[str, float] = {}
         self._regular_at_s = 0.0
         self._urgent = trio.Event()
         self._nursery: trio.Nursery | None = None
@@ -272,6 +276,8 @@
             self._regular_at_s = looked_at_s = self._parts.clock()
             while True:
                 left_s = self._regular_at_s - self._parts.clock()
+                if any(local.waiters for local in self._local.values()):
+                    left_s = min(left_s, PATIENCE_S)
                 with trio.move_on_after(max(0.0, left_s)):
                     await self._urgent.wait()
                 self._urgent = trio.Event()
@@ -421,18 +427,29 @@
         for name, local in self._local.items():
             tokens = self._wanted(local, now_s, regular)
             if tokens:
-                brokers = regions[local.regions_tried % len(regions)]
-                wants[brokers[shard_of(name)]].append(TokenWant(name, tokens))
+                broker = self._broker_to_ask(shard_of(name), local, regions, now_s)
+                wants[broker].append(TokenWant(name, tokens))
         assert self._nursery is not None
         for broker in {*shards, *wants}:
             # Deposits have to be renewed in time, whatever is under way.
             if broker in self._asking and not shards[broker]:
                 continue
-            self._asking.add(broker)
+            self._asking[broker] = now_s
             self._nursery.start_soon(
                 self._ask, broker, tuple(shards[broker]), tuple(wants[broker])
             )
 
+    def _broker_to_ask(
+        self, shard: int, local: _Local, regions: list[Brokers], now_s: float
+    ) -> str:
+        """Return the broker whose turn it is, or the next that isn't slow."""
+        at = local.regions_tried % len(regions)
+        for brokers in [*regions[at:], *regions[:at]]:
+            asked_at_s = self._asking.get(brokers[shard], now_s)
+            if now_s - asked_at_s < PATIENCE_S:
+                return brokers[shard]
+        return regions[at][shard]
+
     def _names_by_region(self) -> dict[str, list[str]]:
         changes = self._parts.hosts.changes
         if changes != self._grouped_at:
@@ -480,7 +497,7 @@
                     )
                     answer = asked.ok()
         finally:
-            self._asking.discard(broker)
+            self._asking.pop(broker, None)
         if not isinstance(answer, PoolAnswer):
             for want in wants:
                 self._try_next_region(want.organisation)
--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -8,6 +8,7 @@
 
 from rattanhollow.configuration import Consistency, Route
 from rattanhollow.coordination import Position
+from rattanhollow.flow import TokenBucket
 from rattanhollow.observe import Meter, kinds, log_event
 from rattanhollow.routing._agents import Agents, Ran
 from rattanhollow.routing._directory import ServerDirectory
@@ -36,6 +37,11 @@
 BEHIND_COSTS_MS = 400.0
 # How often a read that only the primary may answer is repeated where it fails.
 FAILURES_REPEATED = 2
+# A read that is unanswered for this part of the time within which its caller
+# expects the answer is asked of another server, so many times a second: at most a
+# tenth of a busy host's reads.
+SECOND_ASKED_PART = 0.35
+SECOND_READS_PER_S = 4.0
 # Below this rest of a statement's time another attempt is no use.
 LEAST_ATTEMPT_MS = 20
 
@@ -100,6 +106,37 @@
     open: bool = False
 
 
+class _Pending:
+    """A read under way."""
+
+    def __init__(self) -> None:
+        self.done = trio.Event()
+        self.ran: Ran | None = None
+
+
+async def _first_done(
+    first: _Pending, server: BackendServer, second: _Pending, other: BackendServer
+) -> tuple[Ran, BackendServer]:
+    """Return the first answer that succeeded, or the last that did not."""
+    pending = [(first, server), (second, other)]
+    ended: list[tuple[Ran, BackendServer]] = []
+    ready = trio.Event()
+
+    async def wait(read: _Pending, at: BackendServer) -> None:
+        await read.done.wait()
+        assert read.ran is not None
+        ended.append((read.ran, at))
+        if read.ran.done.fate is Fate.DONE or len(ended) == len(pending):
+            ready.set()
+
+    async with trio.open_nursery() as nursery:
+        for read, at in pending:
+            nursery.start_soon(wait, read, at)
+        await ready.wait()
+        nursery.cancel_scope.cancel()
+    return ended[-1]
+
+
 class Router:
     """Runs the statements of sessions."""
 
@@ -109,6 +146,9 @@
         self._avoided_until_s: dict[str, float] = {}
         self._renewing: set[str] = set()
         self._numbers = itertools.count(1)
+        # An overload must not grow by reads that are asked twice.
+        self._second_reads = TokenBucket(parts.clock)
+        self._second_reads.resize(SECOND_READS_PER_S, SECOND_READS_PER_S)
 
     async def read(self, demand: Demand) -> Outcome:
         """Run a read outside a transaction."""
@@ -212,7 +252,9 @@
                 continue
             others = self._reader(demand.route.service, {*passed_over, server.id})
             movable = others is not None
-            ran = await self._attempt(demand, server, scope, floor, budget_ms, movable)
+            ran, server = await self._read_once(
+                demand, server, others, scope, floor, budget_ms
+            )
             done = last = ran.done
             if done.fate is Fate.DONE:
                 leader = self._parts.directory.leader(server.service)
@@ -231,6 +273,52 @@
                 self._wait_ms[server.id] = (self._parts.clock(), BEHIND_COSTS_MS)
             passed_over.add(server.id)
 
+    async def _read_once(
+        self,
+        demand: Demand,
+        server: BackendServer,
+        other: BackendServer | None,
+        scope: Scope,
+        floor: Position,
+        budget_ms: int,
+    ) -> tuple[Ran, BackendServer]:
+        """Read at a server, and at the ``other`` where the first says nothing.
+
+        Returns the answer that counts, and whose it is.
+        """
+        movable = other is not None
+        if other is None or scope is not Scope.ALONE:
+            ran = await self._attempt(demand, server, scope, floor, budget_ms, movable)
+            return ran, server
+        first = _Pending()
+
+        async def run() -> None:
+            first.ran = await self._attempt(
+                demand, server, scope, floor, budget_ms, movable=True
+            )
+            first.done.set()
+
+        # The slower answer is let come in: breaking a read off costs a connection.
+        self._parts.nursery.start_soon(run)
+        with trio.move_on_after(demand.route.target_ms / 1000 * SECOND_ASKED_PART):
+            await first.done.wait()
+        left_ms = self._budget_ms(demand)
+        late = first.ran is None and left_ms >= LEAST_ATTEMPT_MS
+        if not late or not self._second_reads.take():
+            await first.done.wait()
+            assert first.ran is not None
+            return first.ran, server
+        second = _Pending()
+
+        async def run_second() -> None:
+            second.ran = await self._attempt(
+                demand, other, scope, floor, left_ms, movable=True
+            )
+            second.done.set()
+
+        self._parts.nursery.start_soon(run_second)
+        return await _first_done(first, server, second, other)
+
     async def _attempt(
         self,
         demand: Demand,
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -266,6 +266,60 @@
     on_bench(script, scenario)
 
 
+def test_a_read_that_stays_unanswered_is_asked_elsewhere() -> None:
+    """A server, or its serving host, that has gone silent costs part of the time."""
+
+    async def script(server: str, work: Work) -> Done:
+        if server == "i-1":
+            await trio.sleep(5)
+        return await done(server, work)
+
+    async def scenario(bench: Bench) -> None:
+        began_s = trio.current_time()
+        # The bucket of second reads begins empty.
+        await trio.sleep(0.5)
+        outcome = await bench.router.read(demand())
+        assert isinstance(outcome.answer, Completed)
+        assert bench.servers == ["i-1", "i-2"]
+        assert trio.current_time() - began_s < 1.1
+
+    on_bench(script, scenario)
+
+
+def test_a_slow_answer_that_succeeds_is_delivered() -> None:
+    """The other server may fail: the first answer still counts."""
+
+    async def script(server: str, work: Work) -> Done:
+        if server == "i-1":
+            await trio.sleep(0.5)
+            return await done(server, work)
+        return refused(Reason.BUSY)
+
+    async def scenario(bench: Bench) -> None:
+        await trio.sleep(0.5)
+        outcome = await bench.router.read(demand())
+        assert isinstance(outcome.answer, Completed)
+        assert bench.servers == ["i-1", "i-2"]
+
+    on_bench(script, scenario)
+
+
+def test_few_reads_are_asked_twice() -> None:
+    """Where all servers are slow, a flood of reads is not doubled."""
+
+    async def script(server: str, work: Work) -> Done:
+        await trio.sleep(0.4)
+        return await done(server, work)
+
+    async def scenario(bench: Bench) -> None:
+        async with trio.open_nursery() as nursery:
+            for _ in range(100):
+                nursery.start_soon(bench.router.read, demand())
+        assert len(bench.tried) <= 100 + 8
+
+    on_bench(script, scenario)
+
+
 def test_the_last_server_s_failure_is_passed_on() -> None:
     """Where all fail, the caller hears of it at once."""
 
