--- a/src/rattanhollow/peer/_link.py
+++ b/src/rattanhollow/peer/_link.py
@@ -34,6 +34,8 @@
 CONNECT_TIMEOUT_MS = 600
 RECONNECT_MS = 50
 RECONNECT_HIGHEST_MS = 500
+# Of a CURVE key in Z85.
+KEY_CHARACTERS = 40
 AUTHENTICATION_ADDRESS = "inproc://zeromq.zap.01"
 
 
@@ -119,14 +121,20 @@
         """Ask another host; the ``Err`` says whether it may have heard."""
         if self._nursery is None:
             return Err(AskFailure("the links are not up", sent=False))
+        if not self._can_reach(peer):
+            return Err(AskFailure(f"{peer.name} has no usable key", sent=False))
         link = self._link(peer, self._nursery)
         return await link.ask(question, timeout_ms)
 
     async def tell(self, peer: PeerAddress, news: Message) -> None:
         """Send something that needs no answer, if the host is connected soon."""
-        if self._nursery is not None:
+        if self._nursery is not None and self._can_reach(peer):
             await self._link(peer, self._nursery).tell(news)
 
+    def _can_reach(self, peer: PeerAddress) -> bool:
+        """Whether a host's record has what its link needs: others wrote it."""
+        return self._keys is None or len(peer.public_key) == KEY_CHARACTERS
+
     def is_dark(self, peer: PeerAddress) -> bool:
         """Whether a host that was asked lately leaves questions unanswered."""
         link = self._links.get(peer.name)
