--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -63,6 +63,9 @@
 WAITING_PART = 2.0
 # How long an organisation counts as over its rate behind an answer that said so.
 DRY_S = 0.25
+# How soon brokers are asked again that had too few tokens for all who asked: a flood
+# would ask as often as questions are gathered.
+ASK_AGAIN_S = 0.1
 # Tokens are fetched ahead where at least so many are used between two questions.
 AHEAD_FROM = 1.0
 DEMAND_SMOOTHING = 0.4
@@ -125,6 +128,7 @@
         self.bucket = TokenBucket(clock)
         self.waiters: deque[_Waiter] = deque()
         self.dry_until_s = -math.inf
+        self.ask_from_s = -math.inf
         self.wait_ms = 0
         # How many regions had too few tokens for those that wait now, and when the
         # first of these has more.
@@ -472,7 +476,7 @@
         return not self._parts.peers.is_dark(record.peer)
 
     def _wanted(self, local: _Local, now_s: float, regular: bool) -> int:
-        tokens = len(local.waiters)
+        tokens = len(local.waiters) if now_s >= local.ask_from_s else 0
         ahead = local.demand_per_s * ASK_INTERVAL_S
         if regular and ahead >= AHEAD_FROM:
             tokens += max(0, math.ceil(ahead) - local.at_hand(now_s))
@@ -540,10 +544,9 @@
         if self._try_next_region(grant.organisation):
             return
         local.dry_until_s = now_s + DRY_S
+        local.ask_from_s = now_s + ASK_AGAIN_S
         local.wait_ms, local.least_wait_ms = local.least_wait_ms, RETRY_AT_MOST_MS
         own_ms = local.bucket.wait_for_token_s() * 1000
         if local.waiters and min(own_ms, local.wait_ms) > WAIT_AT_MOST_S * 1000:
             while local.waiters:
                 local.waiters.popleft().decide(admitted=False)
-        if local.waiters:
-            self._urgent.set()
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -6,21 +6,39 @@
 
 import math
 import random
+from typing import Any
 
 import pytest
 import trio
+from result import Ok
 
+from jumping import run_jumping
+from rattanhollow.configuration import Organisation
 from rattanhollow.coordination import (
     SHARDS,
     Position,
+    Stamp,
     TokenBroker,
     TokenBucket,
+    TokenGrant,
     TokenWant,
     shard_of,
 )
 from rattanhollow.membership import Gossip, HostDirectory, HostRecord
-from rattanhollow.peer import FloorAnswer
-from rattanhollow.rates import brokers_by_region, possible_brokers
+from rattanhollow.observe import Meter
+from rattanhollow.peer import (
+    DepositAnswer,
+    DepositQuestion,
+    FloorAnswer,
+    PeerAddress,
+    PoolAnswer,
+)
+from rattanhollow.rates import (
+    PooledRateParts,
+    PooledRates,
+    brokers_by_region,
+    possible_brokers,
+)
 from rattanhollow.rates._pooled import DEEPER_PART, WAIT_AT_MOST_S
 from rattanhollow.routing import Floors
 from rattanhollow.serving import ProofAnswer
@@ -293,3 +311,58 @@
         while at_s - admitted[start] >= WINDOW_S:
             start += 1
         assert end - start + 1 <= allowed
+
+
+class _EmptyBrokers:
+    """Links to brokers that have no tokens; counts what they are asked for."""
+
+    def __init__(self) -> None:
+        self.wanted = 0
+
+    def is_dark(self, peer: object) -> bool:
+        return False
+
+    async def ask(self, peer: PeerAddress, question: Any, timeout_ms: int) -> Any:
+        await trio.sleep(0.01)
+        if isinstance(question, DepositQuestion):
+            return Ok(DepositAnswer(0))
+        self.wanted += bool(question.wants)
+        grants = tuple(TokenGrant(w.organisation, 0, 10) for w in question.wants)
+        return Ok(PoolAnswer(Stamp(peer.name, 0.0), grants))
+
+
+def test_a_flood_asks_the_brokers_rarely() -> None:
+    """A flooding organisation costs its brokers twenty questions a second at most."""
+    brokers = _EmptyBrokers()
+    directory = HostDirectory(lambda: None)
+    for region, names in REGIONS.items():
+        for name in names:
+            record = HostRecord(name, "10.0.0.1", f"{region}-a", 1, "", "i")
+            directory.follower.offer(Stored("hosts", name, 1, record._asdict()))
+    own = directory.find("lothian-0")
+    assert own is not None
+
+    async def flood() -> None:
+        rates = PooledRates(
+            PooledRateParts(
+                organisations=lambda: {"kirk": Organisation("kirk", (), 100, 100)},
+                own=lambda: own,
+                hosts=directory,
+                peers=brokers,  # type: ignore[arg-type]
+                clock=trio.current_time,
+                region_of=lambda zone: zone.removesuffix("-a"),
+                settle_s=0.0,
+                slack=SLACK,
+                meter=Meter(),
+            )
+        )
+        async with trio.open_nursery() as nursery:
+            rates.registered(anew=False)
+            nursery.start_soon(rates.run)
+            for _ in range(400):
+                nursery.start_soon(rates.admit, "kirk", 600)
+                await trio.sleep(0.005)
+            nursery.cancel_scope.cancel()
+
+    run_jumping(flood)
+    assert brokers.wanted <= 2 * 20
