--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -238,10 +238,12 @@
         while True:
             hosts = max(1, len(self.hosts.all()))
             await trio.sleep(POLL_INTERVAL_S * hosts * self._rng.uniform(0.5, 1.5))
-            name = self._ends.configuration_name
-            found = await self._ends.store.get(self._configurations.kind, name)
-            if found.is_ok():
-                self._configurations.take_one(found.unwrap())
+            known = self._configurations.changes
+            listed = await self._ends.store.list(self._configurations.kind)
+            if listed.is_ok():
+                self._configurations.take_list(listed.unwrap())
+            if self._configurations.changes != known:
+                self.gossip.spread(self._configurations)
             await self._read_servers()
 
     async def _read_servers(self) -> bool:
--- a/src/rattanhollow/membership/_gossip.py
+++ b/src/rattanhollow/membership/_gossip.py
@@ -27,10 +27,12 @@
 
 # News needs a few rounds to reach every host within the time that operators give.
 ROUNDS_IN_TIME = 5
+# Relays are few, and all of their zone wait for them where the store turns them away.
+RELAY_ROUNDS_IN_TIME = 12
 ASK_TIMEOUT_MS = 400
 # How often a host that is no relay asks beyond its zone, whose relays may all
 # be turned away.
-ELSEWHERE_PART = 0.2
+ELSEWHERE_PART = 0.4
 
 
 class Gossip:
@@ -53,7 +55,7 @@
         self._hosts = hosts
         self._peers = peers
         self._rng = rng
-        self._interval_s = in_force_s / ROUNDS_IN_TIME
+        self._in_force_s = in_force_s
         self._nursery: trio.Nursery | None = None
 
     def is_relay(self) -> bool:
@@ -67,11 +69,17 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             while True:
-                await trio.sleep(self._interval_s * self._rng.uniform(0.8, 1.2))
+                await trio.sleep(self.interval_s * self._rng.uniform(0.8, 1.2))
                 partners = self._partners()
                 if partners:
                     await self._ask(self._rng.choice(partners))
 
+    @property
+    def interval_s(self) -> float:
+        """How far this host's comparisons are apart."""
+        rounds = RELAY_ROUNDS_IN_TIME if self.is_relay() else ROUNDS_IN_TIME
+        return self._in_force_s / rounds
+
     def pass_on(self, follower: Follower) -> None:
         """Tell the hosts of this zone of a copy that the store has changed."""
         own = self._own()
@@ -82,10 +90,22 @@
             if record.zone == own.zone and record.name != own.name:
                 self._nursery.start_soon(self._peers.tell, record.peer, news)
 
+    def spread(self, follower: Follower) -> None:
+        """Tell the relays of all zones: the store may turn all of them away."""
+        if self._nursery is None:
+            return
+        news = CopyNews((_copy(follower),), pass_on=True)
+        own = self._own()
+        for record in self._relays():
+            if record.name != own.name:
+                self._nursery.start_soon(self._peers.tell, record.peer, news)
+
     def take(self, news: CopyNews) -> None:
         """Take what another host tells."""
         for copy in news.copies:
-            self._take(copy, "")
+            taken = self._take(copy, "")
+            if taken is not None and news.pass_on:
+                self.pass_on(taken)
 
     def answer(self, question: CopyQuestion) -> CopyAnswer:
         """Return the copies that are newer here."""
@@ -111,17 +131,23 @@
         hears from elsewhere it passes on.
         """
         own = self._own()
+        elsewhere = self.is_relay() or self._rng.random() < ELSEWHERE_PART
+        return [
+            record
+            for record in self._relays()
+            if record.name != own.name and (record.zone == own.zone or elsewhere)
+        ]
+
+    def _relays(self) -> list[HostRecord]:
+        """Return the relays of all zones."""
         by_zone: dict[str, list[HostRecord]] = {}
         for record in self._reached():
             by_zone.setdefault(record.zone, []).append(record)
-        elsewhere = self.is_relay() or self._rng.random() < ELSEWHERE_PART
-        chosen = [
+        return [
             record
             for zone, records in by_zone.items()
             for record in relays_of(zone, records)
-            if zone == own.zone or elsewhere
         ]
-        return [record for record in chosen if record.name != own.name]
 
     async def _ask(self, record: HostRecord) -> None:
         states = tuple(
@@ -132,12 +158,15 @@
         answer = asked.ok()
         if isinstance(answer, CopyAnswer):
             for copy in answer.copies:
-                self._take(copy, record.name)
+                taken = self._take(copy, record.name)
+                if taken is not None:
+                    self.pass_on(taken)
 
-    def _take(self, copy: Copy, host: str) -> None:
+    def _take(self, copy: Copy, host: str) -> Follower | None:
+        """Take a copy, and return what it changed if it is newer."""
         follower = self._followers.get(copy.kind)
         if follower is None or copy.version <= follower.version:
-            return
+            return None
         log_event(
             "copy.from_host",
             kind=copy.kind,
@@ -147,8 +176,7 @@
         )
         items = [Stored(copy.kind, *item) for item in copy.items]
         follower.take_copy(Listing(copy.version, items))
-        if host:
-            self.pass_on(follower)
+        return follower
 
 
 def _copy(follower: Follower) -> Copy:
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -190,9 +190,13 @@
 
 
 class CopyNews(NamedTuple):
-    """Tells of copies that the store has changed."""
+    """Tells of copies that the store has changed.
+
+    ``pass_on`` where a relay is to tell its availability zone.
+    """
 
     copies: tuple[Copy, ...]
+    pass_on: bool = False
 
 
 class ReachQuestion(NamedTuple):
