--- a/src/rattanhollow/peer/_connection.py
+++ b/src/rattanhollow/peer/_connection.py
@@ -196,6 +196,9 @@
 
     def _heard(self) -> None:
         self._heard_at_s = time.monotonic()
+        # The end of a connection that was left may be reported behind this one's
+        # beginning.
+        self._connected.set()
         if self.dark:
             self.dark = False
             log_event("peer.back", peer=self.name)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -79,3 +79,18 @@
         await links.tell(peer, QUESTION)
 
     with_links((new_peer_keys(), new_peer_keys()), scenario)
+
+
+def test_a_late_report_of_an_old_connection_delays_nothing() -> None:
+    """An answer shows that a link is up, whatever was reported of it before."""
+
+    async def scenario(links: Peers) -> None:
+        peer = PeerAddress("other", OTHER, PORT, "")
+        assert (await links.ask(peer, QUESTION, 1_000)).is_ok()
+        link = links._links["other"]
+        # The end of the connection that was left, reported behind the new one.
+        link._connected = trio.Event()
+        assert (await links.ask(peer, QUESTION, 1_000)).is_ok()
+        assert link._connected.is_set()
+
+    with_links((None, None), scenario)
