Each availability zone reads the configuration itself now and then

The zone rabat-hassan heard of version 28 only at 12.48 s: its relay was turned away by the store without a sign, and half of the fleet was cut from the other from 5.3 to 12.3 s. Hosts of the zone reached the store, but one host of the whole fleet read it every 1.5 s. Now a host of each zone does so four times in the time that operators allow, and tells its zone and the relays of the others.

--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -56,9 +56,10 @@
 from rattanhollow.settings import LineHostSettings
 from rattanhollow.store import Follower, Stored, follow
 
-# How often the fleet reads the store beside its watches. With a round or two of
-# gossip, a change is in force within a third of the time that operators allow.
-POLL_INTERVAL_S = 1.5
+# How often each availability zone reads the configuration beside its relays' watches,
+# within the time in which a change has to be in force: the store may turn relays away
+# without a sign, and the zone be cut from the others meanwhile.
+POLLS_IN_TIME = 4
 # A host nearby asks the primary across regions, at worst; then this one does.
 NEARBY_TIMEOUT_MS = 300
 
@@ -232,19 +233,23 @@
     async def _poll(self) -> None:
         """Read now and then what a watch that hears nothing would miss.
 
-        The hosts take turns, so that the store is asked as often however many
-        there are.
+        The hosts of a zone take turns, and one zone after the other reads the
+        servers, so that the store is asked as often however many hosts there are.
         """
         while True:
-            hosts = max(1, len(self.hosts.all()))
-            await trio.sleep(POLL_INTERVAL_S * hosts * self._rng.uniform(0.5, 1.5))
+            own_zone = self._own().zone
+            zones = [record.zone for record in self.hosts.all()]
+            turns = max(1, zones.count(own_zone))
+            interval_s = self.settings.configuration_ms / 1000 / POLLS_IN_TIME
+            await trio.sleep(interval_s * turns * self._rng.uniform(0.5, 1.5))
             known = self._configurations.changes
             listed = await self._ends.store.list(self._configurations.kind)
             if listed.is_ok():
                 self._configurations.take_list(listed.unwrap())
             if self._configurations.changes != known:
                 self.gossip.spread(self._configurations)
-            await self._read_servers()
+            if self._rng.random() * len(set(zones)) < 1:
+                await self._read_servers()
 
     async def _read_servers(self) -> bool:
         listed = await self._ends.store.list(self._servers.kind)
--- a/src/rattanhollow/membership/_gossip.py
+++ b/src/rattanhollow/membership/_gossip.py
@@ -91,13 +91,21 @@
                 self._nursery.start_soon(self._peers.tell, record.peer, news)
 
     def spread(self, follower: Follower) -> None:
-        """Tell the relays of all zones: the store may turn all of them away."""
+        """Tell this zone and the relays of all others what no relay has told.
+
+        The store may turn all of them away.
+        """
         if self._nursery is None:
             return
-        news = CopyNews((_copy(follower),), pass_on=True)
+        copies = (_copy(follower),)
         own = self._own()
+        for record in self._reached():
+            if record.zone == own.zone and record.name != own.name:
+                news = CopyNews(copies)
+                self._nursery.start_soon(self._peers.tell, record.peer, news)
         for record in self._relays():
-            if record.name != own.name:
+            if record.zone != own.zone:
+                news = CopyNews(copies, pass_on=True)
                 self._nursery.start_soon(self._peers.tell, record.peer, news)
 
     def take(self, news: CopyNews) -> None:
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -24,7 +24,7 @@
     TokenWant,
     shard_of,
 )
-from rattanhollow.host._root import POLL_INTERVAL_S
+from rattanhollow.host._root import POLLS_IN_TIME
 from rattanhollow.membership import Gossip, HostDirectory, HostRecord
 from rattanhollow.observe import Meter
 from rattanhollow.peer import (
@@ -208,11 +208,13 @@
             knows.add(name)
             if name in relays:
                 knows |= told(name.partition("-")[0])
-        if now_s - polled_at_s >= POLL_INTERVAL_S:
+        if now_s - polled_at_s >= in_force_s / POLLS_IN_TIME:
             polled_at_s = now_s
-            reader = rng.choice(names)
-            if reader not in turned_away and reader not in knows:
-                knows.add(reader)
+            for region in REGIONS:
+                reader = rng.choice(REGIONS[region])
+                if reader in turned_away or reader in knows:
+                    continue
+                knows |= {reader, *told(region)}
                 reached = {r for r in relays if rng.random() > LOST_PART}
                 knows |= reached.union(*(told(r.partition("-")[0]) for r in reached))
     assert knows == set(names)
