A stopping host takes no new sessions behind half of its time

While callers keep coming the host accepted until half a second before its end, and cut those whose reads were slower. Now it closes its listener when half of its time is over; all that was accepted has the rest.

--- a/src/rattanhollow/host/_stop.py
+++ b/src/rattanhollow/host/_stop.py
@@ -34,9 +34,10 @@
 async def stop_serving(parts: Stopping, within_s: float) -> None:
     """Close the sessions as they become idle; returns when nothing is left to do.
 
-    New ones are served until the last has ended: the balancer learns late, or
-    not at all, that this host leaves. An open transaction has half of
-    ``within_s`` to end. Work that other hosts have under way here is waited for.
+    New ones are served until the last has ended, or half of ``within_s`` is over:
+    the balancer learns late, or not at all, that this host leaves, and what came
+    by then needs time to end. An open transaction has half of ``within_s``, too.
+    Work that other hosts have under way here is waited for.
     """
     began_s = trio.current_time()
     with trio.move_on_after(within_s - FAREWELL_S):
@@ -44,7 +45,7 @@
             nursery.start_soon(parts.registration.announce_leaving)
             await trio.sleep(BALANCER_NOTICES_S)
             late_at_s = began_s + within_s / 2
-            await _until(lambda: parts.connections() == 0, parts, late_at_s)
+            await _until(lambda: _may_close(parts, late_at_s), parts, late_at_s)
             parts.stop_accepting()
             await _until(lambda: _done(parts), parts, late_at_s)
             nursery.cancel_scope.cancel()
@@ -53,6 +54,10 @@
         await parts.registration.remove()
 
 
+def _may_close(parts: Stopping, late_at_s: float) -> bool:
+    return parts.connections() == 0 or trio.current_time() > late_at_s
+
+
 def _done(parts: Stopping) -> bool:
     return parts.connections() == 0 and parts.serving.idle
 
