--- a/src/rattanhollow_standins/platform/_group.py
+++ b/src/rattanhollow_standins/platform/_group.py
@@ -328,19 +328,26 @@
             item, _, data = rest.partition(" ")
         elif kind == "READ":
             item = rest
-        plain = self.state == "T" and not self._read_only
-        deposed = plain and (not self.server.leads or self._term != self.group.term)
-        if deposed and not (kind == "COMMIT" and not self._writes):
-            return self._error("READONLY")
-        read_only = self.state == "T" and self._read_only
-        if kind == "WRITE" and (read_only or not self.server.leads):
+        if self._must_not_run(kind):
             return self._error("READONLY")
         async with self.server.slots:
             busy = int(self.server.slots.borrowed_tokens)
             self.server.most_at_once = max(self.server.most_at_once, busy)
             await trio.sleep(self.server.work_s)
+            # The lead may have been lost while the statement waited for its slot.
+            if self._must_not_run(kind):
+                return self._error("READONLY")
             return await self._work(request_id, kind, item, data, text)
 
+    def _must_not_run(self, kind: str) -> bool:
+        """Whether the statement needs a lead that the server doesn't have."""
+        plain = self.state == "T" and not self._read_only
+        deposed = plain and (not self.server.leads or self._term != self.group.term)
+        if deposed and not (kind == "COMMIT" and not self._writes):
+            return True
+        read_only = self.state == "T" and self._read_only
+        return kind == "WRITE" and (read_only or not self.server.leads)
+
     async def _work(
         self, request_id: str, kind: str, item: str, data: str, text: str
     ) -> list[str]:
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -39,7 +39,12 @@
     release_held,
     replace_primary,
 )
-from rattanhollow_standins.platform import DatabaseServer, ServiceGroup, memory_end
+from rattanhollow_standins.platform import (
+    DatabaseServer,
+    ServerSession,
+    ServiceGroup,
+    memory_end,
+)
 from rattanhollow_standins.platform._group import Entry
 from rattanhollow_standins.platform._serve import Promotions
 from rattanhollow_standins.store import ObjectTable, local_store
@@ -201,6 +206,32 @@
     on_stage(scenario)
 
 
+def test_a_deposed_stand_in_acknowledges_nothing_that_waited_for_a_slot() -> None:
+    """A commit in the queue when the lead is lost is refused (soak, seed 4)."""
+
+    async def scenario(theatre: Theatre) -> None:
+        database = theatre.databases[0]
+        session = ServerSession(theatre.group, database, "kirk")
+        await session.query("-", "BEGIN")
+        await session.query("w", "WRITE a 1")
+        answers: list[list[str]] = []
+
+        async def commit() -> None:
+            answers.append(await session.query("c", "COMMIT"))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(database.slot_count):
+                await database.slots.acquire_on_behalf_of(object())
+            nursery.start_soon(commit)
+            await trio.sleep(0.1)
+            theatre.group.promote_now(theatre.databases[1])
+            database.slots.total_tokens += 1
+        assert answers[0][0].startswith("ERROR READONLY")
+        assert not [e for e in theatre.group.acknowledged if e.request_id == "w"]
+
+    on_stage(scenario)
+
+
 def test_one_replica_alone_is_not_promoted() -> None:
     """What only the other replica holds may have been acknowledged."""
 
