--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -9,7 +9,7 @@
 import trio
 from result import Err, Ok, Result
 
-from conftest import run_trio
+from jumping import run_jumping
 from rattanhollow.configuration import Database, Member
 from rattanhollow.coordination import (
     GROUP_KIND,
@@ -137,7 +137,7 @@
                 nursery.cancel_scope.cancel()
             return answer
 
-    return run_trio(main)
+    return run_jumping(main)
 
 
 async def first_election(group: Group, table: ObjectTable) -> None:
