Stand-ins describe databases and write objects in one place; a dead function goes

The soak's fleet repeated how LineCluster describes a database and writes the configuration; Follower.take_one had lost its only caller when polls began to read lists.

--- a/src/rattanhollow/store/_follow.py
+++ b/src/rattanhollow/store/_follow.py
@@ -64,11 +64,6 @@
         self.version = listing.version
         self.listed.set()
 
-    def take_one(self, item: Stored) -> None:
-        """Take one object that the store was asked for."""
-        self._heard()
-        self._take(item)
-
     def take_event(self, event: Event) -> None:
         """Take one report of a watch; an older version is ignored."""
         self._heard()
--- a/src/rattanhollow_standins/platform/_cluster.py
+++ b/src/rattanhollow_standins/platform/_cluster.py
@@ -92,6 +92,36 @@
     }
 
 
+def put(table: ObjectTable, kind: str, name: str, spec: dict[str, Any]) -> None:
+    """Write an object, where that changes anything."""
+    known = table.get(kind, name)
+    if known is None:
+        table.create(kind, name, spec)
+    elif known.spec != spec:
+        table.replace(kind, name, spec, known.version)
+
+
+def describe(
+    table: ObjectTable, service: str, server: DatabaseServer, address: str
+) -> None:
+    """Describe a database as it does itself; a dark one says nothing."""
+    if server.dark:
+        return
+    spec = {
+        "service": service,
+        "address": address,
+        "zone": server.zone,
+        "version": "v1",
+        "slots": server.slot_count,
+        "state": "draining" if server.draining else "ready",
+        "cold_left_ms": 0,
+        "born": server.born_ms,
+        "db_role": "primary" if server.leads else "replica",
+        "seq_no": 1,
+    }
+    put(table, "servers", server.id, spec)
+
+
 class LineCluster:
     """Stand-ins and hosts on loopback addresses; ``net`` keeps clusters apart."""
 
@@ -140,11 +170,7 @@
 
     def configure(self, content: dict[str, Any]) -> None:
         """Write the operator's configuration."""
-        known = self.table.get("config", "main")
-        if known is None:
-            self.table.create("config", "main", content)
-        else:
-            self.table.replace("config", "main", content, known.version)
+        put(self.table, "config", "main", content)
 
     def start_host(self, number: int) -> None:
         """Start a host, or start it again."""
@@ -212,26 +238,6 @@
         """Describe the databases in the store, as they do themselves."""
         while True:
             for number, server in enumerate(self.group.servers.values()):
-                self._describe(number, server)
+                address = f"{self._address(2, number + 1)}:{DATABASE_PORT}"
+                describe(self.table, self.group.name, server, address)
             await trio.sleep(REPORT_INTERVAL_S)
-
-    def _describe(self, number: int, server: DatabaseServer) -> None:
-        if server.dark:
-            return
-        spec = {
-            "service": self.group.name,
-            "address": f"{self._address(2, number + 1)}:{DATABASE_PORT}",
-            "zone": server.zone,
-            "version": "v1",
-            "slots": server.slot_count,
-            "state": "draining" if server.draining else "ready",
-            "cold_left_ms": 0,
-            "born": server.born_ms,
-            "db_role": "primary" if server.leads else "replica",
-            "seq_no": 1,
-        }
-        known = self.table.get("servers", server.id)
-        if known is None:
-            self.table.create("servers", server.id, spec)
-        elif known.spec != spec:
-            self.table.replace("servers", server.id, spec, known.version)
--- a/src/rattanhollow_standins/soak/_fleet.py
+++ b/src/rattanhollow_standins/soak/_fleet.py
@@ -5,7 +5,6 @@
 import subprocess
 import sys
 from pathlib import Path
-from typing import Any
 
 import trio
 
@@ -16,7 +15,13 @@
     serve_database,
     serve_objects,
 )
-from rattanhollow_standins.platform._cluster import SETTINGS, ZONES, configuration
+from rattanhollow_standins.platform._cluster import (
+    SETTINGS,
+    ZONES,
+    configuration,
+    describe,
+    put,
+)
 from rattanhollow_standins.platform._serve import Promotions, serve_promotions
 from rattanhollow_standins.soak._link import FaultyLink
 from rattanhollow_standins.store import ObjectTable
@@ -125,12 +130,7 @@
         ]
         if not withdrawn:
             tenants[0]["api_keys"].append(WITHDRAWN_KEY)  # type: ignore[attr-defined]
-        content = configuration(version, tenants=tenants)
-        known = self.table.get("config", "main")
-        if known is None:
-            self.table.create("config", "main", content)
-        else:
-            self.table.replace("config", "main", content, known.version)
+        put(self.table, "config", "main", configuration(version, tenants=tenants))
 
     async def client(self, host: HostProcess, route: str, key: str) -> LineClient:
         """Begin a session; raises OSError or Closed where that fails."""
@@ -207,26 +207,7 @@
         """Describe the databases in the store; a dark one's entry lapses."""
         while True:
             for number, server in enumerate(self.group.servers.values()):
-                self._describe(number, server)
+                address = f"{self.address(2, number + 1)}:{PORT}"
+                if not self.table.faults.down:
+                    describe(self.table, SERVICE, server, address)
             await trio.sleep(REPORT_S)
-
-    def _describe(self, number: int, server: DatabaseServer) -> None:
-        known = self.table.get("servers", server.id)
-        if server.dark or self.table.faults.down:
-            return
-        spec: dict[str, Any] = {
-            "service": SERVICE,
-            "address": f"{self.address(2, number + 1)}:{PORT}",
-            "zone": server.zone,
-            "version": "v1",
-            "slots": server.slot_count,
-            "state": "ready",
-            "cold_left_ms": 0,
-            "born": server.born_ms,
-            "db_role": "primary" if server.leads else "replica",
-            "seq_no": 1,
-        }
-        if known is None:
-            self.table.create("servers", server.id, spec)
-        elif known.spec != spec:
-            self.table.replace("servers", server.id, spec, known.version)
