Connections of transactions that wait for a slot are closed with them

Cause: a statement of an open transaction waits for a slot of the server. If the server was given up as silent meanwhile, or the caller left, the transaction was forgotten but its connection was neither closed nor given back, since only connections inside an exchange were closed: the pool counted it for good.

Ruled out, by the test's counts: cancelled openings, cancelled probes and cancelled exchanges; each gave its count back.

Change: the pool keeps what it lent, so that counts can't drift; closing is one call, from any state; a server that is given up closes all. The detail of such a refusal names what the pool counts. A connection that opens behind the end of its server's service is closed at once. The stand-in no longer counts an opening that was cancelled.

--- a/src/rattanhollow/serving/_connections.py
+++ b/src/rattanhollow/serving/_connections.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections import OrderedDict
+from typing import NamedTuple
 
 from rattanhollow.serving._end import Connection
 
@@ -19,7 +20,6 @@
         self.values: dict[str, str] = {}
         self.prepared: dict[tuple[bool, str], str] = {}
         self.idle_since_s = 0.0
-        self.dropped = False
         self._names = itertools.count(1)
 
     def new_name(self) -> str:
@@ -27,19 +27,36 @@
         return f"p{next(self._names)}"
 
 
+class PoolCounts(NamedTuple):
+    """Connections that are ``idle``, ``lent`` to work, and just being opened."""
+
+    idle: int
+    lent: int
+    opening: int
+
+
 class ConnectionPool:
-    """At most ``limit`` connections; the one idle for longest makes room."""
+    """At most ``limit`` connections; the one idle for longest makes room.
+
+    Each connection is idle, or lent to work that gives it back or has it closed.
+    """
 
     def __init__(self, limit: int) -> None:
-        self.open_count = 0
         self._limit = limit
         self._limited_until_s = float("-inf")
         self._idle: OrderedDict[ServerConnection, None] = OrderedDict()
+        self._lent: set[ServerConnection] = set()
+        self._opening = 0
+
+    @property
+    def counts(self) -> PoolCounts:
+        """How many connections there are."""
+        return PoolCounts(len(self._idle), len(self._lent), self._opening)
 
     def take(
         self, organisation: str, values: dict[str, str]
     ) -> ServerConnection | None:
-        """Return an idle connection of the organisation, the best fit first."""
+        """Lend an idle connection of the organisation, the best fit first."""
         best, best_score = None, 0
         for connection in self._idle:
             if connection.organisation != organisation:
@@ -47,53 +64,71 @@
             score = _fit(connection.values, values)
             if score >= best_score:
                 best, best_score = connection, score
-        if best is not None:
-            del self._idle[best]
-        return best
+        return self._lend(best) if best is not None else None
+
+    def take_any(self) -> ServerConnection | None:
+        """Lend the idle connection that was used last, whosever it is."""
+        if not self._idle:
+            return None
+        return self._lend(next(reversed(self._idle)))
 
     def give_back(self, connection: ServerConnection, now_s: float) -> None:
-        """Keep a connection that is idle."""
+        """Keep a connection that is idle; one that was closed meanwhile is gone."""
+        if connection not in self._lent:
+            return
+        self._lent.remove(connection)
         connection.idle_since_s = now_s
         self._idle[connection] = None
 
-    def take_any(self) -> ServerConnection | None:
-        """Return the idle connection that was used last, whosever it is."""
-        if not self._idle:
-            return None
-        return self._idle.popitem(last=True)[0]
+    def lends(self, connection: ServerConnection) -> bool:
+        """Whether a connection is lent, and not closed meanwhile."""
+        return connection in self._lent
 
     def can_lend(self, now_s: float) -> bool:
         """Whether a connection is idle, or another one may be opened."""
-        full = self.open_count >= self._limit or now_s < self._limited_until_s
+        full = sum(self.counts) >= self._limit or now_s < self._limited_until_s
         return not full or bool(self._idle)
 
     def limit_for_now(self, until_s: float) -> None:
         """Open no more connections for a while: the server has no room."""
         self._limited_until_s = until_s
 
-    def reserve(self) -> ServerConnection | None:
+    def begin_opening(self) -> None:
         """Count a connection that is about to be opened.
 
-        Returns an idle one that has to be closed for it, if there is no room.
+        Closes the one idle for longest where there is no room for another.
         """
-        self.open_count += 1
-        if self.open_count <= self._limit or not self._idle:
-            return None
-        oldest, _ = self._idle.popitem(last=False)
-        self.open_count -= 1
-        return oldest
-
-    def closed(self) -> None:
-        """Count a connection that was closed, or could not be opened."""
-        self.open_count -= 1
-
-    def take_idle_since(self, before_s: float) -> list[ServerConnection]:
-        """Return the connections idle since before a time; the caller closes them."""
-        old = [item for item in self._idle if item.idle_since_s <= before_s]
-        for connection in old:
-            del self._idle[connection]
-        self.open_count -= len(old)
-        return old
+        if sum(self.counts) >= self._limit and self._idle:
+            self.close(next(iter(self._idle)))
+        self._opening += 1
+
+    def end_opening(self, opened: ServerConnection | None) -> None:
+        """Lend the connection that was opened, if it was."""
+        self._opening -= 1
+        if opened is not None:
+            self._lent.add(opened)
+
+    def close(self, connection: ServerConnection) -> None:
+        """Close a connection at once, wherever it is; no harm if it was."""
+        self._lent.discard(connection)
+        self._idle.pop(connection, None)
+        connection.link.abort()
+
+    def close_idle_since(self, before_s: float) -> None:
+        """Close the connections that have been idle since before a time."""
+        for connection in list(self._idle):
+            if connection.idle_since_s <= before_s:
+                self.close(connection)
+
+    def close_all(self) -> None:
+        """Close all connections, also those that work still uses."""
+        for connection in [*self._idle, *self._lent]:
+            self.close(connection)
+
+    def _lend(self, connection: ServerConnection) -> ServerConnection:
+        del self._idle[connection]
+        self._lent.add(connection)
+        return connection
 
 
 def _fit(held: dict[str, str], wanted: dict[str, str]) -> int:
--- a/src/rattanhollow/serving/_served.py
+++ b/src/rattanhollow/serving/_served.py
@@ -8,7 +8,11 @@
 
 from rattanhollow.coordination import Position
 from rattanhollow.observe import Meter, kinds, log_event
-from rattanhollow.serving._connections import ConnectionPool, ServerConnection
+from rattanhollow.serving._connections import (
+    ConnectionPool,
+    PoolCounts,
+    ServerConnection,
+)
 from rattanhollow.serving._end import (
     BackendEnd,
     BackendServer,
@@ -144,6 +148,11 @@
         """Whether nothing runs, waits or is open here."""
         return not (self._transactions or self._exchanges or self._slots.waiting)
 
+    @property
+    def counts(self) -> PoolCounts:
+        """How many connections the pool counts, and as what."""
+        return self._pool.counts
+
     @property
     def wait_ms(self) -> int:
         """How long new work of the lowest priority would wait now."""
@@ -274,10 +283,7 @@
 
     def trim(self, idle_s: float) -> None:
         """Close connections that were idle for longer: others may need the room."""
-        before_s = self._parts.clock() - idle_s
-        for connection in self._pool.take_idle_since(before_s):
-            connection.dropped = True
-            connection.link.abort()
+        self._pool.close_idle_since(self._parts.clock() - idle_s)
 
     def expire(self, idle_s: float) -> None:
         """Roll back transactions that were idle for longer."""
@@ -292,11 +298,7 @@
         """Give all connections up; what runs ends as lost."""
         self._closed = True
         self._scope.cancel()
-        self.trim(0.0)
-        for connection in list(self._exchanges):
-            connection.link.abort()
-        for transaction in self._transactions.values():
-            transaction.connection.link.abort()
+        self._pool.close_all()
         self._transactions.clear()
 
     async def _run(self, work: Work, transaction: _Transaction | None) -> Done:
@@ -387,7 +389,11 @@
     async def _wait_for_connection(self, deadline_s: float) -> None:
         while not self._can_lend():
             if self._parts.clock() >= deadline_s:
-                detail = "all connections are in transactions"
+                counts = self._pool.counts
+                detail = (
+                    f"no connection is free: idle={counts.idle} lent={counts.lent}"
+                    f" opening={counts.opening}"
+                )
                 raise _Stop(not_run(Obstacle.OVERLOADED, detail))
             await trio.sleep(CONNECTION_WAIT_S)
 
@@ -403,7 +409,7 @@
     async def _is_sound(self, connection: ServerConnection) -> bool:
         """Whether an idle connection still works; one that doesn't is dropped."""
         if not connection.link.quiet:
-            self._drop(connection)
+            self._pool.close(connection)
             return False
         idle_s = self._parts.clock() - connection.idle_since_s
         if idle_s < PROBE_AFTER_IDLE_S:
@@ -412,23 +418,26 @@
         return (await self._exchange(connection, probe, PROBE_TIMEOUT_S)).is_ok()
 
     async def _open(self, organisation: str, timeout_s: float) -> ServerConnection:
-        evicted = self._pool.reserve()
-        if evicted is not None:
-            evicted.link.abort()
+        self._pool.begin_opening()
         opened = None
+        connection = None
         try:
             with trio.move_on_after(timeout_s):
                 opened = await self._parts.end.open(self.server, organisation)
+            if opened is not None and opened.is_ok():
+                connection = ServerConnection(opened.unwrap(), organisation)
         finally:
-            if opened is None or opened.is_err():
-                self._pool.closed()
+            self._pool.end_opening(connection)
         outcome = "no answer"
         if opened is not None:
             outcome = "opened" if opened.is_ok() else opened.unwrap_err().value
         self._parts.meter.count(kinds.CONNECTIONS_OPENED, self.server.id, outcome)
-        if opened is not None and opened.is_ok():
+        if connection is not None and self._closed:
+            self._pool.close(connection)
+            raise _Stop(not_run(Obstacle.NOT_SERVED, f"{self.server.id} was given up"))
+        if connection is not None:
             self._heard_at_s = self._parts.clock()
-            return ServerConnection(opened.unwrap(), organisation)
+            return connection
         failure = OpenFailure.UNREACHABLE if opened is None else opened.unwrap_err()
         log_event("server.not_opened", server=self.server.id, reason=failure.value)
         if failure is OpenFailure.TOO_MANY:
@@ -450,7 +459,7 @@
         finally:
             del self._exchanges[connection]
             if answered.is_err():
-                self._drop(connection)
+                self._pool.close(connection)
         if answered.is_ok():
             self._heard_at_s = self._parts.clock()
         return answered
@@ -482,7 +491,7 @@
             replies = prepared.unwrap()
             begun = replies.pop() if work.scope in _BEGINNING else None
             if any(reply.reason is not None for reply in replies):
-                self._drop(connection)
+                self._pool.close(connection)
                 self._forget(work)
                 raise _Stop(not_run(Obstacle.LOST, "the session's state was refused"))
             connection.values = plan.values
@@ -561,9 +570,10 @@
     def _keep(
         self, name: str, transaction: _Transaction | None, still_open: bool
     ) -> None:
-        if still_open and transaction is not None and not self._closed:
-            transaction.used_at_s = self._parts.clock()
-            self._transactions[name] = transaction
+        kept = transaction if still_open else None
+        if kept is not None and self._pool.lends(kept.connection):
+            kept.used_at_s = self._parts.clock()
+            self._transactions[name] = kept
         else:
             self._transactions.pop(name, None)
 
@@ -576,7 +586,8 @@
         if transaction is None:
             return Done(Fate.DONE)
         if transaction.running:
-            transaction.connection.link.abort()
+            # Its statement may wait for a slot that it won't get in time.
+            self._pool.close(transaction.connection)
         else:
             self._finish(transaction.connection)
         return Done(Fate.DONE)
@@ -593,20 +604,10 @@
         if ended.unwrap()[0].state is SessionState.IDLE:
             self._give_back(connection)
         else:
-            self._drop(connection)
+            self._pool.close(connection)
 
     def _give_back(self, connection: ServerConnection) -> None:
-        if self._closed:
-            self._drop(connection)
-        else:
-            self._pool.give_back(connection, self._parts.clock())
-
-    def _drop(self, connection: ServerConnection) -> None:
-        if connection.dropped:
-            return
-        connection.dropped = True
-        connection.link.abort()
-        self._pool.closed()
+        self._pool.give_back(connection, self._parts.clock())
 
     async def _look(self) -> None:
         """Find out whether a server that says nothing still answers."""
@@ -650,12 +651,7 @@
             exchanges=len(self._exchanges),
             transactions=len(self._transactions),
         )
-        self.trim(0.0)
-        for connection in self._exchanges:
-            connection.link.abort()
-        for transaction in self._transactions.values():
-            if not transaction.running:
-                self._drop(transaction.connection)
+        self._pool.close_all()
         self._transactions.clear()
         for ticket in self._slots.drain():
             ticket.turn.set()
--- a/src/rattanhollow_standins/platform/_memory.py
+++ b/src/rattanhollow_standins/platform/_memory.py
@@ -94,7 +94,11 @@
             return Err(OpenFailure.TOO_MANY)
         database.connections += 1
         database.opened += 1
-        await trio.sleep(database.open_s)
+        try:
+            await trio.sleep(database.open_s)
+        except trio.Cancelled:
+            database.connections -= 1
+            raise
         connection = MemoryConnection(ServerSession(group, database, organisation))
         if opened is not None:
             opened.append(connection)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -355,9 +355,10 @@
     pool = ConnectionPool(4)
     session: Any = None
     for values in ({}, {"v": "1"}, {"w": "2"}):
-        pool.reserve()
+        pool.begin_opening()
         connection = ServerConnection(session, "kirk")
         connection.values = values
+        pool.end_opening(connection)
         pool.give_back(connection, 0.0)
     taken = [pool.take("kirk", {"v": "1"}) for _ in range(3)]
     assert [c.values if c else None for c in taken] == [{"v": "1"}, {}, {"w": "2"}]
