Hosts that learn what the store holds cost it little

Change: a record is created without reading; the list of hosts at a start, and three of four polls, may lag (a tenth of the price); polls begin when the hosts are known, not all at once; at the first start of the whole fleet only relays list, and tell the others; changes among hosts are gathered for 0.3 s; a copy from a host is a version to watch from; watches wait 15 s; a refused watch is tried again after up to 1.5 s where there is a copy. Hosts that start again still read the configuration themselves.

--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -11,8 +11,10 @@
 from rattanhollow.configuration import NO_ROUTES, RouteTable
 from rattanhollow.coordination import ranked
 from rattanhollow.host._answer_peers import Answerers, answer_peer
+from rattanhollow.host._begin import wait_for_relays
 from rattanhollow.host._clock import now_s
 from rattanhollow.host._ends import Ends
+from rattanhollow.host._polls import PollParts, poll_store
 from rattanhollow.host._stop import Stopping, stop_serving
 from rattanhollow.host._watch_primaries import WatchedParts, build_guardian
 from rattanhollow.membership import (
@@ -56,10 +58,6 @@
 from rattanhollow.settings import LineHostSettings
 from rattanhollow.store import Follower, Stored, follow
 
-# How often each availability zone reads the configuration beside its relays' watches,
-# within the time in which a change has to be in force: the store may turn relays away
-# without a sign, and the zone be cut from the others meanwhile.
-POLLS_IN_TIME = 4
 # A host nearby asks the primary across regions, at worst; then this one does.
 NEARBY_TIMEOUT_MS = 300
 
@@ -176,7 +174,7 @@
             nursery.start_soon(self.registration.run)
             nursery.start_soon(self._neighbours.run)
             nursery.start_soon(self.gossip.run)
-            nursery.start_soon(self._poll)
+            nursery.start_soon(poll_store, self._poll_parts())
             nursery.start_soon(self.guardian.run)
             nursery.start_soon(self.serving.run)
             nursery.start_soon(self.rates.run)
@@ -227,29 +225,22 @@
 
     async def _follow(self, follower: Follower) -> None:
         gossip = self.gossip
+        if self.settings.first_start:
+            await wait_for_relays(follower, self.hosts.follower, gossip.is_relay)
         store = self._ends.store
         await follow(store, follower, self._rng, gossip.is_relay, gossip.pass_on)
 
-    async def _poll(self) -> None:
-        """Read now and then what a watch that hears nothing would miss.
-
-        The hosts of a zone take turns, and one zone after the other reads the
-        servers, so that the store is asked as often however many hosts there are.
-        """
-        while True:
-            own_zone = self._own().zone
-            zones = [record.zone for record in self.hosts.all()]
-            turns = max(1, zones.count(own_zone))
-            interval_s = self.settings.configuration_ms / 1000 / POLLS_IN_TIME
-            await trio.sleep(interval_s * turns * self._rng.uniform(0.5, 1.5))
-            known = self._configurations.changes
-            listed = await self._ends.store.list(self._configurations.kind)
-            if listed.is_ok():
-                self._configurations.take_list(listed.unwrap())
-            if self._configurations.changes != known:
-                self.gossip.spread(self._configurations)
-            if self._rng.random() * len(set(zones)) < 1:
-                await self._read_servers()
+    def _poll_parts(self) -> PollParts:
+        return PollParts(
+            store=self._ends.store,
+            configurations=self._configurations,
+            servers=self._servers,
+            own=self._own,
+            hosts=self.hosts,
+            rng=self._rng,
+            in_force_s=lambda: self.settings.configuration_ms / 1000,
+            spread=self.gossip.spread,
+        )
 
     async def _read_servers(self) -> bool:
         listed = await self._ends.store.list(self._servers.kind)
--- a/src/rattanhollow/membership/_hosts.py
+++ b/src/rattanhollow/membership/_hosts.py
@@ -29,6 +29,9 @@
 # asked as rarely as to make this many questions a second over the fleet.
 QUESTIONS_PER_S = 40
 REPORT_SPREAD_S = 2.0
+# Many hosts come at once or not at all, and a new one uses nothing that others
+# have to know of before `rate_settle_ms` (1.5 s) are over.
+GATHER_S = 0.3
 
 
 class HostRecord(NamedTuple):
@@ -59,7 +62,9 @@
     """The hosts heard of; ``on_change`` is called when one comes or goes."""
 
     def __init__(self, on_change: Callable[[], None]) -> None:
-        self.follower = Follower(HOST_KIND, self._take)
+        self.follower = Follower(
+            HOST_KIND, self._take, begins_lagging=True, gather_s=GATHER_S
+        )
         self._on_change = on_change
         self._records: dict[str, HostRecord] = {}
 
@@ -176,10 +181,16 @@
     async def _write(self, kind: str, wanted: dict[str, Any]) -> bool:
         def change(spec: dict[str, Any] | None) -> Result[dict[str, Any] | None, Any]:
             if self.anew is None:
-                self.anew = spec is None
+                # Its own creation may have got no answer.
+                self.anew = spec is None or spec == wanted
             return Ok(None if spec == wanted else wanted)
 
         name = self.record.name
+        if self.anew is None:
+            created = await self._store.put(kind, name, wanted, 0)
+            if created.is_ok():
+                self.anew = True
+                return True
         written = await update(self._store, kind, name, change, attempts=2)
         return written.is_ok()
 
--- a/src/rattanhollow/platform/_objects.py
+++ b/src/rattanhollow/platform/_objects.py
@@ -2,7 +2,7 @@
 
 from collections.abc import AsyncIterator, Callable
 from typing import Any
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 import msgspec
 from result import Err, Ok, Result
@@ -19,9 +19,10 @@
 )
 
 CALL_TIMEOUT_S = 1.5
-# The page allows 30 s. A longer wait saves calls; what a silent watch misses is
-# heard from other hosts.
-WATCH_WAIT_MS = 20_000
+# The page allows 30 s, and the store forgets what is older than 20 s: a longer
+# wait ends without a version to go on from. What a silent watch misses is heard
+# from other hosts.
+WATCH_WAIT_MS = 15_000
 # Answers come in milliseconds, also at the end of a wait.
 WATCH_ALLOWANCE_S = 2.0
 
@@ -38,7 +39,7 @@
     ) -> Result[Any, StoreFailure]:
         content = b"" if body is None else msgspec.json.encode(body)
         answered = await client.call(method, f"/objects/{path}", timeout_s, content)
-        name = "watch" if "?watch=" in path else method.lower()
+        name = _name_of(method, path)
         called(name, "none" if answered.is_err() else str(answered.unwrap().status))
         if answered.is_err():
             return Err(StoreFailure(Trouble.UNREACHABLE, answered.unwrap_err()))
@@ -49,9 +50,17 @@
         return answer.and_then(lambda body: _one(kind, body))
 
     async def list_kind(kind: str) -> Result[Listing, StoreFailure]:
+        return await list_pages(kind, {})
+
+    async def list_lagging(kind: str) -> Result[Listing, StoreFailure]:
+        return await list_pages(kind, {"allow_stale": "1"})
+
+    async def list_pages(
+        kind: str, query: dict[str, str]
+    ) -> Result[Listing, StoreFailure]:
         items: list[Stored] = []
-        path = kind
         while True:
+            path = f"{kind}?{urlencode(query)}" if query else kind
             answer = await call("GET", path)
             page = answer.and_then(lambda body: _page(kind, body))
             if page.is_err():
@@ -60,7 +69,7 @@
             items += found
             if not (more and found):
                 return Ok(Listing(version, items))
-            path = f"{kind}?after={quote(found[-1].name)}"
+            query = {**query, "after": found[-1].name}
 
     async def put(
         kind: str, name: str, spec: dict[str, Any], version: int
@@ -91,7 +100,14 @@
         for event in events.unwrap():
             yield Ok(event)
 
-    return ObjectStore(get, list_kind, put, delete, watch)
+    return ObjectStore(get, list_kind, list_lagging, put, delete, watch)
+
+
+def _name_of(method: str, path: str) -> str:
+    """Return what a call is counted as."""
+    if "?watch=" in path:
+        return "watch"
+    return "lagging" if "allow_stale=" in path else method.lower()
 
 
 def _decode(answer: HttpAnswer) -> Result[Any, StoreFailure]:
--- a/src/rattanhollow/settings/_host.py
+++ b/src/rattanhollow/settings/_host.py
@@ -6,6 +6,7 @@
 from rattanhollow.settings._ini import (
     Field,
     Section,
+    boolean,
     integer,
     ip_address,
     read_file,
@@ -63,9 +64,11 @@
     backend servers describe themselves. ``rate_settle_ms`` is how long a new host
     takes no part of the organisations' rates, so that all others count it,
     ``rate_slack`` how many operations operators allow above rate and burst.
+    ``first_start`` where the whole fleet starts for the first time.
     """
 
     place: PlaceSettings
+    first_start: bool
     listen: ListenAddresses
     upstreams: Upstreams
     stop_s: int
@@ -106,6 +109,7 @@
         "address": Field(ip_address),
         "zone": Field(text),
         "regions": Field(regions),
+        "first_start": Field(boolean, False),
     },
     "listen": {
         "callers": Field(endpoint),
@@ -143,8 +147,10 @@
     """
     values = read_ini(file, content, LAYOUT)
     bounds = values["bounds"]
+    first_start = values["host"].pop("first_start")
     return LineHostSettings(
         place=PlaceSettings(**values["host"]),
+        first_start=first_start,
         listen=ListenAddresses(**values["listen"]),
         upstreams=Upstreams(**values["platform"]),
         stop_s=bounds["stop_s"],
--- a/src/rattanhollow/store/_api.py
+++ b/src/rattanhollow/store/_api.py
@@ -59,7 +59,8 @@
 class ObjectStore(NamedTuple):
     """The functions of the store; none raises, a failure is an ``Err``.
 
-    ``get(kind, name)``; ``list(kind)``; ``put(kind, name, spec, version)``
+    ``get(kind, name)``; ``list(kind)``; ``list_lagging(kind)`` may be seconds
+    old, and costs less where the store can do that; ``put(kind, name, spec, version)``
     creates at version 0 and otherwise replaces exactly that version;
     ``delete(kind, name, version)``; ``watch(kind, version)`` yields events
     after ``version`` and ends when the watch does.
@@ -67,6 +68,7 @@
 
     get: Callable[[str, str], Awaitable[Result[Stored, StoreFailure]]]
     list: Callable[[str], Awaitable[Result[Listing, StoreFailure]]]
+    list_lagging: Callable[[str], Awaitable[Result[Listing, StoreFailure]]]
     put: Callable[
         [str, str, dict[str, Any], int], Awaitable[Result[Stored, StoreFailure]]
     ]
--- a/src/rattanhollow/store/_follow.py
+++ b/src/rattanhollow/store/_follow.py
@@ -18,9 +18,13 @@
 
 RETRY_LOW_S = 0.1
 RETRY_HIGH_S = 0.6
+# The same where there is a copy to go on with: each call counts, a refused one too,
+# and others of the availability zone tell meanwhile what they hear.
+RETRY_COPIED_HIGH_S = 1.5
 # How often a host that needs not watch looks whether it has to. It compares its
 # copies with other hosts meanwhile.
 INACTIVE_LOOK_S = 1.5
+# How long what changes together is waited for, so that one more call hears of it.
 GATHER_S = 0.05
 
 
@@ -29,10 +33,20 @@
 
     ``heard_at_s`` is the monotonic time of the last sign of life. ``must_list``
     where a watch can't go on from ``version``. ``changes`` counts what changed.
+    ``begins_lagging`` where the first list may be seconds old; ``gather_s`` is how
+    long changes are gathered before the next call.
     """
 
-    def __init__(self, kind: str, on_change: Callable[[Stored | None, str], None]):
+    def __init__(
+        self,
+        kind: str,
+        on_change: Callable[[Stored | None, str], None],
+        begins_lagging: bool = False,
+        gather_s: float = GATHER_S,
+    ):
         self.kind = kind
+        self.begins_lagging = begins_lagging
+        self.gather_s = gather_s
         self.items: dict[str, Stored] = {}
         self.version = 0
         self.heard_at_s = 0.0
@@ -55,13 +69,17 @@
         self.take_copy(listing)
 
     def take_copy(self, listing: Listing) -> None:
-        """Take a full list that another host has; it must be newer."""
+        """Take a full list that another host has; it must be newer.
+
+        It carries a version of the store: a watch can go on from there.
+        """
         names = {item.name for item in listing.items}
         for name in [name for name in self.items if name not in names]:
             self._forget(name)
         for item in listing.items:
             self._take(item)
         self.version = listing.version
+        self.must_list = False
         self.listed.set()
 
     def take_event(self, event: Event) -> None:
@@ -106,7 +124,8 @@
     """List, then watch, then start again; runs until cancelled.
 
     Where another host watches for this one, ``active()`` is False: then there is
-    one list at the start only. ``changed`` hears of what the store told.
+    one list at the start only, and none where a copy was taken before. ``changed``
+    hears of what the store told.
     Pauses between failures are random, so that many hosts don't return to a
     recovered store at once.
     """
@@ -122,18 +141,19 @@
             heard = await _watch(store, follower)
         if follower.changes != changes:
             changed(follower)
-            # What changes together is heard of by one more call.
-            await trio.sleep(GATHER_S)
+            await trio.sleep(follower.gather_s)
         if heard:
             pause_s = RETRY_LOW_S
             continue
         await trio.sleep(rng.uniform(pause_s / 2, pause_s))
-        pause_s = min(pause_s * 2, RETRY_HIGH_S)
+        copied = follower.listed.is_set()
+        pause_s = min(pause_s * 2, RETRY_COPIED_HIGH_S if copied else RETRY_HIGH_S)
 
 
 async def _list(store: ObjectStore, follower: Follower) -> bool:
     """Take a list; whether the store was heard."""
-    listed = await store.list(follower.kind)
+    lagging = follower.begins_lagging and not follower.listed.is_set()
+    listed = await (store.list_lagging if lagging else store.list)(follower.kind)
     if listed.is_err():
         log_event("store.list_failed", kind=follower.kind, reason=listed.unwrap_err())
         return False
--- a/src/rattanhollow/store/_http.py
+++ b/src/rattanhollow/store/_http.py
@@ -102,7 +102,7 @@
         except (httpx.HTTPError, msgspec.DecodeError) as error:
             yield Err(StoreFailure(Trouble.UNREACHABLE, type(error).__name__))
 
-    return ObjectStore(get, list_kind, put, delete, watch)
+    return ObjectStore(get, list_kind, list_kind, put, delete, watch)
 
 
 def _failure(status: int, detail: str) -> StoreFailure:
--- a/src/rattanhollow_standins/platform/_objects_api.py
+++ b/src/rattanhollow_standins/platform/_objects_api.py
@@ -83,7 +83,8 @@
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         kind, _, name = url.path.removeprefix("/objects/").partition("/")
         method = head.method.decode()
-        self._table.count("watch" if "watch" in query else method.lower())
+        kind_of_call = "lagging" if "allow_stale" in query else method.lower()
+        self._table.count("watch" if "watch" in query else kind_of_call)
         if "watch" in query:
             return await self._watch(kind, query)
         status, answer = self._call(method, kind, name, query, body)
--- a/src/rattanhollow_standins/store/_local.py
+++ b/src/rattanhollow_standins/store/_local.py
@@ -2,6 +2,7 @@
 
 import copy
 from collections.abc import AsyncIterator
+from functools import partial
 from typing import Any
 
 import trio
@@ -43,8 +44,8 @@
             return Err(StoreFailure(Trouble.NOT_FOUND, f"{kind}/{name}"))
         return Ok(_stored(kind, name, entry))
 
-    async def list_kind(kind: str) -> Result[Listing, StoreFailure]:
-        failure = await gate("list")
+    async def list_kind(kind: str, call: str = "list") -> Result[Listing, StoreFailure]:
+        failure = await gate(call)
         if failure is not None:
             return Err(failure)
         items = [_stored(kind, name, e) for name, e in table.items(kind).items()]
@@ -106,7 +107,8 @@
                 mark = Stored(kind, "", version, {})
                 yield Ok(Event(EventType.BOOKMARK, mark))
 
-    return ObjectStore(get, list_kind, put, delete, watch)
+    list_lagging = partial(list_kind, call="list lagging")
+    return ObjectStore(get, list_kind, list_lagging, put, delete, watch)
 
 
 def _stored(kind: str, name: str, entry: Entry) -> Stored:
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -24,7 +24,7 @@
     TokenWant,
     shard_of,
 )
-from rattanhollow.host._root import POLLS_IN_TIME
+from rattanhollow.host._polls import POLLS_IN_TIME
 from rattanhollow.membership import Gossip, HostDirectory, HostRecord
 from rattanhollow.observe import Meter
 from rattanhollow.peer import (
