tests: one run at a time has the fleets' addresses

Shown by starting the file twice at once: 13 times 'Address already in use', both runs failed.

Ruled out: load; the file passed beside 8 busy processes before.

Change: a run binds an address of its own for as long as it lasts; another one waits for that and says so. Twice at once behind it: 17 passed, 17 passed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,8 @@
 """What the tests share: running trio, and fleets on addresses of their own."""
 
 import itertools
+import socket
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -11,9 +13,28 @@
 from rattanhollow_standins.platform import LineCluster
 
 LONGEST_TEST_S = 60
+# Fleets listen on fixed loopback addresses: bound here by the run that has them.
+CLAIM = ("127.99.255.254", 7_999)
+CLAIM_LOOK_S = 0.5
 _nets = itertools.count(100)
 
 
+def pytest_sessionstart(session: pytest.Session) -> None:
+    """Wait until no other run on this machine uses the tests' addresses."""
+    claim = socket.socket()
+    claimed = waited = False
+    while not claimed:
+        try:
+            claim.bind(CLAIM)
+            claimed = True
+        except OSError:
+            if not waited:
+                print("another run has the tests' addresses: waiting for its end")
+            waited = True
+            time.sleep(CLAIM_LOOK_S)
+    session.config.add_cleanup(claim.close)
+
+
 def run_trio(function: Callable[[], Awaitable[Any]]) -> Any:
     """Run ``function``, failing where it hangs."""
 
