Behind a start operations wait for the first tokens

Ruled out: the brokers' depth (they begin with eight operations more than a burst), and the look for deposits of an earlier start (it ends when the nearby brokers have started).

Change: within 2 s of a host's start an operation waits up to 0.6 of its caller's target, at most 0.6 s, and isn't told that there is no token while more deposits come in. A flood still fills the room that there is for waiting. A host that starts while the store is silent lists again as soon as a list had no answer for 0.7 s (1.5 s and a pause before).

--- a/src/rattanhollow/platform/_objects.py
+++ b/src/rattanhollow/platform/_objects.py
@@ -19,6 +19,9 @@
 )
 
 CALL_TIMEOUT_S = 1.5
+# A list may be made again without harm, and a host that starts waits for it. A store
+# that is a hundred times slower than usual answers in 0.4 s.
+LIST_TIMEOUT_S = 0.7
 # The page allows 30 s, and the store forgets what is older than 20 s: a longer
 # wait ends without a version to go on from. What a silent watch misses is heard
 # from other hosts.
@@ -61,7 +64,7 @@
         items: list[Stored] = []
         while True:
             path = f"{kind}?{urlencode(query)}" if query else kind
-            answer = await call("GET", path)
+            answer = await call("GET", path, timeout_s=LIST_TIMEOUT_S)
             page = answer.and_then(lambda body: _page(kind, body))
             if page.is_err():
                 return Err(page.unwrap_err())
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -49,6 +49,12 @@
 # more than this part of the time within which its caller expects the answer.
 WAIT_AT_MOST_S = 0.25
 WAIT_PART = 0.2
+# The same behind this host's start, while brokers that started with it hold few
+# deposits or none: refused, a caller would use up its retries before there are any.
+# What is left of the time that a caller expects is for the statement itself.
+STARTING_S = 2.0
+STARTING_WAIT_AT_MOST_S = 0.6
+STARTING_WAIT_PART = 0.6
 # Timers may fire a little early.
 SLEEP_SLACK_S = 0.002
 # The part of the allowed slack that all hosts of a small fleet together begin
@@ -194,6 +200,7 @@
 
     def __init__(self, parts: PooledRateParts) -> None:
         self._parts = parts
+        self._started_at_s = parts.clock()
         self._depositor = Depositor(parts.clock())
         self._broker = TokenBroker(parts.clock)
         self._local: dict[str, _Local] = {}
@@ -221,7 +228,8 @@
 
         ``target_ms`` is the latency that its caller expects.
         """
-        wait_s = min(WAIT_AT_MOST_S, target_ms / 1000 * WAIT_PART)
+        part = STARTING_WAIT_PART if self._starting() else WAIT_PART
+        wait_s = min(self._wait_at_most_s(), target_ms / 1000 * part)
         admission = await self._admit(organisation, wait_s)
         outcome = "admitted" if admission.admitted else "over"
         self._parts.meter.count(kinds.ADMISSIONS, organisation, outcome)
@@ -362,11 +370,17 @@
                 grants.append(grant)
         return PoolAnswer(Stamp(own, self._parts.clock()), tuple(grants))
 
+    def _starting(self) -> bool:
+        return self._parts.clock() - self._started_at_s < STARTING_S
+
+    def _wait_at_most_s(self) -> float:
+        return STARTING_WAIT_AT_MOST_S if self._starting() else WAIT_AT_MOST_S
+
     def _room(self, limits: Organisation) -> int:
         """Return how many operations may wait while there are too few tokens."""
         hosts = max(1, self._parts.hosts.count)
         share_per_s = limits.rate_per_s / hosts
-        return max(1, round(share_per_s * WAIT_AT_MOST_S * WAITING_PART))
+        return max(1, round(share_per_s * self._wait_at_most_s() * WAITING_PART))
 
     def _of(self, organisation: str) -> _Local:
         local = self._local.get(organisation)
@@ -547,6 +561,8 @@
         local.ask_from_s = now_s + ASK_AGAIN_S
         local.wait_ms, local.least_wait_ms = local.least_wait_ms, RETRY_AT_MOST_MS
         own_ms = local.bucket.wait_for_token_s() * 1000
-        if local.waiters and min(own_ms, local.wait_ms) > WAIT_AT_MOST_S * 1000:
+        hopeless = min(own_ms, local.wait_ms) > WAIT_AT_MOST_S * 1000
+        # More is deposited with every host that starts: waits get shorter.
+        if hopeless and not self._starting():
             while local.waiters:
                 local.waiters.popleft().decide(admitted=False)
--- a/src/rattanhollow/store/_follow.py
+++ b/src/rattanhollow/store/_follow.py
@@ -134,7 +134,7 @@
         if follower.listed.is_set() and not active():
             await trio.sleep(INACTIVE_LOOK_S)
             continue
-        changes = follower.changes
+        changes, called_at_s = follower.changes, trio.current_time()
         if follower.must_list:
             heard = await _list(store, follower)
         else:
@@ -145,7 +145,9 @@
         if heard:
             pause_s = RETRY_LOW_S
             continue
-        await trio.sleep(rng.uniform(pause_s / 2, pause_s))
+        # A call that got no answer in its time has waited already.
+        waited_s = trio.current_time() - called_at_s
+        await trio.sleep(max(0.0, rng.uniform(pause_s / 2, pause_s) - waited_s))
         copied = follower.listed.is_set()
         pause_s = min(pause_s * 2, RETRY_COPIED_HIGH_S if copied else RETRY_HIGH_S)
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -3,10 +3,12 @@
 import random
 from typing import Any
 
+import pytest
 import trio
 from result import Err, Ok, Result
 
 from conftest import run_trio
+from jumping import run_jumping
 from rattanhollow.store import (
     Follower,
     Listing,
@@ -16,6 +18,7 @@
     http_store,
     update,
 )
+from rattanhollow.store._follow import RETRY_LOW_S
 from rattanhollow_standins.store import ObjectTable, local_store, serve_store
 
 ADDRESS = "127.81.0.1"
@@ -158,6 +161,28 @@
     follow_through(silence)
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_a_start_in_an_outage_ends_soon_behind_it(seed: int) -> None:
+    """A call that got no answer in its time has waited: the next comes at once."""
+    answered_in_s = 0.7
+
+    async def main() -> None:
+        table = ObjectTable()
+        table.faults.down = True
+        follower = Follower("things", lambda stored, name: None)
+        rng = random.Random(seed)
+        async with trio.open_nursery() as nursery:
+            store = local_store(table, answered_in_s)
+            nursery.start_soon(follow, store, follower, rng)
+            await trio.sleep(rng.uniform(3, 6))
+            table.faults.down = False
+            with trio.fail_after(answered_in_s + RETRY_LOW_S):
+                await follower.listed.wait()
+            nursery.cancel_scope.cancel()
+
+    run_jumping(main, seed)
+
+
 def test_follow_through_an_outage() -> None:
     """A store that was down is followed on once it is back."""
 
