Relays tell what changed, not all that they know

Cause, from counts of messages by type in memory (195 hosts, one record more): each relay sent its whole copy of the hosts to each host of its zone: 190 messages, 3.7 MB, for 150 bytes that changed; at a start, and behind a loss of all hosts, the same for each group of records.

Ruled out: comparisons of copies (20 KB in two seconds for all hosts).

Change: a followed copy remembers what went, so that it can say what changed behind a version. Relays tell that, and answer comparisons with it; the digest of the result comes along, and a host that would get another one asks for the whole. Whoever missed news sees the gap and compares at once.

--- a/src/rattanhollow/host/_answer_peers.py
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -4,6 +4,7 @@
 
 from rattanhollow.membership import Gossip, HostRecord, NeighbourWatch
 from rattanhollow.peer import (
+    ChangeNews,
     CopyNews,
     CopyQuestion,
     DepositQuestion,
@@ -51,6 +52,9 @@
     if isinstance(question, CopyNews):
         parts.gossip.take(question)
         return None
+    if isinstance(question, ChangeNews):
+        parts.gossip.take_changes(question)
+        return None
     if isinstance(question, ReachQuestion):
         served = parts.serving.serve(question.server)
         reaches = served is not None and await served.reaches()
--- a/src/rattanhollow/membership/_gossip.py
+++ b/src/rattanhollow/membership/_gossip.py
@@ -16,14 +16,16 @@
 from rattanhollow.membership._relays import relays_of
 from rattanhollow.observe import log_event
 from rattanhollow.peer import (
+    ChangeNews,
     Copy,
     CopyAnswer,
+    CopyChange,
     CopyNews,
     CopyQuestion,
     CopyState,
     Peers,
 )
-from rattanhollow.store import Follower, Listing, Stored
+from rattanhollow.store import Changes, Follower, Listing, Stored
 
 # News needs a few rounds to reach every host within the time that operators give.
 ROUNDS_IN_TIME = 5
@@ -56,6 +58,8 @@
         self._peers = peers
         self._rng = rng
         self._in_force_s = in_force_s
+        # Up to which version the hosts of the zone were told, by kind.
+        self._told: dict[str, int] = {}
         self._nursery: trio.Nursery | None = None
 
     def is_relay(self) -> bool:
@@ -70,9 +74,7 @@
             self._nursery = nursery
             while True:
                 await trio.sleep(self.interval_s * self._rng.uniform(0.8, 1.2))
-                partners = self._partners()
-                if partners:
-                    await self._ask(self._rng.choice(partners))
+                await self._compare()
 
     @property
     def interval_s(self) -> float:
@@ -81,11 +83,13 @@
         return self._in_force_s / rounds
 
     def pass_on(self, follower: Follower) -> None:
-        """Tell the hosts of this zone of a copy that the store has changed."""
+        """Tell the hosts of this zone what they have not been told of a copy."""
         own = self._own()
         if self._nursery is None or not self.is_relay():
             return
-        news = CopyNews((_copy(follower),))
+        news = self._news_of(follower)
+        if news is None:
+            return
         for record in self._reached():
             if record.zone == own.zone and record.name != own.name:
                 self._nursery.start_soon(self._peers.tell, record.peer, news)
@@ -114,17 +118,36 @@
             taken = self._take(copy, "")
             if taken is not None and news.pass_on:
                 self.pass_on(taken)
+            elif taken is not None:
+                # The zone was told it, too; who wasn't finds so with the next news.
+                self._told.setdefault(copy.kind, taken.version)
+
+    def take_changes(self, news: ChangeNews) -> None:
+        """Take what a relay tells; where earlier news was missed, compare at once."""
+        for change in news.changes:
+            follower = self._followers.get(change.kind)
+            if follower is None or change.version <= follower.version:
+                continue
+            missed = not follower.listed.is_set() or follower.version < change.since
+            if missed and self._nursery is not None:
+                self._nursery.start_soon(self._compare)
+            elif not self._apply(follower, change) and self._nursery is not None:
+                self._nursery.start_soon(self._compare, change.kind)
 
     def answer(self, question: CopyQuestion) -> CopyAnswer:
-        """Return the copies that are newer here."""
-        newer = []
+        """Return what is newer here."""
+        copies, changes = [], []
         for state in question.states:
             follower = self._followers.get(state.kind)
             if follower is None or follower.version <= state.version:
                 continue
-            if digest_of_copy(follower) != state.digest:
-                newer.append(_copy(follower))
-        return CopyAnswer(tuple(newer))
+            change = _change_since(follower, state.version)
+            alike = digest_of_copy(follower) == state.digest
+            if change is None or (not alike and _is_empty(change)):
+                copies.append(_copy(follower))
+            else:
+                changes.append(change)
+        return CopyAnswer(tuple(copies), tuple(changes))
 
     def _reached(self) -> list[HostRecord]:
         """Return this host and those that are not known to be dark."""
@@ -157,18 +180,66 @@
             for record in relays_of(zone, records)
         ]
 
-    async def _ask(self, record: HostRecord) -> None:
+    async def _compare(self, whole: str = "") -> None:
+        partners = self._partners()
+        if partners:
+            await self._ask(self._rng.choice(partners), whole)
+
+    def _news_of(self, follower: Follower) -> CopyNews | ChangeNews | None:
+        """Return what the zone has not been told; the whole copy the first time."""
+        told = self._told.get(follower.kind)
+        change = _change_since(follower, told) if told is not None else None
+        if change is not None and _is_empty(change):
+            return None
+        self._told[follower.kind] = follower.version
+        if change is None:
+            return CopyNews((_copy(follower),))
+        return ChangeNews((change,))
+
+    async def _ask(self, record: HostRecord, whole: str = "") -> None:
+        """Compare with a host; of the kind ``whole`` it is asked for everything."""
         states = tuple(
-            CopyState(follower.kind, follower.version, digest_of_copy(follower))
-            for follower in self._followers.values()
+            CopyState(kind, 0 if kind == whole else f.version, digest_of_copy(f))
+            for kind, f in self._followers.items()
         )
         asked = await self._peers.ask(record.peer, CopyQuestion(states), ASK_TIMEOUT_MS)
         answer = asked.ok()
-        if isinstance(answer, CopyAnswer):
-            for copy in answer.copies:
-                taken = self._take(copy, record.name)
-                if taken is not None:
-                    self.pass_on(taken)
+        if not isinstance(answer, CopyAnswer):
+            return
+        for copy in answer.copies:
+            taken = self._take(copy, record.name)
+            if taken is not None:
+                self.pass_on(taken)
+        for change in answer.changes:
+            follower = self._followers.get(change.kind)
+            if follower is None or change.version <= follower.version:
+                continue
+            if self._apply(follower, change):
+                self.pass_on(follower)
+            elif not whole:
+                await self._ask(record, whole=change.kind)
+
+    def _apply(self, follower: Follower, change: CopyChange) -> bool:
+        """Take changes, unless that doesn't give what the other host has."""
+        items = [Stored(change.kind, *item) for item in change.items]
+        versions = {name: item.version for name, item in follower.items.items()}
+        for name in change.gone:
+            versions.pop(name, None)
+        for item in items:
+            versions[item.name] = max(item.version, versions.get(item.name, 0))
+        if _digest(versions) != change.digest:
+            return False
+        if not _is_empty(change):
+            log_event(
+                "copy.changed",
+                kind=change.kind,
+                version=change.version,
+                known_version=follower.version,
+                objects=len(change.items),
+                gone=len(change.gone),
+            )
+        follower.take_changes(change.version, Changes(items, list(change.gone)))
+        return True
 
     def _take(self, copy: Copy, host: str) -> Follower | None:
         """Take a copy, and return what it changed if it is newer."""
@@ -187,6 +258,21 @@
         return follower
 
 
+def _change_since(follower: Follower, version: int) -> CopyChange | None:
+    changes = follower.changes_since(version)
+    if changes is None:
+        return None
+    items = tuple((i.name, i.version, i.spec) for i in changes.items)
+    digest = digest_of_copy(follower)
+    return CopyChange(
+        follower.kind, version, follower.version, items, tuple(changes.gone), digest
+    )
+
+
+def _is_empty(change: CopyChange) -> bool:
+    return not (change.items or change.gone)
+
+
 def _copy(follower: Follower) -> Copy:
     items = tuple((i.name, i.version, i.spec) for i in follower.items.values())
     return Copy(follower.kind, follower.version, items)
@@ -194,6 +280,10 @@
 
 def digest_of_copy(follower: Follower) -> int:
     """Return what two copies with the same objects have in common."""
-    names = sorted(f"{i.name}\0{i.version}" for i in follower.items.values())
+    return _digest({name: item.version for name, item in follower.items.items()})
+
+
+def _digest(versions: dict[str, int]) -> int:
+    names = sorted(f"{name}\0{version}" for name, version in versions.items())
     digest = hashlib.blake2b("\n".join(names).encode(), digest_size=8).digest()
     return int.from_bytes(digest)
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -183,10 +183,26 @@
     items: tuple[tuple[str, int, dict[str, Any]], ...]
 
 
+class CopyChange(NamedTuple):
+    """What changed in a copy behind version ``since``, until ``version``.
+
+    Name, version and content of each changed object, and the names of those gone;
+    ``digest`` of the whole copy that this gives.
+    """
+
+    kind: str
+    since: int
+    version: int
+    items: tuple[tuple[str, int, dict[str, Any]], ...]
+    gone: tuple[str, ...]
+    digest: int
+
+
 class CopyAnswer(NamedTuple):
-    """The copies that are newer."""
+    """What is newer: the changes, and whole copies where these aren't known."""
 
     copies: tuple[Copy, ...]
+    changes: tuple[CopyChange, ...] = ()
 
 
 class CopyNews(NamedTuple):
@@ -199,6 +215,12 @@
     pass_on: bool = False
 
 
+class ChangeNews(NamedTuple):
+    """Tells the hosts of an availability zone what a relay has heard."""
+
+    changes: tuple[CopyChange, ...]
+
+
 class ReachQuestion(NamedTuple):
     """Asks whether a host reaches a backend server."""
 
@@ -258,6 +280,7 @@
     | CopyQuestion
     | CopyAnswer
     | CopyNews
+    | ChangeNews
     | ReachQuestion
     | ReachAnswer
     | FloorQuestion
@@ -291,6 +314,7 @@
     "copy?": CopyQuestion,
     "copy": CopyAnswer,
     "news": CopyNews,
+    "changes": ChangeNews,
     "reach?": ReachQuestion,
     "reach": ReachAnswer,
     "floor?": FloorQuestion,
--- a/src/rattanhollow/store/__init__.py
+++ b/src/rattanhollow/store/__init__.py
@@ -11,10 +11,11 @@
     StoreFailure,
     Trouble,
 )
-from rattanhollow.store._follow import Follower, follow
+from rattanhollow.store._follow import Changes, Follower, follow
 from rattanhollow.store._update import update
 
 __all__ = [
+    "Changes",
     "Event",
     "EventType",
     "Follower",
--- a/src/rattanhollow/store/_follow.py
+++ b/src/rattanhollow/store/_follow.py
@@ -3,6 +3,7 @@
 import random
 import time
 from collections.abc import Callable
+from typing import NamedTuple
 
 import trio
 
@@ -28,6 +29,17 @@
 GATHER_S = 0.05
 
 
+# Hosts compare copies every second or two: far fewer objects go meanwhile.
+GONE_KEPT = 256
+
+
+class Changes(NamedTuple):
+    """Objects that changed, and the names of those that went."""
+
+    items: list[Stored]
+    gone: list[str]
+
+
 class Follower:
     """The newest known objects of one kind; their versions never go back.
 
@@ -53,6 +65,10 @@
         self.listed = trio.Event()
         self.must_list = True
         self.changes = 0
+        # The last objects that went, with a version by which they had; all that
+        # went behind another version are among them.
+        self._gone: dict[str, int] = {}
+        self._gone_known_from = 0
         self._on_change = on_change
 
     def take_list(self, listing: Listing) -> None:
@@ -73,15 +89,33 @@
 
         It carries a version of the store: a watch can go on from there.
         """
+        if not self.listed.is_set():
+            self._gone_known_from = listing.version
         names = {item.name for item in listing.items}
         for name in [name for name in self.items if name not in names]:
-            self._forget(name)
+            self._forget(name, listing.version)
         for item in listing.items:
             self._take(item)
         self.version = listing.version
         self.must_list = False
         self.listed.set()
 
+    def changes_since(self, version: int) -> Changes | None:
+        """Return what changed behind a version, None where that isn't known."""
+        if version < self._gone_known_from:
+            return None
+        items = [item for item in self.items.values() if item.version > version]
+        gone = [name for name, went in self._gone.items() if went > version]
+        return Changes(items, gone)
+
+    def take_changes(self, version: int, changes: Changes) -> None:
+        """Take what changed behind this copy's version, until ``version``."""
+        for name in changes.gone:
+            self._forget(name, version)
+        for item in changes.items:
+            self._take(item)
+        self.version = version
+
     def take_event(self, event: Event) -> None:
         """Take one report of a watch; an older version is ignored."""
         self._heard()
@@ -91,7 +125,7 @@
         if event.type is EventType.CHANGED:
             self._take(event.item)
         elif event.type is EventType.DELETED:
-            self._forget(event.item.name)
+            self._forget(event.item.name, event.item.version)
 
     def offer(self, item: Stored) -> None:
         """Take one object that was read or written beside the watch."""
@@ -102,13 +136,19 @@
         if known is not None and known.version >= item.version:
             return
         self.items[item.name] = item
+        self._gone.pop(item.name, None)
         self.changes += 1
         self._on_change(item, item.name)
 
-    def _forget(self, name: str) -> None:
-        if self.items.pop(name, None) is not None:
-            self.changes += 1
-            self._on_change(None, name)
+    def _forget(self, name: str, version: int) -> None:
+        if self.items.pop(name, None) is None:
+            return
+        self._gone[name] = version
+        if len(self._gone) > GONE_KEPT:
+            oldest = min(self._gone, key=lambda gone: self._gone[gone])
+            self._gone_known_from = self._gone.pop(oldest)
+        self.changes += 1
+        self._on_change(None, name)
 
     def _heard(self) -> None:
         self.heard_at_s = time.monotonic()
