One broker a region as long as one host can answer

Cause: at 195 hosts each region had three brokers of tokens, and every host renews its deposits with each of them 2.5 times a second, whether anybody asks it for anything: 7.4 questions a second of an idle host against 2.5 at 18 hosts, each of which wakes both ends several times. That is most of what an idle host does (50 switches a second).

Ruled out: longer deposits or rarer renewals, which would widen the time for which the part of a dead host or broker is out of use, or leave no room for a lost message.

Change: a second broker from 80 hosts of a region on (32 before). 65 hosts renew 162 times a second there.

--- a/src/rattanhollow/rates/_brokers.py
+++ b/src/rattanhollow/rates/_brokers.py
@@ -12,7 +12,9 @@
 # Over all regions together: the death of one broker takes its organisations in
 # its region down to what other regions hand out.
 LEAST_BROKERS = 3
-HOSTS_PER_BROKER = 32
+# Each host renews its deposits with all brokers of its region, which wakes both ends:
+# a second broker is for more questions than one host of half a core can answer.
+HOSTS_PER_BROKER = 80
 # How many times as many hosts may take a broker's place.
 BROKERS_SPARED = 3
 
--- a/tests/test_rates_restart.py
+++ b/tests/test_rates_restart.py
@@ -45,11 +45,12 @@
 class _Fleet:
     """Hosts that were listed with an earlier start, and start one after another."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, hosts: int = HOSTS) -> None:
         self.rng = rng
+        self.asked = 0
         self.records = {
             f"h{n}": HostRecord(f"h{n}", "10.0.0.1", REGIONS[n % 3], 1, "", "earlier")
-            for n in range(HOSTS)
+            for n in range(hosts)
         }
         self.running: dict[str, PooledRates] = {}
         self.directories: dict[str, HostDirectory] = {}
@@ -120,6 +121,7 @@
     async def ask(
         self, peer: PeerAddress, question: Message, timeout_ms: int
     ) -> Result[Message, AskFailure]:
+        self._fleet.asked += 1
         answering = self._fleet.running.get(peer.name)
         if answering is None:
             await trio.sleep(timeout_ms / 1000)
@@ -173,3 +175,26 @@
         allowed = (limits.rate_per_s * WINDOW_S + limits.burst) * 1.1 + SLACK
         for n, at_s in enumerate(times):
             assert sum(t < at_s + WINDOW_S for t in times[n:]) <= allowed
+
+
+def _asked_by_an_idle_host_per_s(hosts: int) -> float:
+    fleet = _Fleet(random.Random(0), hosts)
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            for name in fleet.records:
+                nursery.start_soon(fleet.start, name, fleet.rng.uniform(0, 0.3))
+            await trio.sleep(4)
+            fleet.asked = 0
+            await trio.sleep(4)
+            nursery.cancel_scope.cancel()
+
+    run_jumping(main)
+    # A broker asks itself, without a message.
+    return fleet.asked / (hosts - len(REGIONS)) / 4
+
+
+def test_an_idle_host_asks_as_often_whatever_the_size_of_its_fleet() -> None:
+    """Each question wakes two hosts: most of what a large fleet does when idle."""
+    small, large = map(_asked_by_an_idle_host_per_s, (18, 195))
+    assert large <= 1.1 * small
