--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -5,6 +5,8 @@
 another directly, and the store is in memory; time that jumps.
 """
 
+from typing import Any
+
 import pytest
 import trio
 
@@ -76,3 +78,31 @@
         assert entry is not None and entry.spec["incarnation"] == "h0-2"
 
     run_jumping(main)
+
+
+def test_lists_that_lag_bring_nothing_back_behind_a_restart() -> None:
+    """A key that was withdrawn, or a server that left, is never in use again."""
+
+    async def main() -> None:
+        fleet = MemoryFleet()
+        lagging = await MemoryHost("h0", fleet, 0).store.list("config")
+        left = await MemoryHost("h0", fleet, 0).store.list("servers")
+        old = {"config": lagging, "servers": left}
+        fleet.table.replace("config", "main", {"version": 2}, 1)
+        fleet.table.delete("servers", "i-1", 2)
+        seen: list[tuple[str, int]] = []
+
+        async def list_lagging(kind: str) -> Any:
+            return old.get(kind) or await host.store.list(kind)
+
+        host = MemoryHost("h0", fleet, 0)
+        host.store = host.store._replace(list_lagging=list_lagging)
+        for follower in host.followers:
+            follower._on_change = lambda stored, name: seen.append(
+                (name, stored.version if stored else 0)
+            )
+        with trio.move_on_after(60):
+            await host.run(first_start=False)
+        assert seen == [("main", 3)]
+
+    run_jumping(main)
