Idle connections are kept until their organisation comes again

Ruled out: room at the servers (180 connections each; where there is less, the one idle for longest makes room as before), and connections gone silent (probed behind 1 s).

Change: kept for 50 s at the host that the server falls to; operators let servers close them after 60 s. A host that served a server for a while still closes them after 1 s.

--- a/src/rattanhollow/serving/_serving.py
+++ b/src/rattanhollow/serving/_serving.py
@@ -18,9 +18,10 @@
 EXPIRE_INTERVAL_S = 0.5
 # A host that serves no server has nothing to look after.
 IDLE_INTERVAL_S = 2.0
-# How long idle connections are kept at a server that falls to this host, and at
-# one that it served for a while in place of another host.
-KEPT_IDLE_S = 10.0
+# How long idle connections are kept at a server that falls to this host: operators
+# let servers close them after 60 s, and the one idle for longest makes room before.
+KEPT_IDLE_S = 50.0
+# The same at a server that it served for a while in place of another host.
 LEFT_IDLE_S = 1.0
 
 
