tests: two guard-off tests don't depend on the machine's speed

- test_rates: without limits 394 operations were admitted in 4.04 s where more than 444 were asked for.
Nothing was refused: its six callers got no further than 97 a second on the busy machine, below the rate of 100 that they had to exceed.
Rate and burst are 40 and 16 now; the bounds are the same multiples of them.
- test_sessions[own_connection]: 'no such table': with the floor off a read came to a replica that had not applied the table's creation yet, since the lag was set without waiting for it.
That is the staleness the test is about, before it begins.
Replicas have the table now before they are made to lag; every assertion stays.

Also: collecting tests doesn't wait for the addresses of another run.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,6 +21,8 @@
 
 def pytest_sessionstart(session: pytest.Session) -> None:
     """Wait until no other run on this machine uses the tests' addresses."""
+    if session.config.option.collectonly:
+        return
     claim = socket.socket()
     claimed = waited = False
     while not claimed:
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -18,6 +18,8 @@
 VALID_S, LEASE_S = 4.0, 2.0
 TICK_S = 0.02
 HOSTS = 8
+# So few that the callers of one process exceed them on a busy machine, too.
+FLEET_RATE, FLEET_BURST = 40, 16
 SECONDS = 60
 
 
@@ -191,7 +193,8 @@
 async def hammer(fleet: Fleet) -> tuple[int, float, int]:
     """Send far more than the rate through all proxies; admitted, time, wrong."""
     note = "[note]\nid = r\nbase = 1\noperator = ann\n"
-    note += "[change organisation kirk]\nrate_per_s = 100\nburst = 40"
+    note += f"[change organisation kirk]\nrate_per_s = {FLEET_RATE}"
+    note += f"\nburst = {FLEET_BURST}"
     clients = [await connect(fleet.place(number % 3)) for number in range(6)]
     (await apply_note(fleet.store(), read_note("r", note), "ann")).unwrap()
     while any(p.configuration.version < 2 for p in fleet.proxies.values()):
@@ -218,12 +221,12 @@
     """All hosts together admit no more than rate and burst, and most of it."""
     admitted, took_s, wrong = with_fleet(hammer)
     assert wrong == 0
-    assert admitted <= 100 * took_s + 40
-    assert admitted >= 50 * took_s
+    assert admitted <= FLEET_RATE * took_s + FLEET_BURST
+    assert admitted >= FLEET_RATE / 2 * took_s
 
 
 def test_a_fleet_exceeds_the_rate_without_limits(with_fleet: Any) -> None:
     """With the limits off, the same load exceeds the rate."""
     guards = ALL_GUARDS._replace(rates=False)
     admitted, took_s, _ = with_fleet(hammer, guards=guards)
-    assert admitted > 100 * took_s + 40
+    assert admitted > FLEET_RATE * took_s + FLEET_BURST
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -17,11 +17,13 @@
 
 
 async def prepare(fleet: Fleet, lag_s: float = APPLY_LAG_S) -> Client:
-    """Create the table at proxy 0 and let all replicas lag."""
+    """Create the table at proxy 0 and, once all replicas have it, let them lag."""
     client = await connect(fleet.place(0))
     created = await client.run("CREATE TABLE slots (number int, note text)")
     assert created.error is None, created
     for replica in fleet.group.replicas:
+        while not replica.applied:
+            await trio.sleep(0.01)
         replica.faults.apply_lag_s = lag_s
     return client
 
