Copies that are alike cost one digest and thirty bytes to compare

Cause, from reading the change once more: an answer to a comparison worked out the digest of the whole copy twice, and sent the whole copy (20 KB at 195 hosts) to a host that has the same objects at a version from before this host's first list, of which it doesn't know what went. Whether another host's copy is newer was asked in three places.

Ruled out: sending nothing there, as before the changes; the asker's version would stay behind, and the next news would look like a gap.

Change: alike copies are told so, with the newer version; one function finds the followed copy that is behind. No test is changed.

--- a/src/rattanhollow/host/_polls.py
+++ b/src/rattanhollow/host/_polls.py
@@ -65,5 +65,6 @@
     if exact:
         follower.take_list(listed.unwrap())
     else:
+        # No sign that the store's newest is heard here.
         follower.take_copy(listed.unwrap())
     return follower.changes != known
--- a/src/rattanhollow/membership/_gossip.py
+++ b/src/rattanhollow/membership/_gossip.py
@@ -125,8 +125,8 @@
     def take_changes(self, news: ChangeNews) -> None:
         """Take what a relay tells; where earlier news was missed, compare at once."""
         for change in news.changes:
-            follower = self._followers.get(change.kind)
-            if follower is None or change.version <= follower.version:
+            follower = self._behind(change)
+            if follower is None:
                 continue
             missed = not follower.listed.is_set() or follower.version < change.since
             if missed and self._nursery is not None:
@@ -141,9 +141,11 @@
             follower = self._followers.get(state.kind)
             if follower is None or follower.version <= state.version:
                 continue
+            if digest_of_copy(follower) == state.digest:
+                changes.append(_same_at(follower, state))
+                continue
             change = _change_since(follower, state.version)
-            alike = digest_of_copy(follower) == state.digest
-            if change is None or (not alike and _is_empty(change)):
+            if change is None or _is_empty(change):
                 copies.append(_copy(follower))
             else:
                 changes.append(change)
@@ -211,14 +213,21 @@
             if taken is not None:
                 self.pass_on(taken)
         for change in answer.changes:
-            follower = self._followers.get(change.kind)
-            if follower is None or change.version <= follower.version:
+            follower = self._behind(change)
+            if follower is None:
                 continue
             if self._apply(follower, change):
                 self.pass_on(follower)
             elif not whole:
                 await self._ask(record, whole=change.kind)
 
+    def _behind(self, newer: Copy | CopyChange) -> Follower | None:
+        """Return the followed copy that another host's is newer than, if it is."""
+        follower = self._followers.get(newer.kind)
+        if follower is None or newer.version <= follower.version:
+            return None
+        return follower
+
     def _apply(self, follower: Follower, change: CopyChange) -> bool:
         """Take changes, unless that doesn't give what the other host has."""
         items = [Stored(change.kind, *item) for item in change.items]
@@ -243,8 +252,8 @@
 
     def _take(self, copy: Copy, host: str) -> Follower | None:
         """Take a copy, and return what it changed if it is newer."""
-        follower = self._followers.get(copy.kind)
-        if follower is None or copy.version <= follower.version:
+        follower = self._behind(copy)
+        if follower is None:
             return None
         log_event(
             "copy.from_host",
@@ -269,6 +278,13 @@
     )
 
 
+def _same_at(follower: Follower, state: CopyState) -> CopyChange:
+    """Return that a copy has the same objects, at a newer version."""
+    return CopyChange(
+        follower.kind, state.version, follower.version, (), (), state.digest
+    )
+
+
 def _is_empty(change: CopyChange) -> bool:
     return not (change.items or change.gone)
 
--- a/src/rattanhollow/store/_follow.py
+++ b/src/rattanhollow/store/_follow.py
@@ -27,8 +27,6 @@
 INACTIVE_LOOK_S = 1.5
 # How long what changes together is waited for, so that one more call hears of it.
 GATHER_S = 0.05
-
-
 # Hosts compare copies every second or two: far fewer objects go meanwhile.
 GONE_KEPT = 256
 
