Rename the succession classes and fields that the host imports

Whole-word replacement for names that are unique; fields with a common spelling are keyword arguments in src/rattanhollow/host/_watch_primaries.py only, the local functions passed there keep their names.

Guardian -> PrimaryMonitor GuardianParts -> PrimaryMonitorParts Orders -> CommandSender Guardian.saw_claim -> PrimaryMonitor.note_competing_claim (host/_watch_primaries.py)

Fields of PrimaryMonitorParts (host/_watch_primaries.py): copies -> sync_replica_count is_mine -> is_responsible suspicion_s -> unresponsive_s stuck_s -> oldest_commit_wait_s behind -> lagging_replicas others_reach -> query_reachability switching -> set_switching replace -> replace_parts

Fields of ReplaceParts (host/_watch_primaries.py, tests/test_succession.py): orders -> command_sender covers -> is_log_complete members -> read_members saw_claim -> note_competing_claim

Fields and parameters used in the folder and its tests only: Task.copies, Stopped.copies, choose(copies) -> sync_replica_count

--- a/src/rattanhollow/host/_watch_primaries.py
+++ b/src/rattanhollow/host/_watch_primaries.py
@@ -20,7 +20,12 @@
     ServerStatus,
     Serving,
 )
-from rattanhollow.succession import Guardian, GuardianParts, Orders, ReplaceParts
+from rattanhollow.succession import (
+    CommandSender,
+    PrimaryMonitor,
+    PrimaryMonitorParts,
+    ReplaceParts,
+)
 
 REACH_TIMEOUT_MS = 1_500
 ASKED_IN_A_ZONE = 2
@@ -44,7 +49,7 @@
     read_servers: Callable[[], Awaitable[bool]]
 
 
-def build_guardian(parts: WatchedParts) -> Guardian:
+def build_guardian(parts: WatchedParts) -> PrimaryMonitor:
     """Return the guardian of this host's share of the services."""
     own_name = parts.own().name
 
@@ -106,34 +111,34 @@
         ]
 
     # The guardian is told of claims by the very parts that it is built from.
-    guardian: Guardian
+    guardian: PrimaryMonitor
 
     def saw_claim(service: str, claim_id: str) -> None:
-        guardian.saw_claim(service, claim_id)
+        guardian.note_competing_claim(service, claim_id)
 
-    guardian = Guardian(
-        GuardianParts(
+    guardian = PrimaryMonitor(
+        PrimaryMonitorParts(
             services=services,
-            copies=copies,
+            sync_replica_count=copies,
             servers=parts.directory.of,
             leader=parts.directory.leader,
-            is_mine=is_mine,
-            suspicion_s=suspicion_s,
-            stuck_s=stuck_s,
-            behind=behind,
-            others_reach=others_reach,
+            is_responsible=is_mine,
+            unresponsive_s=suspicion_s,
+            oldest_commit_wait_s=stuck_s,
+            lagging_replicas=behind,
+            query_reachability=others_reach,
             is_missing=lambda server: parts.directory.is_missing(server.id),
-            switching=switching,
+            set_switching=switching,
             announce=announce,
             clock=now_s,
-            replace=ReplaceParts(
+            replace_parts=ReplaceParts(
                 store=parts.ends.store,
-                orders=Orders(run_command, parts.ends.backend.status),
+                command_sender=CommandSender(run_command, parts.ends.backend.status),
                 promote=parts.ends.promote,
                 holder=own_name,
-                covers=covers,
-                members=members,
-                saw_claim=saw_claim,
+                is_log_complete=covers,
+                read_members=members,
+                note_competing_claim=saw_claim,
                 clock=now_s,
             ),
         )
--- a/src/rattanhollow/succession/__init__.py
+++ b/src/rattanhollow/succession/__init__.py
@@ -1,8 +1,12 @@
 """Replacing primaries: who may succeed, in which steps, and who acts."""
 
 from rattanhollow.succession._choose import Member, Stopped, choose, next_term
-from rattanhollow.succession._guardian import Concern, Guardian, GuardianParts
-from rattanhollow.succession._orders import Orders
+from rattanhollow.succession._guardian import (
+    Concern,
+    PrimaryMonitor,
+    PrimaryMonitorParts,
+)
+from rattanhollow.succession._orders import CommandSender
 from rattanhollow.succession._record import (
     SUCCESSION_KIND,
     Phase,
@@ -20,10 +24,10 @@
 __all__ = [
     "SUCCESSION_KIND",
     "Concern",
-    "Guardian",
-    "GuardianParts",
+    "PrimaryMonitor",
+    "PrimaryMonitorParts",
     "Member",
-    "Orders",
+    "CommandSender",
     "Phase",
     "ReplaceParts",
     "Stopped",
--- a/src/rattanhollow/succession/_choose.py
+++ b/src/rattanhollow/succession/_choose.py
@@ -40,22 +40,23 @@
 
     replicas: list[Member]
     primary: Member | None
-    copies: int
+    sync_replica_count: int
     term: int
 
 
 def choose(
     replicas: Collection[Member],
     stopped_primary: Member | None,
-    copies: int,
+    sync_replica_count: int,
     term: int,
 ) -> Result[BackendServer, str]:
     """Return the server to promote.
 
-    Every acknowledged commit is on the primary and on ``copies`` replicas. So a
-    log holds them all that is as long as that of the stopped primary, or the
-    longest where fewer than ``copies`` replicas are missing from those held at
-    ``term``. A stopped primary that stays may be promoted again.
+    Every acknowledged commit is on the primary and on ``sync_replica_count``
+    replicas. A log therefore holds all of them if it reaches as far as that of the
+    stopped primary, or if it is the longest and fewer than ``sync_replica_count``
+    replicas are not held at ``term``. A stopped primary that is not draining may
+    be promoted again.
     """
     held = [m for m in replicas if m.status is not None and _is_held(m.status, term)]
     candidates = [m for m in held if not m.server.draining]
@@ -69,7 +70,7 @@
     if any(_received(member) > _received(best) for member in held):
         return Err("the longest log is at a server that leaves")
     covering = [member for member in held if member.covers]
-    if len(replicas) - len(covering) < max(1, copies):
+    if len(replicas) - len(covering) < max(1, sync_replica_count):
         return Ok(best.server)
     return Err(f"only {len(covering)} of {len(replicas)} replicas are held")
 
--- a/src/rattanhollow/succession/_guardian.py
+++ b/src/rattanhollow/succession/_guardian.py
@@ -40,35 +40,36 @@
     reachable: bool
 
 
-class GuardianParts(NamedTuple):
+class PrimaryMonitorParts(NamedTuple):
     """What watching needs of the rest of the host.
 
-    ``services()`` are those of the configuration, ``servers(service)`` their
-    servers, ``leader(service)`` the one held to lead. ``is_missing(server)``
-    whether the store describes it no more. ``is_mine(service)`` whether this
-    host is to act. ``suspicion_s(server)`` and ``stuck_s(server)``
-    tell for how long a served server has not answered, and its oldest commit.
-    ``behind()`` gives served replicas and for how long they lacked all that was
-    asked of them.
-    ``others_reach(server)`` asks other hosts; None where too few answer.
-    ``switching(server, on)`` keeps new transactions from a server;
-    ``announce(server)`` tells the other hosts of a new primary.
+    ``services()`` returns the configured services, ``servers(service)`` their
+    servers, ``leader(service)`` the server believed to lead.
+    ``is_missing(server)`` is true when the store no longer describes the server,
+    ``is_responsible(service)`` when this host must act for the service.
+    ``unresponsive_s(server)`` is how long a served server has not responded,
+    ``oldest_commit_wait_s(server)`` how long its oldest commit has been pending.
+    ``lagging_replicas()`` returns served replicas with the time since which they
+    have lacked every requested position.
+    ``query_reachability(server)`` queries other hosts; None if too few respond.
+    ``set_switching(server, on)`` keeps new transactions from a server;
+    ``announce(server)`` notifies the other hosts of a new primary.
     """
 
     services: Callable[[], list[str]]
-    copies: Callable[[str], int]
+    sync_replica_count: Callable[[str], int]
     servers: Callable[[str], list[BackendServer]]
     leader: Callable[[str], BackendServer | None]
     is_missing: Callable[[BackendServer], bool]
-    is_mine: Callable[[str], bool]
-    suspicion_s: Callable[[BackendServer], float]
-    stuck_s: Callable[[BackendServer], float]
-    behind: Callable[[], list[tuple[BackendServer, float]]]
-    others_reach: Callable[[BackendServer], Awaitable[bool | None]]
-    switching: Callable[[BackendServer, bool], None]
+    is_responsible: Callable[[str], bool]
+    unresponsive_s: Callable[[BackendServer], float]
+    oldest_commit_wait_s: Callable[[BackendServer], float]
+    lagging_replicas: Callable[[], list[tuple[BackendServer, float]]]
+    query_reachability: Callable[[BackendServer], Awaitable[bool | None]]
+    set_switching: Callable[[BackendServer, bool], None]
     announce: Callable[[BackendServer], Awaitable[None]]
     clock: Callable[[], float]
-    replace: ReplaceParts
+    replace_parts: ReplaceParts
 
 
 class _Watch:
@@ -83,14 +84,14 @@
         self.repair_not_before_s = 0.0
 
 
-class Guardian:
+class PrimaryMonitor:
     """Replaces primaries that leave, or that nobody reaches."""
 
-    def __init__(self, parts: GuardianParts) -> None:
+    def __init__(self, parts: PrimaryMonitorParts) -> None:
         self._parts = parts
         self._watches: dict[str, _Watch] = {}
 
-    def saw_claim(self, service: str, claim_id: str) -> None:
+    def note_competing_claim(self, service: str, claim_id: str) -> None:
         """Note another coordinator's claim that is under way."""
         watch = self._watches.setdefault(service, _Watch())
         if watch.claim_seen[0] != claim_id:
@@ -100,18 +101,18 @@
         """Watch until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                acts = any(map(self._parts.is_mine, self._parts.services()))
+                acts = any(map(self._parts.is_responsible, self._parts.services()))
                 await trio.sleep(LOOK_INTERVAL_S if acts else IDLE_LOOK_INTERVAL_S)
                 for service in self._parts.services():
                     self._look(service, nursery)
-                for server, behind_s in self._parts.behind():
+                for server, behind_s in self._parts.lagging_replicas():
                     if behind_s >= BEHIND_AFTER_S:
                         self._look_at_replica(server, nursery)
 
     def _look(self, service: str, nursery: trio.Nursery) -> None:
         watch = self._watches.setdefault(service, _Watch())
         due = self._parts.clock() >= watch.not_before_s
-        if watch.running or not due or not self._parts.is_mine(service):
+        if watch.running or not due or not self._parts.is_responsible(service):
             return
         concern = self._concern(service, watch)
         if concern is not None:
@@ -139,14 +140,14 @@
                 return None
             return Concern("no primary is known", reachable=False)
         watch.leaderless_since_s = None
-        unreachable_s = self._parts.suspicion_s(leader)
+        unreachable_s = self._parts.unresponsive_s(leader)
         if leader.draining:
             return Concern("it leaves", reachable=unreachable_s <= 0)
         if self._parts.is_missing(leader):
             return Concern("its description is gone", reachable=unreachable_s <= 0)
         if unreachable_s > SUSPECT_AFTER_S:
             return Concern("it doesn't answer", reachable=False)
-        if self._parts.stuck_s(leader) > STUCK_AFTER_S:
+        if self._parts.oldest_commit_wait_s(leader) > STUCK_AFTER_S:
             return Concern("its commits stay unanswered", reachable=True)
         return None
 
@@ -166,7 +167,7 @@
     async def _replace(self, service: str, concern: Concern) -> bool:
         leader = self._parts.leader(service)
         if leader is not None and not concern.reachable and not leader.draining:
-            reached = await self._parts.others_reach(leader)
+            reached = await self._parts.query_reachability(leader)
             if reached is not False:
                 log_event(
                     "succession.not_agreed",
@@ -182,13 +183,13 @@
             reason=concern.reason,
         )
         if leader is not None:
-            self._parts.switching(leader, True)
+            self._parts.set_switching(leader, True)
         try:
             task = self._task(service, leader, concern.reachable)
-            replaced = await replace_primary(task, self._parts.replace)
+            replaced = await replace_primary(task, self._parts.replace_parts)
         finally:
             if leader is not None:
-                self._parts.switching(leader, False)
+                self._parts.set_switching(leader, False)
         if replaced.is_err():
             log_event(
                 "succession.failed", service=service, reason=replaced.unwrap_err()
@@ -204,7 +205,7 @@
         stale = self._parts.clock() - seen_at_s >= CLAIM_AGE_S
         return Task(
             service=service,
-            copies=self._parts.copies(service),
+            sync_replica_count=self._parts.sync_replica_count(service),
             old_leader=leader,
             reachable=reachable,
             claim_id=uuid.uuid4().hex,
@@ -213,14 +214,14 @@
 
     async def _repair(self, server: BackendServer, watch: _Watch) -> None:
         """Let a replica go that is held although nothing is under way."""
-        orders = self._parts.replace.orders
+        orders = self._parts.replace_parts.command_sender
         status = await orders.give(server, CommandKind.STATUS)
         leader = self._parts.leader(server.service)
         held = status is not None and not status.leads and status.held_term > 0
         if not held or leader is None or watch.running:
             return
         task = self._task(server.service, leader, reachable=True)
-        released = await release_held(task, server, self._parts.replace)
+        released = await release_held(task, server, self._parts.replace_parts)
         log_event(
             "succession.released",
             service=server.service,
--- a/src/rattanhollow/succession/_orders.py
+++ b/src/rattanhollow/succession/_orders.py
@@ -1,4 +1,4 @@
-"""Orders to single backend servers."""
+"""CommandSender to single backend servers."""
 
 from collections.abc import Awaitable, Callable
 
@@ -21,7 +21,7 @@
 ReadStatus = Callable[[Reply], ServerStatus | None]
 
 
-class Orders:
+class CommandSender:
     """Gives orders; one that wasn't answered may be carried out later."""
 
     def __init__(self, run: RunCommand, read_status: ReadStatus) -> None:
--- a/src/rattanhollow/succession/_replace.py
+++ b/src/rattanhollow/succession/_replace.py
@@ -16,7 +16,7 @@
 from rattanhollow.serving import BackendServer, CommandKind, ServerStatus
 from rattanhollow.store import ObjectStore
 from rattanhollow.succession._choose import Member, Stopped, choose, next_term
-from rattanhollow.succession._orders import Orders
+from rattanhollow.succession._orders import CommandSender
 from rattanhollow.succession._record import (
     ClaimedByOther,
     Phase,
@@ -39,20 +39,21 @@
 class ReplaceParts(NamedTuple):
     """What replacing a primary needs.
 
-    ``promote(service, server, holder, token)`` gives the platform's answer,
-    ``covers(server, status)`` whether a server's log can be relied on to hold
-    what it acknowledged. ``members(service)`` reads the service's servers anew
-    from the store; None where that failed. ``saw_claim(service, claim_id)`` is
-    told of another coordinator's claim.
+    ``promote(service, server, holder, token)`` returns the HTTP status of the
+    platform's response. ``is_log_complete(server, status)`` is true when the
+    server's log holds everything that it acknowledged.
+    ``read_members(service)`` reads the service's servers from the store again;
+    None if that failed. ``note_competing_claim(service, claim_id)`` is notified of
+    another coordinator's claim.
     """
 
     store: ObjectStore
-    orders: Orders
+    command_sender: CommandSender
     promote: Callable[[str, str, str, int], Awaitable[Result[int, str]]]
     holder: str
-    covers: Callable[[BackendServer, ServerStatus], bool]
-    members: Callable[[str], Awaitable[list[BackendServer] | None]]
-    saw_claim: Callable[[str, str], None]
+    is_log_complete: Callable[[BackendServer, ServerStatus], bool]
+    read_members: Callable[[str], Awaitable[list[BackendServer] | None]]
+    note_competing_claim: Callable[[str, str], None]
     clock: Callable[[], float]
 
 
@@ -63,7 +64,7 @@
     """
 
     service: str
-    copies: int
+    sync_replica_count: int
     old_leader: BackendServer | None
     reachable: bool
     claim_id: str
@@ -95,12 +96,12 @@
         old_leader=task.old_leader_id,
         target=record.target,
     )
-    members = await parts.members(task.service)
+    members = await parts.read_members(task.service)
     if members is None:
         return Err("members: the store gave no list")
     earlier = _find(members, record)
     if earlier is not None:
-        status = await parts.orders.give(earlier, CommandKind.STATUS)
+        status = await parts.command_sender.give(earlier, CommandKind.STATUS)
         if status is not None and status.leads:
             return await _end(task, record, earlier, parts)
     if task.old_leader is None:
@@ -153,9 +154,9 @@
         return Err("a promotion may still be carried out")
     leads = None
     if task.old_leader is not None:
-        leads = await parts.orders.give(task.old_leader, CommandKind.STATUS)
+        leads = await parts.command_sender.give(task.old_leader, CommandKind.STATUS)
     if leads is not None and leads.leads:
-        await parts.orders.give(server, CommandKind.LET_GO)
+        await parts.command_sender.give(server, CommandKind.LET_GO)
     ended = await advance(parts.store, task.service, record._replace(phase=Phase.ENDED))
     return ended.map_err(str)
 
@@ -173,7 +174,7 @@
         return Ok(claimed.unwrap())
     failure = claimed.unwrap_err()
     if isinstance(failure, ClaimedByOther):
-        parts.saw_claim(task.service, failure.claim_id)
+        parts.note_competing_claim(task.service, failure.claim_id)
     return Err(f"claim: {failure}")
 
 
@@ -196,7 +197,7 @@
 
     It may have been deposed and not know: whoever writes there learns that.
     """
-    statuses = await parts.orders.give_all(members, CommandKind.STATUS)
+    statuses = await parts.command_sender.give_all(members, CommandKind.STATUS)
     answered = {name: s for name, s in statuses.items() if s is not None}
     newest = max((status.term for status in answered.values()), default=0)
     for server in members:
@@ -229,7 +230,7 @@
     replicas = [s for s in members if s.id != task.old_leader_id]
     primary = task.old_leader if task.reachable else None
     asked = [*replicas, primary] if primary is not None else replicas
-    statuses = await parts.orders.give_all(asked, CommandKind.STATUS)
+    statuses = await parts.command_sender.give_all(asked, CommandKind.STATUS)
     answered = [status for status in statuses.values() if status is not None]
     if not answered:
         return Err("stop: no server answered")
@@ -237,24 +238,26 @@
     held = await _hold(replicas, term, parts)
     stopped = None
     if primary is not None and statuses[primary.id] is not None:
-        status = await parts.orders.give(primary, CommandKind.STEP_DOWN, term)
+        status = await parts.command_sender.give(primary, CommandKind.STEP_DOWN, term)
         if status is not None and not status.leads:
             stopped = Member(primary, status)
-    again = await parts.members(task.service)
+    again = await parts.read_members(task.service)
     if again is None:
         return Err("stop: the store gave no list")
     known = {server.id for server in members}
     joined = [s for s in again if s.id not in known and s.id != task.old_leader_id]
     held += await _hold(joined, term, parts)
-    return Ok(Stopped(held, stopped, task.copies, term))
+    return Ok(Stopped(held, stopped, task.sync_replica_count, term))
 
 
 async def _hold(
     servers: list[BackendServer], term: int, parts: ReplaceParts
 ) -> list[Member]:
-    statuses = await parts.orders.give_all(servers, CommandKind.HOLD, term)
+    statuses = await parts.command_sender.give_all(servers, CommandKind.HOLD, term)
     return [
-        Member(server, status, status is not None and parts.covers(server, status))
+        Member(
+            server, status, status is not None and parts.is_log_complete(server, status)
+        )
         for server in servers
         for status in [statuses[server.id]]
     ]
@@ -267,7 +270,7 @@
     if record.phase is Phase.CHOSEN:
         return
     servers = [member.server for member in replicas]
-    await parts.orders.give_all(servers, CommandKind.LET_GO)
+    await parts.command_sender.give_all(servers, CommandKind.LET_GO)
     await advance(parts.store, task.service, record._replace(phase=Phase.ENDED))
 
 
@@ -293,7 +296,7 @@
                 if answered.ok() == REFUSED:
                     return Err("promote: the platform refused it")
             await trio.sleep(LOOK_INTERVAL_S)
-            status = await parts.orders.give(target, CommandKind.STATUS)
+            status = await parts.command_sender.give(target, CommandKind.STATUS)
             if status is not None and status.leads:
                 return await _end(task, record, target, parts)
     return Err("promote: it didn't lead in time")
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -28,8 +28,8 @@
 )
 from rattanhollow.store import ObjectStore
 from rattanhollow.succession import (
+    CommandSender,
     Member,
-    Orders,
     Phase,
     ReplaceParts,
     SuccessionRecord,
@@ -85,17 +85,21 @@
         self.claims_seen: list[str] = []
 
     def parts(
-        self, holder: str = "h", covers: Callable[..., bool] = lambda s, t: True
+        self,
+        holder: str = "h",
+        is_log_complete: Callable[..., bool] = lambda s, t: True,
     ) -> ReplaceParts:
         """Return what a coordinator needs."""
         return ReplaceParts(
             store=self.store,
-            orders=Orders(self._run, parse_status),
+            command_sender=CommandSender(self._run, parse_status),
             promote=self._promote,
             holder=holder,
-            covers=covers,
-            members=self._members,
-            saw_claim=lambda service, claim_id: self.claims_seen.append(claim_id),
+            is_log_complete=is_log_complete,
+            read_members=self._members,
+            note_competing_claim=lambda service, claim_id: self.claims_seen.append(
+                claim_id
+            ),
             clock=trio.current_time,
         )
 
@@ -114,7 +118,7 @@
         """Return the task of replacing the first database."""
         return Task(
             service=SERVICE,
-            copies=1,
+            sync_replica_count=1,
             old_leader=server(self.databases[0]),
             reachable=reachable,
             claim_id=f"c{next(self._claims)}",
@@ -285,7 +289,7 @@
         def covers(found: BackendServer, status: ServerStatus) -> bool:
             return found.id != "i-2"
 
-        replaced = await theatre.replace(reachable=False, covers=covers)
+        replaced = await theatre.replace(reachable=False, is_log_complete=covers)
         assert replaced.is_err() and not theatre.promotions.orders
 
     on_stage(scenario)
@@ -493,7 +497,7 @@
         async def coordinate(holder: str) -> None:
             seen = ("", 0.0)
 
-            def saw_claim(service: str, claim_id: str) -> None:
+            def note_competing_claim(service: str, claim_id: str) -> None:
                 nonlocal seen
                 if seen[0] != claim_id:
                     seen = (claim_id, trio.current_time())
@@ -503,13 +507,15 @@
                 leader = theatre.group.leader or theatre.databases[0]
                 task = Task(
                     service=SERVICE,
-                    copies=1,
+                    sync_replica_count=1,
                     old_leader=server(leader),
                     reachable=not leader.dark,
                     claim_id=f"{holder}{number}",
                     may_override=seen[0] if trio.current_time() - seen[1] > 2.5 else "",
                 )
-                parts = theatre.parts(holder)._replace(saw_claim=saw_claim)
+                parts = theatre.parts(holder)._replace(
+                    note_competing_claim=note_competing_claim
+                )
                 with trio.move_on_after(rng.choice([0.1, 0.5, 2, 9])):
                     await replace_primary(task, parts)
 
