Reword the succession folder in plain technical English

Comments, docstrings, error texts and the reasons of succession.begin and succession.failed are reworded; log events, log keys, stored fields and enum values are unchanged. Every constant keeps its reason.

Identifiers used in this folder and tests/test_succession.py only: Concern -> ReplacementTrigger Stopped -> StoppedGroup Member.covers -> Member.log_complete choose -> choose_successor advance -> write_claim_phase release_held -> release_held_replica may_override -> stale_claim_id CommandSender.give -> CommandSender.send CommandSender.give_all -> CommandSender.send_to_all ORDER_TIMEOUT_S -> COMMAND_TIMEOUT_S NOTHING_YET -> NO_SUCCESSION

Module, imported in this folder only: rattanhollow.succession._orders -> rattanhollow.succession._commands

--- a/src/rattanhollow/succession/__init__.py
+++ b/src/rattanhollow/succession/__init__.py
@@ -1,42 +1,47 @@
-"""Replacing primaries: who may succeed, in which steps, and who acts."""
+"""Replacing primaries: selecting a successor, the steps, and the host that acts."""
 
-from rattanhollow.succession._choose import Member, Stopped, choose, next_term
+from rattanhollow.succession._choose import (
+    Member,
+    StoppedGroup,
+    choose_successor,
+    next_term,
+)
+from rattanhollow.succession._commands import CommandSender
 from rattanhollow.succession._guardian import (
-    Concern,
     PrimaryMonitor,
     PrimaryMonitorParts,
+    ReplacementTrigger,
 )
-from rattanhollow.succession._orders import CommandSender
 from rattanhollow.succession._record import (
     SUCCESSION_KIND,
     Phase,
     SuccessionRecord,
-    advance,
     claim,
+    write_claim_phase,
 )
 from rattanhollow.succession._replace import (
     ReplaceParts,
     Task,
-    release_held,
+    release_held_replica,
     replace_primary,
 )
 
 __all__ = [
     "SUCCESSION_KIND",
-    "Concern",
-    "PrimaryMonitor",
-    "PrimaryMonitorParts",
-    "Member",
     "CommandSender",
+    "Member",
     "Phase",
+    "PrimaryMonitor",
+    "PrimaryMonitorParts",
     "ReplaceParts",
-    "Stopped",
+    "ReplacementTrigger",
+    "StoppedGroup",
     "SuccessionRecord",
     "Task",
-    "advance",
-    "choose",
+    "choose_successor",
     "claim",
     "next_term",
-    "release_held",
+    "release_held_replica",
     "replace_primary",
+    "write_claim_phase",
 ]
--- a/src/rattanhollow/succession/_choose.py
+++ b/src/rattanhollow/succession/_choose.py
@@ -1,4 +1,7 @@
-"""Who may succeed a primary: pure decisions on what its servers answered."""
+"""Selecting the server to promote, from the responses of the service's servers.
+
+The functions have no side effects.
+"""
 
 from collections.abc import Collection
 from typing import NamedTuple
@@ -10,32 +13,32 @@
 
 
 class Member(NamedTuple):
-    """A server of the service behind the order that made it stop.
+    """A server of the service after the command that made it stop.
 
-    ``status`` is what it answered to that order, None where it didn't.
-    ``covers`` is False for a log that began anew and may lack commits that the
-    server once acknowledged to its primary.
+    ``status`` is its response to that command, None without a response.
+    ``log_complete`` is False for a log that was started again from empty and may
+    lack commits that the server had acknowledged to its primary.
     """
 
     server: BackendServer
     status: ServerStatus | None
-    covers: bool = True
+    log_complete: bool = True
 
 
 def next_term(statuses: Collection[ServerStatus]) -> int:
-    """Return the term behind the newest that any server has seen led.
+    """Return the term after the newest that any server has seen a primary lead.
 
-    Not behind one at which a server is merely held: a promotion to an earlier
-    term would leave it so.
+    Terms at which a server is only held do not count: the promotion could otherwise
+    have an earlier term than the hold and would leave that server held.
     """
     terms = [max(status.term, status.received.term) for status in statuses]
     return max(terms, default=0) + 1
 
 
-class Stopped(NamedTuple):
-    """The servers of a service, made to stop at ``term``.
+class StoppedGroup(NamedTuple):
+    """The servers of a service after the commands to stop at ``term``.
 
-    ``primary`` is the old primary where it answered that it no longer leads.
+    ``primary`` is the old primary if it confirmed that it no longer leads.
     """
 
     replicas: list[Member]
@@ -44,7 +47,7 @@
     term: int
 
 
-def choose(
+def choose_successor(
     replicas: Collection[Member],
     stopped_primary: Member | None,
     sync_replica_count: int,
@@ -63,16 +66,18 @@
     if stopped_primary is not None and not stopped_primary.server.draining:
         candidates.append(stopped_primary)
     if not candidates:
-        return Err("no server that stays answered")
+        return Err("no server responded that is not draining")
     best = max(candidates, key=lambda m: (_received(m), m is not stopped_primary))
     if stopped_primary is not None and _received(best) >= _received(stopped_primary):
         return Ok(best.server)
     if any(_received(member) > _received(best) for member in held):
-        return Err("the longest log is at a server that leaves")
-    covering = [member for member in held if member.covers]
-    if len(replicas) - len(covering) < max(1, sync_replica_count):
+        return Err("the longest log is on a server that is draining")
+    complete = [member for member in held if member.log_complete]
+    if len(replicas) - len(complete) < max(1, sync_replica_count):
         return Ok(best.server)
-    return Err(f"only {len(covering)} of {len(replicas)} replicas are held")
+    return Err(
+        f"only {len(complete)} of {len(replicas)} replicas are held with a complete log"
+    )
 
 
 def _is_held(status: ServerStatus, term: int) -> bool:
--- a/src/rattanhollow/succession/_orders.py
+++ b/src/rattanhollow/succession/_commands.py
@@ -1,4 +1,4 @@
-"""CommandSender to single backend servers."""
+"""Sending commands to backend servers."""
 
 from collections.abc import Awaitable, Callable
 
@@ -13,26 +13,26 @@
     ServerStatus,
 )
 
-# A server across regions answers within 100 ms; one that is dark doesn't.
-ORDER_TIMEOUT_S = 0.7
+# A server in another region responds within 100 ms; an unreachable one never does.
+COMMAND_TIMEOUT_S = 0.7
 
-# ``run(server, command, timeout_s)`` gives the reply, None where none came.
+# ``run(server, command, timeout_s)`` returns the reply, None if none was received.
 RunCommand = Callable[[BackendServer, Command, float], Awaitable[Reply | None]]
 ReadStatus = Callable[[Reply], ServerStatus | None]
 
 
 class CommandSender:
-    """Gives orders; one that wasn't answered may be carried out later."""
+    """Sends commands; one without a reply may still be executed later."""
 
     def __init__(self, run: RunCommand, read_status: ReadStatus) -> None:
         self._run = run
         self._read_status = read_status
 
-    async def give(
+    async def send(
         self, server: BackendServer, kind: CommandKind, term: int = 0
     ) -> ServerStatus | None:
-        """Give one order; the answer is the status behind it, None without one."""
-        reply = await self._run(server, Command(kind, term=term), ORDER_TIMEOUT_S)
+        """Send a command; return the status after it, None without a reply."""
+        reply = await self._run(server, Command(kind, term=term), COMMAND_TIMEOUT_S)
         status = self._read_status(reply) if reply is not None else None
         if status is None or kind is not CommandKind.STATUS:
             log_event(
@@ -46,16 +46,16 @@
             )
         return status
 
-    async def give_all(
+    async def send_to_all(
         self, servers: list[BackendServer], kind: CommandKind, term: int = 0
     ) -> dict[str, ServerStatus | None]:
-        """Give the same order to several servers at once."""
-        answers: dict[str, ServerStatus | None] = {}
+        """Send the same command to several servers concurrently."""
+        statuses: dict[str, ServerStatus | None] = {}
 
-        async def one(server: BackendServer) -> None:
-            answers[server.id] = await self.give(server, kind, term)
+        async def send_to(server: BackendServer) -> None:
+            statuses[server.id] = await self.send(server, kind, term)
 
         async with trio.open_nursery() as nursery:
             for server in servers:
-                nursery.start_soon(one, server)
-        return answers
+                nursery.start_soon(send_to, server)
+        return statuses
--- a/src/rattanhollow/succession/_guardian.py
+++ b/src/rattanhollow/succession/_guardian.py
@@ -1,4 +1,4 @@
-"""Watching the primaries that fall to this host, and replacing them."""
+"""Monitoring the primaries this host is responsible for, and replacing them."""
 
 import uuid
 from collections.abc import Awaitable, Callable
@@ -11,37 +11,37 @@
 from rattanhollow.succession._replace import (
     ReplaceParts,
     Task,
-    release_held,
+    release_held_replica,
     replace_primary,
 )
 
-LOOK_INTERVAL_S = 0.1
-# How often a host that is to act for no service looks whether it has become so.
-IDLE_LOOK_INTERVAL_S = 0.5
-# How long a primary must be without answers here before other hosts are asked.
+CHECK_INTERVAL_S = 0.1
+# Check interval of a host that is responsible for no service.
+IDLE_CHECK_INTERVAL_S = 0.5
+# A primary must be unresponsive here for this long before other hosts are queried.
 SUSPECT_AFTER_S = 0.1
-# A service without any known primary waits this long for one to describe itself.
-NO_LEADER_AFTER_S = 1.5
-# Commits that stay unanswered for longer while the primary itself answers: no
-# replica acknowledges them.
-STUCK_AFTER_S = 1.2
-RETRY_S = 0.4
-RETRY_AT_MOST_S = 3.0
-# Another coordinator's claim that makes no progress for so long is taken over.
-CLAIM_AGE_S = 2.5
-# A replica that lacks every position asked of it for so long may be held.
-BEHIND_AFTER_S = 1.5
-
-
-class Concern(NamedTuple):
-    """Why a primary has to be replaced; ``reachable`` whether it answers."""
+# How long a service without a known primary waits for a server to report as one.
+NO_LEADER_TIMEOUT_S = 1.5
+# A commit pending for longer, while the primary itself responds, means that no
+# replica acknowledges commits.
+COMMIT_TIMEOUT_S = 1.2
+RETRY_DELAY_S = 0.4
+MAX_RETRY_DELAY_S = 3.0
+# Another coordinator's claim without progress for this long is taken over.
+CLAIM_STALE_AFTER_S = 2.5
+# A replica that has lacked every requested position for this long may be held.
+LAGGING_AFTER_S = 1.5
+
+
+class ReplacementTrigger(NamedTuple):
+    """Why a primary must be replaced; ``reachable`` is true if it responds."""
 
     reason: str
     reachable: bool
 
 
 class PrimaryMonitorParts(NamedTuple):
-    """What watching needs of the rest of the host.
+    """Dependencies of the primary monitor on the rest of the host.
 
     ``services()`` returns the configured services, ``servers(service)`` their
     servers, ``leader(service)`` the server believed to lead.
@@ -72,101 +72,117 @@
     replace_parts: ReplaceParts
 
 
-class _Watch:
-    """What this host remembers of one service."""
+class _ServiceState:
+    """The monitoring state of one service."""
 
     def __init__(self) -> None:
         self.leaderless_since_s: float | None = None
         self.not_before_s = 0.0
         self.failures = 0
-        self.running = False
-        self.claim_seen = ("", 0.0)
-        self.repair_not_before_s = 0.0
+        self.replacing = False
+        self.competing_claim = ("", 0.0)
+        self.release_not_before_s = 0.0
 
 
 class PrimaryMonitor:
-    """Replaces primaries that leave, or that nobody reaches."""
+    """Replaces primaries that are draining, missing, unreachable or stuck."""
 
     def __init__(self, parts: PrimaryMonitorParts) -> None:
         self._parts = parts
-        self._watches: dict[str, _Watch] = {}
+        self._states: dict[str, _ServiceState] = {}
 
     def note_competing_claim(self, service: str, claim_id: str) -> None:
-        """Note another coordinator's claim that is under way."""
-        watch = self._watches.setdefault(service, _Watch())
-        if watch.claim_seen[0] != claim_id:
-            watch.claim_seen = (claim_id, self._parts.clock())
+        """Record another coordinator's claim in progress and when it was first seen."""
+        state = self._states.setdefault(service, _ServiceState())
+        if state.competing_claim[0] != claim_id:
+            state.competing_claim = (claim_id, self._parts.clock())
 
     async def run(self) -> None:
-        """Watch until cancelled."""
+        """Monitor until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                acts = any(map(self._parts.is_responsible, self._parts.services()))
-                await trio.sleep(LOOK_INTERVAL_S if acts else IDLE_LOOK_INTERVAL_S)
+                responsible = any(
+                    map(self._parts.is_responsible, self._parts.services())
+                )
+                await trio.sleep(
+                    CHECK_INTERVAL_S if responsible else IDLE_CHECK_INTERVAL_S
+                )
                 for service in self._parts.services():
-                    self._look(service, nursery)
-                for server, behind_s in self._parts.lagging_replicas():
-                    if behind_s >= BEHIND_AFTER_S:
-                        self._look_at_replica(server, nursery)
-
-    def _look(self, service: str, nursery: trio.Nursery) -> None:
-        watch = self._watches.setdefault(service, _Watch())
-        due = self._parts.clock() >= watch.not_before_s
-        if watch.running or not due or not self._parts.is_responsible(service):
+                    self._check_service(service, nursery)
+                for server, lagging_s in self._parts.lagging_replicas():
+                    if lagging_s >= LAGGING_AFTER_S:
+                        self._check_replica(server, nursery)
+
+    def _check_service(self, service: str, nursery: trio.Nursery) -> None:
+        state = self._states.setdefault(service, _ServiceState())
+        due = self._parts.clock() >= state.not_before_s
+        if state.replacing or not due or not self._parts.is_responsible(service):
             return
-        concern = self._concern(service, watch)
-        if concern is not None:
-            watch.running = True
-            nursery.start_soon(self._act, service, watch, concern)
-
-    def _look_at_replica(self, server: BackendServer, nursery: trio.Nursery) -> None:
-        watch = self._watches.setdefault(server.service, _Watch())
-        due = self._parts.clock() >= watch.repair_not_before_s
-        if not watch.running and due:
-            watch.repair_not_before_s = self._parts.clock() + BEHIND_AFTER_S
-            nursery.start_soon(self._repair, server, watch)
-
-    def _concern(self, service: str, watch: _Watch) -> Concern | None:
+        trigger = self._find_trigger(service, state)
+        if trigger is not None:
+            state.replacing = True
+            nursery.start_soon(self._attempt_replacement, service, state, trigger)
+
+    def _check_replica(self, server: BackendServer, nursery: trio.Nursery) -> None:
+        state = self._states.setdefault(server.service, _ServiceState())
+        due = self._parts.clock() >= state.release_not_before_s
+        if not state.replacing and due:
+            state.release_not_before_s = self._parts.clock() + LAGGING_AFTER_S
+            nursery.start_soon(self._release_replica, server, state)
+
+    def _find_trigger(
+        self, service: str, state: _ServiceState
+    ) -> ReplacementTrigger | None:
         servers = self._parts.servers(service)
         if len(servers) < 2:
             return None
         leader = self._parts.leader(service)
         now_s = self._parts.clock()
         if leader is None:
-            if watch.leaderless_since_s is None:
-                watch.leaderless_since_s = now_s
-            waited_s = now_s - watch.leaderless_since_s
-            if waited_s < NO_LEADER_AFTER_S:
+            if state.leaderless_since_s is None:
+                state.leaderless_since_s = now_s
+            leaderless_s = now_s - state.leaderless_since_s
+            if leaderless_s < NO_LEADER_TIMEOUT_S:
                 return None
-            return Concern("no primary is known", reachable=False)
-        watch.leaderless_since_s = None
-        unreachable_s = self._parts.unresponsive_s(leader)
+            return ReplacementTrigger("no primary is known", reachable=False)
+        state.leaderless_since_s = None
+        silent_s = self._parts.unresponsive_s(leader)
         if leader.draining:
-            return Concern("it leaves", reachable=unreachable_s <= 0)
+            return ReplacementTrigger(
+                "the primary is draining", reachable=silent_s <= 0
+            )
         if self._parts.is_missing(leader):
-            return Concern("its description is gone", reachable=unreachable_s <= 0)
-        if unreachable_s > SUSPECT_AFTER_S:
-            return Concern("it doesn't answer", reachable=False)
-        if self._parts.oldest_commit_wait_s(leader) > STUCK_AFTER_S:
-            return Concern("its commits stay unanswered", reachable=True)
+            return ReplacementTrigger(
+                "the store no longer describes the primary", reachable=silent_s <= 0
+            )
+        if silent_s > SUSPECT_AFTER_S:
+            return ReplacementTrigger("the primary does not respond", reachable=False)
+        if self._parts.oldest_commit_wait_s(leader) > COMMIT_TIMEOUT_S:
+            return ReplacementTrigger(
+                "the primary's commits are not acknowledged", reachable=True
+            )
         return None
 
-    async def _act(self, service: str, watch: _Watch, concern: Concern) -> None:
+    async def _attempt_replacement(
+        self, service: str, state: _ServiceState, trigger: ReplacementTrigger
+    ) -> None:
         try:
-            done = await self._replace(service, concern)
+            succeeded = await self._replace_if_agreed(service, trigger)
         finally:
-            watch.running = False
-            watch.not_before_s = self._parts.clock() + RETRY_S
-        if done:
-            watch.failures = 0
+            state.replacing = False
+            state.not_before_s = self._parts.clock() + RETRY_DELAY_S
+        if succeeded:
+            state.failures = 0
         else:
-            watch.failures += 1
-            pause_s = min(RETRY_AT_MOST_S, RETRY_S * 2**watch.failures)
-            watch.not_before_s = self._parts.clock() + pause_s
+            state.failures += 1
+            delay_s = min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * 2**state.failures)
+            state.not_before_s = self._parts.clock() + delay_s
 
-    async def _replace(self, service: str, concern: Concern) -> bool:
+    async def _replace_if_agreed(
+        self, service: str, trigger: ReplacementTrigger
+    ) -> bool:
         leader = self._parts.leader(service)
-        if leader is not None and not concern.reachable and not leader.draining:
+        if leader is not None and not trigger.reachable and not leader.draining:
             reached = await self._parts.query_reachability(leader)
             if reached is not False:
                 log_event(
@@ -180,12 +196,12 @@
             "succession.begin",
             service=service,
             leader=leader.id if leader is not None else "",
-            reason=concern.reason,
+            reason=trigger.reason,
         )
         if leader is not None:
             self._parts.set_switching(leader, True)
         try:
-            task = self._task(service, leader, concern.reachable)
+            task = self._build_task(service, leader, trigger.reachable)
             replaced = await replace_primary(task, self._parts.replace_parts)
         finally:
             if leader is not None:
@@ -198,30 +214,32 @@
         await self._parts.announce(replaced.unwrap())
         return True
 
-    def _task(
+    def _build_task(
         self, service: str, leader: BackendServer | None, reachable: bool
     ) -> Task:
-        claim_id, seen_at_s = self._watches[service].claim_seen
-        stale = self._parts.clock() - seen_at_s >= CLAIM_AGE_S
+        claim_id, seen_at_s = self._states[service].competing_claim
+        stale = self._parts.clock() - seen_at_s >= CLAIM_STALE_AFTER_S
         return Task(
             service=service,
             sync_replica_count=self._parts.sync_replica_count(service),
             old_leader=leader,
             reachable=reachable,
             claim_id=uuid.uuid4().hex,
-            may_override=claim_id if stale else "",
+            stale_claim_id=claim_id if stale else "",
         )
 
-    async def _repair(self, server: BackendServer, watch: _Watch) -> None:
-        """Let a replica go that is held although nothing is under way."""
-        orders = self._parts.replace_parts.command_sender
-        status = await orders.give(server, CommandKind.STATUS)
+    async def _release_replica(
+        self, server: BackendServer, state: _ServiceState
+    ) -> None:
+        """Release a replica that is held although no replacement is in progress."""
+        sender = self._parts.replace_parts.command_sender
+        status = await sender.send(server, CommandKind.STATUS)
         leader = self._parts.leader(server.service)
         held = status is not None and not status.leads and status.held_term > 0
-        if not held or leader is None or watch.running:
+        if not held or leader is None or state.replacing:
             return
-        task = self._task(server.service, leader, reachable=True)
-        released = await release_held(task, server, self._parts.replace_parts)
+        task = self._build_task(server.service, leader, reachable=True)
+        released = await release_held_replica(task, server, self._parts.replace_parts)
         log_event(
             "succession.released",
             service=server.service,
--- a/src/rattanhollow/succession/_record.py
+++ b/src/rattanhollow/succession/_record.py
@@ -1,4 +1,4 @@
-"""What hosts agree on about replacing a primary, one object a service."""
+"""The stored state of a replacement: one object per service, shared by all hosts."""
 
 import enum
 from typing import Any, NamedTuple
@@ -12,10 +12,10 @@
 
 
 class Phase(enum.Enum):
-    """How far a replacement has come.
+    """The progress of a replacement.
 
     ``CLAIMED``: its coordinator may hold replicas. ``CHOSEN``: the platform may
-    have been told to promote ``target``. ``ENDED``: nothing is under way.
+    have been requested to promote ``target``. ``ENDED``: none is in progress.
     """
 
     CLAIMED = "claimed"
@@ -26,7 +26,7 @@
 class SuccessionRecord(NamedTuple):
     """The newest replacement of a service's primary.
 
-    ``token`` is its fencing token, ``claim_id`` tells claims of one host apart.
+    ``token`` is its fencing token, ``claim_id`` distinguishes claims of one host.
     ``target_born_ms`` identifies the start of the target.
     """
 
@@ -39,11 +39,11 @@
     target_born_ms: int = 0
 
 
-NOTHING_YET = SuccessionRecord(0, "", "", "", Phase.ENDED)
+NO_SUCCESSION = SuccessionRecord(0, "", "", "", Phase.ENDED)
 
 
 class ClaimedByOther(NamedTuple):
-    """Another coordinator's claim is under way."""
+    """Another coordinator's claim is in progress."""
 
     holder: str
     claim_id: str
@@ -55,22 +55,22 @@
     holder: str,
     claim_id: str,
     old_leader: str,
-    may_override: str = "",
+    stale_claim_id: str = "",
 ) -> Result[SuccessionRecord, StoreFailure | ClaimedByOther]:
     """Claim the next fencing token, with the target of an unfinished claim.
 
-    A claim that is under way is only taken over where it is ``may_override``:
-    its coordinator may be holding servers or letting them go.
+    A claim in progress is only taken over if it is ``stale_claim_id``, because its
+    coordinator may be holding or releasing servers.
     """
 
     def change(
         spec: dict[str, Any] | None,
     ) -> Result[dict[str, Any] | None, ClaimedByOther]:
-        current = from_spec(SuccessionRecord, spec) if spec else NOTHING_YET
+        current = from_spec(SuccessionRecord, spec) if spec else NO_SUCCESSION
         if current.claim_id == claim_id:
             return Ok(None)
-        busy = current.phase is not Phase.ENDED
-        if busy and current.claim_id != may_override:
+        in_progress = current.phase is not Phase.ENDED
+        if in_progress and current.claim_id != stale_claim_id:
             return Err(ClaimedByOther(current.holder, current.claim_id))
         unfinished = current.phase is Phase.CHOSEN
         claimed = SuccessionRecord(
@@ -84,20 +84,20 @@
         )
         return Ok(to_spec(claimed))
 
-    written = await update(store, SUCCESSION_KIND, service, change, attempts=4)
-    return written.map(lambda stored: from_spec(SuccessionRecord, stored.spec))
+    updated = await update(store, SUCCESSION_KIND, service, change, attempts=4)
+    return updated.map(lambda stored: from_spec(SuccessionRecord, stored.spec))
 
 
-async def advance(
+async def write_claim_phase(
     store: ObjectStore, service: str, record: SuccessionRecord
 ) -> Result[None, StoreFailure | str]:
-    """Write the next phase of a claim that is still the newest."""
+    """Write the next phase of a claim, provided that it is still the newest."""
 
     def change(spec: dict[str, Any] | None) -> Result[dict[str, Any] | None, str]:
-        current = from_spec(SuccessionRecord, spec) if spec else NOTHING_YET
+        current = from_spec(SuccessionRecord, spec) if spec else NO_SUCCESSION
         if current.claim_id != record.claim_id:
             return Err(f"{current.holder} claimed token {current.token}")
         return Ok(None if current == record else to_spec(record))
 
-    written = await update(store, SUCCESSION_KIND, service, change, attempts=4)
-    return written.map(lambda _: None)
+    updated = await update(store, SUCCESSION_KIND, service, change, attempts=4)
+    return updated.map(lambda _: None)
--- a/src/rattanhollow/succession/_replace.py
+++ b/src/rattanhollow/succession/_replace.py
@@ -1,9 +1,9 @@
 """Replacing the primary of one service, step by step.
 
-The store decides who may try and remembers whom it chose; the held replicas
-decide what the next primary must hold. A coordinator may stop behind any step:
-whoever claims next goes on with the same target while that may still be
-promoted.
+The store decides which coordinator may act and records the chosen target; the held
+replicas determine which log the next primary needs. A coordinator may stop after
+any step: the next one to claim continues with the same target while that may still
+be promoted.
 """
 
 from collections.abc import Awaitable, Callable
@@ -15,33 +15,39 @@
 from rattanhollow.observe import log_event
 from rattanhollow.serving import BackendServer, CommandKind, ServerStatus
 from rattanhollow.store import ObjectStore
-from rattanhollow.succession._choose import Member, Stopped, choose, next_term
-from rattanhollow.succession._orders import CommandSender
+from rattanhollow.succession._choose import (
+    Member,
+    StoppedGroup,
+    choose_successor,
+    next_term,
+)
+from rattanhollow.succession._commands import CommandSender
 from rattanhollow.succession._record import (
     ClaimedByOther,
     Phase,
     SuccessionRecord,
-    advance,
     claim,
+    write_claim_phase,
 )
 
-# A promotion takes effect within about a second of being accepted; an order
-# that was lost may be carried out many seconds later.
+# A promotion takes effect within about a second of being accepted; a promotion
+# request whose response was lost may be executed many seconds later.
 PROMOTION_TIMEOUT_S = 4.0
-LOOK_INTERVAL_S = 0.1
-# Another coordinator takes a claim over that it has seen for longer than this
-# and an order's time: what is held then is no longer this coordinator's to let go.
-LET_GO_WITHIN_S = 1.5
-ACCEPTED = 200
-REFUSED = 409
+STATUS_POLL_INTERVAL_S = 0.1
+# Another coordinator takes over a claim that it has seen for longer than this plus
+# the timeout of one command. Replicas held then are no longer this coordinator's to
+# release.
+RELEASE_DEADLINE_S = 1.5
+HTTP_OK = 200
+HTTP_CONFLICT = 409
 
 
 class ReplaceParts(NamedTuple):
-    """What replacing a primary needs.
+    """Dependencies of replacing a primary.
 
     ``promote(service, server, holder, token)`` returns the HTTP status of the
     platform's response. ``is_log_complete(server, status)`` is true when the
-    server's log holds everything that it acknowledged.
+    server's log can be relied on to hold everything that it acknowledged.
     ``read_members(service)`` reads the service's servers from the store again;
     None if that failed. ``note_competing_claim(service, claim_id)`` is notified of
     another coordinator's claim.
@@ -58,9 +64,9 @@
 
 
 class Task(NamedTuple):
-    """One replacement; ``reachable`` whether the old primary still answers.
+    """One replacement; ``reachable`` is true if the old primary still responds.
 
-    ``may_override`` is another coordinator's claim that made no progress.
+    ``stale_claim_id`` is another coordinator's claim that makes no progress.
     """
 
     service: str
@@ -68,11 +74,11 @@
     old_leader: BackendServer | None
     reachable: bool
     claim_id: str
-    may_override: str = ""
+    stale_claim_id: str = ""
 
     @property
     def old_leader_id(self) -> str:
-        """The old primary's identifier, empty where none is known."""
+        """The old primary's identifier, empty if none is known."""
         return self.old_leader.id if self.old_leader is not None else ""
 
 
@@ -81,11 +87,11 @@
 ) -> Result[BackendServer, str]:
     """Replace the primary and return the new one.
 
-    After an ``Err`` replicas may still be held: by a later coordinator, or for
-    the next one to go on with.
+    After an ``Err``, replicas may still be held: by a later coordinator, or for the
+    next one to continue with.
     """
     claimed_at_s = parts.clock()
-    claimed = await _claim(task, parts)
+    claimed = await _claim_succession(task, parts)
     if claimed.is_err():
         return Err(claimed.unwrap_err())
     record = claimed.unwrap()
@@ -98,77 +104,85 @@
     )
     members = await parts.read_members(task.service)
     if members is None:
-        return Err("members: the store gave no list")
-    earlier = _find(members, record)
-    if earlier is not None:
-        status = await parts.command_sender.give(earlier, CommandKind.STATUS)
+        return Err("members: the store returned no list of servers")
+    previous_target = _find_previous_target(members, record)
+    if previous_target is not None:
+        status = await parts.command_sender.send(previous_target, CommandKind.STATUS)
         if status is not None and status.leads:
-            return await _end(task, record, earlier, parts)
+            return await _end_succession(task, record, previous_target, parts)
     if task.old_leader is None:
-        leading = await _find_leading(members, parts)
-        if leading is not None:
-            return await _end(task, record, leading, parts)
-    stopped = await _stop(task, members, parts)
+        current_leader = await _find_current_leader(members, parts)
+        if current_leader is not None:
+            return await _end_succession(task, record, current_leader, parts)
+    stopped = await _stop_servers(task, members, parts)
     if stopped.is_err():
         return Err(stopped.unwrap_err())
-    chosen = choose(*stopped.unwrap())
-    if earlier is not None and _answered(stopped.unwrap().replicas, earlier):
-        # The platform may still promote it: another one must not be named.
-        chosen = Ok(earlier)
+    chosen = choose_successor(*stopped.unwrap())
+    if previous_target is not None and _has_responded(
+        stopped.unwrap().replicas, previous_target
+    ):
+        # The platform may still promote it, so no other server may be chosen.
+        chosen = Ok(previous_target)
     if chosen.is_err():
-        if parts.clock() - claimed_at_s <= LET_GO_WITHIN_S:
-            await _let_go(task, stopped.unwrap().replicas, record, parts)
+        if parts.clock() - claimed_at_s <= RELEASE_DEADLINE_S:
+            await _release_replicas(task, stopped.unwrap().replicas, record, parts)
         return Err(f"choose: {chosen.unwrap_err()}")
     target = chosen.unwrap()
     record = record._replace(
         phase=Phase.CHOSEN, target=target.id, target_born_ms=target.born_ms
     )
-    written = await advance(parts.store, task.service, record)
-    if written.is_err():
-        # Whoever claimed meanwhile may rely on what is held.
-        return Err(f"choose: {written.unwrap_err()}")
+    updated = await write_claim_phase(parts.store, task.service, record)
+    if updated.is_err():
+        # A coordinator that has claimed since may rely on the held replicas.
+        return Err(f"choose: {updated.unwrap_err()}")
     log_event(
         "succession.chosen",
         service=task.service,
         token=record.token,
         target=target.id,
         term=stopped.unwrap().term,
-        logs=_logs(stopped.unwrap()),
+        logs=_format_log_positions(stopped.unwrap()),
     )
-    return await _promote(task, record, target, parts)
+    return await _promote_target(task, record, target, parts)
 
 
-async def release_held(
+async def release_held_replica(
     task: Task, server: BackendServer, parts: ReplaceParts
 ) -> Result[None, str]:
-    """Let a replica receive again that was made to stop for nothing.
+    """Let a replica that is held without need receive again.
 
-    An order to stop may be carried out late, and a coordinator may die behind
-    giving it.
+    A command to hold may be executed late, and a coordinator may stop after
+    sending it.
     """
-    claimed = await _claim(task, parts)
+    claimed = await _claim_succession(task, parts)
     if claimed.is_err():
         return Err(claimed.unwrap_err())
     record = claimed.unwrap()
     if record.phase is Phase.CHOSEN:
-        return Err("a promotion may still be carried out")
-    leads = None
+        return Err("a pending promotion may still be executed")
+    leader_status = None
     if task.old_leader is not None:
-        leads = await parts.command_sender.give(task.old_leader, CommandKind.STATUS)
-    if leads is not None and leads.leads:
-        await parts.command_sender.give(server, CommandKind.LET_GO)
-    ended = await advance(parts.store, task.service, record._replace(phase=Phase.ENDED))
+        leader_status = await parts.command_sender.send(
+            task.old_leader, CommandKind.STATUS
+        )
+    if leader_status is not None and leader_status.leads:
+        await parts.command_sender.send(server, CommandKind.LET_GO)
+    ended = await write_claim_phase(
+        parts.store, task.service, record._replace(phase=Phase.ENDED)
+    )
     return ended.map_err(str)
 
 
-async def _claim(task: Task, parts: ReplaceParts) -> Result[SuccessionRecord, str]:
+async def _claim_succession(
+    task: Task, parts: ReplaceParts
+) -> Result[SuccessionRecord, str]:
     claimed = await claim(
         parts.store,
         task.service,
         parts.holder,
         task.claim_id,
         task.old_leader_id,
-        task.may_override,
+        task.stale_claim_id,
     )
     if claimed.is_ok():
         return Ok(claimed.unwrap())
@@ -178,10 +192,10 @@
     return Err(f"claim: {failure}")
 
 
-def _find(
+def _find_previous_target(
     members: list[BackendServer], record: SuccessionRecord
 ) -> BackendServer | None:
-    """Return the target that an unfinished claim had named, if it lives."""
+    """Return the target of an unfinished claim if it has not restarted since."""
     if record.phase is not Phase.CHOSEN:
         return None
     for server in members:
@@ -190,70 +204,83 @@
     return None
 
 
-async def _find_leading(
+async def _find_current_leader(
     members: list[BackendServer], parts: ReplaceParts
 ) -> BackendServer | None:
-    """Return the server that leads the newest term, where all had lost sight of it.
+    """Return the server that leads the newest term when no primary is known.
 
-    It may have been deposed and not know: whoever writes there learns that.
+    It may have been replaced without knowing; a write there shows that.
     """
-    statuses = await parts.command_sender.give_all(members, CommandKind.STATUS)
-    answered = {name: s for name, s in statuses.items() if s is not None}
-    newest = max((status.term for status in answered.values()), default=0)
+    statuses = await parts.command_sender.send_to_all(members, CommandKind.STATUS)
+    responses = {name: s for name, s in statuses.items() if s is not None}
+    newest = max((status.term for status in responses.values()), default=0)
     for server in members:
-        status = answered.get(server.id)
+        status = responses.get(server.id)
         if status is not None and status.leads and status.term >= newest:
             return server
     return None
 
 
-def _logs(stopped: Stopped) -> list[str]:
+def _format_log_positions(stopped: StoppedGroup) -> list[str]:
     members = list(stopped.replicas)
     if stopped.primary is not None:
         members.append(stopped.primary)
-    return [f"{m.server.id}@{m.status.received}" for m in members if m.status]
+    return [
+        f"{member.server.id}@{member.status.received}"
+        for member in members
+        if member.status
+    ]
 
 
-def _answered(replicas: list[Member], server: BackendServer) -> bool:
-    return any(m.server.id == server.id and m.status is not None for m in replicas)
+def _has_responded(replicas: list[Member], server: BackendServer) -> bool:
+    return any(
+        member.server.id == server.id and member.status is not None
+        for member in replicas
+    )
 
 
-async def _stop(
+async def _stop_servers(
     task: Task, members: list[BackendServer], parts: ReplaceParts
-) -> Result[Stopped, str]:
+) -> Result[StoppedGroup, str]:
     """Make the replicas stop receiving, then the primary stop leading.
 
-    A server may join at any time and acknowledge commits to the primary: only a
-    primary that was stopped, or a list read behind the holding, shows that
-    nobody else can.
+    A server may join at any time and acknowledge commits to the primary. Only a
+    stopped primary, or a list of servers read after the replicas are held, shows
+    that no other server can.
     """
     replicas = [s for s in members if s.id != task.old_leader_id]
     primary = task.old_leader if task.reachable else None
-    asked = [*replicas, primary] if primary is not None else replicas
-    statuses = await parts.command_sender.give_all(asked, CommandKind.STATUS)
-    answered = [status for status in statuses.values() if status is not None]
-    if not answered:
-        return Err("stop: no server answered")
-    term = next_term(answered)
-    held = await _hold(replicas, term, parts)
-    stopped = None
+    queried = [*replicas, primary] if primary is not None else replicas
+    statuses = await parts.command_sender.send_to_all(queried, CommandKind.STATUS)
+    responses = [status for status in statuses.values() if status is not None]
+    if not responses:
+        return Err("stop: no server responded")
+    term = next_term(responses)
+    held_replicas = await _hold_replicas(replicas, term, parts)
+    stopped_primary = None
     if primary is not None and statuses[primary.id] is not None:
-        status = await parts.command_sender.give(primary, CommandKind.STEP_DOWN, term)
+        status = await parts.command_sender.send(primary, CommandKind.STEP_DOWN, term)
         if status is not None and not status.leads:
-            stopped = Member(primary, status)
-    again = await parts.read_members(task.service)
-    if again is None:
-        return Err("stop: the store gave no list")
-    known = {server.id for server in members}
-    joined = [s for s in again if s.id not in known and s.id != task.old_leader_id]
-    held += await _hold(joined, term, parts)
-    return Ok(Stopped(held, stopped, task.sync_replica_count, term))
+            stopped_primary = Member(primary, status)
+    members_after_hold = await parts.read_members(task.service)
+    if members_after_hold is None:
+        return Err("stop: the store returned no list of servers")
+    known_ids = {server.id for server in members}
+    joined = [
+        s
+        for s in members_after_hold
+        if s.id not in known_ids and s.id != task.old_leader_id
+    ]
+    held_replicas += await _hold_replicas(joined, term, parts)
+    return Ok(
+        StoppedGroup(held_replicas, stopped_primary, task.sync_replica_count, term)
+    )
 
 
-async def _hold(
+async def _hold_replicas(
     servers: list[BackendServer], term: int, parts: ReplaceParts
 ) -> list[Member]:
-    statuses = await parts.command_sender.give_all(servers, CommandKind.HOLD, term)
+    statuses = await parts.command_sender.send_to_all(servers, CommandKind.HOLD, term)
     return [
         Member(
             server, status, status is not None and parts.is_log_complete(server, status)
@@ -263,25 +290,27 @@
     ]
 
 
-async def _let_go(
+async def _release_replicas(
     task: Task, replicas: list[Member], record: SuccessionRecord, parts: ReplaceParts
 ) -> None:
-    """Undo holding, unless the platform may still promote somebody."""
+    """Release held replicas, unless the platform may still promote one."""
     if record.phase is Phase.CHOSEN:
         return
     servers = [member.server for member in replicas]
-    await parts.command_sender.give_all(servers, CommandKind.LET_GO)
-    await advance(parts.store, task.service, record._replace(phase=Phase.ENDED))
+    await parts.command_sender.send_to_all(servers, CommandKind.LET_GO)
+    await write_claim_phase(
+        parts.store, task.service, record._replace(phase=Phase.ENDED)
+    )
 
 
-async def _promote(
+async def _promote_target(
     task: Task, record: SuccessionRecord, target: BackendServer, parts: ReplaceParts
 ) -> Result[BackendServer, str]:
     with trio.move_on_after(PROMOTION_TIMEOUT_S):
         accepted = False
         while True:
             if not accepted:
-                answered = await parts.promote(
+                response = await parts.promote(
                     task.service, target.id, parts.holder, record.token
                 )
                 log_event(
@@ -289,23 +318,25 @@
                     service=task.service,
                     token=record.token,
                     target=target.id,
-                    status=answered.ok(),
-                    reason=answered.err(),
+                    status=response.ok(),
+                    reason=response.err(),
                 )
-                accepted = answered.ok() == ACCEPTED
-                if answered.ok() == REFUSED:
-                    return Err("promote: the platform refused it")
-            await trio.sleep(LOOK_INTERVAL_S)
-            status = await parts.command_sender.give(target, CommandKind.STATUS)
+                accepted = response.ok() == HTTP_OK
+                if response.ok() == HTTP_CONFLICT:
+                    return Err("promote: the platform rejected the promotion")
+            await trio.sleep(STATUS_POLL_INTERVAL_S)
+            status = await parts.command_sender.send(target, CommandKind.STATUS)
             if status is not None and status.leads:
-                return await _end(task, record, target, parts)
-    return Err("promote: it didn't lead in time")
+                return await _end_succession(task, record, target, parts)
+    return Err("promote: the target did not become primary before the deadline")
 
 
-async def _end(
+async def _end_succession(
     task: Task, record: SuccessionRecord, target: BackendServer, parts: ReplaceParts
 ) -> Result[BackendServer, str]:
-    ended = await advance(parts.store, task.service, record._replace(phase=Phase.ENDED))
+    ended = await write_claim_phase(
+        parts.store, task.service, record._replace(phase=Phase.ENDED)
+    )
     log_event(
         "succession.ended",
         service=task.service,
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -34,9 +34,9 @@
     ReplaceParts,
     SuccessionRecord,
     Task,
-    choose,
+    choose_successor,
     claim,
-    release_held,
+    release_held_replica,
     replace_primary,
 )
 from rattanhollow_standins.platform import (
@@ -122,7 +122,7 @@
             old_leader=server(self.databases[0]),
             reachable=reachable,
             claim_id=f"c{next(self._claims)}",
-            may_override=self.claims_seen[-1] if self.claims_seen else "",
+            stale_claim_id=self.claims_seen[-1] if self.claims_seen else "",
         )
 
     async def commit(self, count: int = 1) -> None:
@@ -405,14 +405,18 @@
     async def scenario(theatre: Theatre) -> None:
         held = theatre.databases[1]
         theatre.group.hold(held, theatre.group.term + 1)
-        released = await release_held(theatre.task(), server(held), theatre.parts())
+        released = await release_held_replica(
+            theatre.task(), server(held), theatre.parts()
+        )
         assert released.is_ok() and not held.held_term
         theatre.group.hold(held, theatre.group.term + 1)
         stored = (await theatre.store.get("successions", SERVICE)).ok()
         assert stored is not None
         spec = {**stored.spec, "phase": "chosen", "claim_id": "x"}
         await theatre.store.put("successions", SERVICE, spec, stored.version)
-        refused = await release_held(theatre.task(), server(held), theatre.parts())
+        refused = await release_held_replica(
+            theatre.task(), server(held), theatre.parts()
+        )
         assert refused.is_err() and held.held_term
 
     on_stage(scenario)
@@ -511,7 +515,9 @@
                     old_leader=server(leader),
                     reachable=not leader.dark,
                     claim_id=f"{holder}{number}",
-                    may_override=seen[0] if trio.current_time() - seen[1] > 2.5 else "",
+                    stale_claim_id=seen[0]
+                    if trio.current_time() - seen[1] > 2.5
+                    else "",
                 )
                 parts = theatre.parts(holder)._replace(
                     note_competing_claim=note_competing_claim
@@ -542,19 +548,19 @@
 def test_choices() -> None:
     """Who is chosen, and when nobody may be."""
     one, two = member("1", status(1, 7, 2)), member("2", status(1, 9, 2))
-    assert choose([one, two], None, 1, 2).ok().id == "2"
-    assert choose([one, member("2", None)], None, 1, 2).is_err()
-    assert choose([one, member("2", status(1, 9, 0))], None, 1, 2).is_err()
+    assert choose_successor([one, two], None, 1, 2).ok().id == "2"
+    assert choose_successor([one, member("2", None)], None, 1, 2).is_err()
+    assert choose_successor([one, member("2", status(1, 9, 0))], None, 1, 2).is_err()
     stopped = member("0", status(1, 9, 0), draining=True)
-    assert choose([two, member("1", None)], stopped, 1, 2).ok().id == "2"
-    assert choose([one, member("2", None)], stopped, 1, 2).is_err()
+    assert choose_successor([two, member("1", None)], stopped, 1, 2).ok().id == "2"
+    assert choose_successor([one, member("2", None)], stopped, 1, 2).is_err()
     stays = member("0", status(1, 9, 0))
-    assert choose([one, member("2", None)], stays, 1, 2).ok().id == "0"
+    assert choose_successor([one, member("2", None)], stays, 1, 2).ok().id == "0"
     leaving = member("2", status(1, 9, 2), draining=True)
-    assert choose([one, leaving], None, 1, 2).is_err()
+    assert choose_successor([one, leaving], None, 1, 2).is_err()
     three = member("3", status(1, 5, 2))
-    assert choose([one, two, three], None, 2, 2).ok().id == "2"
-    assert choose([one, two, member("3", None)], None, 2, 2).ok().id == "2"
+    assert choose_successor([one, two, three], None, 2, 2).ok().id == "2"
+    assert choose_successor([one, two, member("3", None)], None, 2, 2).ok().id == "2"
 
 
 def test_an_unfinished_choice_is_kept() -> None:
