Reword the succession tests

Docstrings say which failure each test guards against. Every assertion, parameter, seed and schedule is unchanged; tests are renamed only: test_a_leaving_primary_hands_over -> test_a_draining_primary_is_replaced test_a_dead_primary_is_replaced_when_both_replicas_answer -> test_an_unreachable_primary_is_replaced_when_both_replicas_respond test_a_primary_that_nobody_knew_of_is_found -> test_a_primary_unknown_to_all_hosts_is_found test_a_deposed_stand_in_acknowledges_nothing_that_waited_for_a_slot -> test_a_deposed_stand_in_refuses_a_commit_queued_for_a_slot test_a_replica_that_joined_meanwhile_is_held_too -> test_a_replica_that_joins_during_a_replacement_is_held_too test_a_server_that_started_anew_counts_for_nothing -> test_a_server_with_an_incomplete_log_is_not_counted test_a_lost_promotion_is_ordered_again_for_the_same_server -> test_a_lost_promotion_is_requested_again_for_the_same_server test_a_named_server_is_named_again_although_it_leaves -> test_an_unfinished_target_is_promoted_although_it_drains test_late_holds_of_an_old_term_are_harmless -> test_late_hold_commands_of_an_old_term_have_no_effect test_a_second_coordinator_leaves_nobody_held -> test_a_second_coordinator_leaves_no_replica_held test_a_coordinator_that_lost_its_claim_lets_nobody_go -> test_a_coordinator_that_lost_its_claim_releases_no_replica test_a_replica_held_for_nothing_is_released -> test_a_replica_held_without_need_is_released test_an_answer_of_the_store_that_is_lost_costs_no_second_claim -> test_a_lost_store_response_causes_no_second_claim test_no_schedule_of_faults_loses_a_commit -> test_random_faults_lose_no_acknowledged_commit test_choices -> test_choose_successor test_an_unfinished_choice_is_kept -> test_an_unfinished_target_is_kept

--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -1,7 +1,7 @@
-"""Replacing primaries: who may succeed, late orders, lost answers, races.
+"""Replacing primaries: choosing the target, late commands, lost responses, races.
 
-No network: stand-in databases in memory, time that jumps. Every run checks that
-no acknowledged commit is missing from a promoted log.
+No network: the databases are in-memory stand-ins and the clock jumps to the next
+event. Every run checks that no acknowledged commit is missing from a promoted log.
 """
 
 import itertools
@@ -54,7 +54,7 @@
 
 
 def server(database: DatabaseServer) -> BackendServer:
-    """Return a database as the store describes it."""
+    """Return the store's description of a database."""
     return BackendServer(
         id=database.id,
         service=SERVICE,
@@ -69,8 +69,8 @@
     )
 
 
-class Theatre:
-    """A group of three databases, the store, promotions, and coordinators."""
+class ReplacementCluster:
+    """Three databases of one service, the store, and the platform's promotions."""
 
     def __init__(self, nursery: trio.Nursery) -> None:
         self.databases = [DatabaseServer(f"i-{n}", f"z{n}") for n in range(3)]
@@ -79,17 +79,17 @@
         self.table = ObjectTable()
         self.store: ObjectStore = local_store(self.table)
         self.nursery = nursery
-        self.known = list(self.databases)
+        self.listed = list(self.databases)
         self._served: dict[str, Served] = {}
         self._claims = itertools.count(1)
-        self.claims_seen: list[str] = []
+        self.competing_claims: list[str] = []
 
     def parts(
         self,
         holder: str = "h",
         is_log_complete: Callable[..., bool] = lambda s, t: True,
     ) -> ReplaceParts:
-        """Return what a coordinator needs."""
+        """Return the dependencies of a coordinator."""
         return ReplaceParts(
             store=self.store,
             command_sender=CommandSender(self._run, parse_status),
@@ -97,7 +97,7 @@
             holder=holder,
             is_log_complete=is_log_complete,
             read_members=self._members,
-            note_competing_claim=lambda service, claim_id: self.claims_seen.append(
+            note_competing_claim=lambda service, claim_id: self.competing_claims.append(
                 claim_id
             ),
             clock=trio.current_time,
@@ -106,9 +106,9 @@
     async def replace(
         self, reachable: bool = True, **options: Any
     ) -> Result[BackendServer, str]:
-        """Replace the first database; a claim that stands still is taken over."""
+        """Replace the first database; take over a claim that makes no progress."""
         replaced = await replace_primary(self.task(reachable), self.parts(**options))
-        if replaced.is_err() and self.claims_seen:
+        if replaced.is_err() and self.competing_claims:
             await trio.sleep(2.5)
             task = self.task(reachable)
             replaced = await replace_primary(task, self.parts(**options))
@@ -122,11 +122,11 @@
             old_leader=server(self.databases[0]),
             reachable=reachable,
             claim_id=f"c{next(self._claims)}",
-            stale_claim_id=self.claims_seen[-1] if self.claims_seen else "",
+            stale_claim_id=self.competing_claims[-1] if self.competing_claims else "",
         )
 
     async def commit(self, count: int = 1) -> None:
-        """Commit at whoever leads, if it is acknowledged in time."""
+        """Commit on the primary; give up on a commit not acknowledged within 0.5 s."""
         leader = self.group.leader
         for number in range(count):
             entry = Entry(Position(0, 0), f"x{number}", "1", "r")
@@ -135,7 +135,7 @@
                     await self.group.commit(leader, [entry])
 
     async def _members(self, service: str) -> list[BackendServer]:
-        return [server(item) for item in self.known]
+        return [server(item) for item in self.listed]
 
     async def _run(
         self, target: BackendServer, command: Command, timeout_s: float
@@ -155,315 +155,317 @@
         return Err("no answer")
 
 
-def on_stage(scenario: Callable[[Theatre], Awaitable[Any]], seed: int = 0) -> None:
-    """Run a scenario in time that jumps; nothing acknowledged may be lost."""
+def run_scenario(
+    scenario: Callable[[ReplacementCluster], Awaitable[Any]], seed: int = 0
+) -> None:
+    """Run a scenario on a jumping clock; no acknowledged commit may be missing."""
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
-            theatre = Theatre(nursery)
-            await theatre.commit(3)
-            await scenario(theatre)
-            assert not theatre.group.lost
+            cluster = ReplacementCluster(nursery)
+            await cluster.commit(3)
+            await scenario(cluster)
+            assert not cluster.group.lost
             nursery.cancel_scope.cancel()
 
     run_jumping(main, seed)
 
 
-def test_a_leaving_primary_hands_over() -> None:
-    """The primary is stopped, the furthest replica leads, the others receive."""
+def test_a_draining_primary_is_replaced() -> None:
+    """The primary stops, the longest replica log leads, the others receive again."""
 
-    async def scenario(theatre: Theatre) -> None:
-        theatre.databases[0].draining = True
-        replaced = await theatre.replace()
+    async def scenario(cluster: ReplacementCluster) -> None:
+        cluster.databases[0].draining = True
+        replaced = await cluster.replace()
         assert replaced.is_ok()
-        assert theatre.group.leader is theatre.databases[int(replaced.ok().id[-1])]
-        await theatre.commit(2)
-        assert len(theatre.group.acknowledged) == 5
-        assert not any(d.held_term for d in theatre.databases)
+        assert cluster.group.leader is cluster.databases[int(replaced.ok().id[-1])]
+        await cluster.commit(2)
+        assert len(cluster.group.acknowledged) == 5
+        assert not any(d.held_term for d in cluster.databases)
 
-    on_stage(scenario)
+    run_scenario(scenario)
 
 
-def test_a_dead_primary_is_replaced_when_both_replicas_answer() -> None:
-    """Held replicas alone show where all acknowledged commits are."""
+def test_an_unreachable_primary_is_replaced_when_both_replicas_respond() -> None:
+    """The held replicas alone show which log has every acknowledged commit."""
 
-    async def scenario(theatre: Theatre) -> None:
-        theatre.databases[1].deaf = True
-        await theatre.commit(2)
-        theatre.databases[0].dark = True
-        replaced = await theatre.replace(reachable=False)
+    async def scenario(cluster: ReplacementCluster) -> None:
+        cluster.databases[1].deaf = True
+        await cluster.commit(2)
+        cluster.databases[0].dark = True
+        replaced = await cluster.replace(reachable=False)
         assert replaced.ok().id == "i-2"
 
-    on_stage(scenario)
+    run_scenario(scenario)
 
 
-def test_a_primary_that_nobody_knew_of_is_found() -> None:
-    """Where all lost sight of the primary, one that leads goes on leading."""
+def test_a_primary_unknown_to_all_hosts_is_found() -> None:
+    """When no host knows the primary, a server that still leads is kept."""
 
-    async def scenario(theatre: Theatre) -> None:
-        task = theatre.task(reachable=False)._replace(old_leader=None)
-        replaced = await replace_primary(task, theatre.parts())
+    async def scenario(cluster: ReplacementCluster) -> None:
+        task = cluster.task(reachable=False)._replace(old_leader=None)
+        replaced = await replace_primary(task, cluster.parts())
         assert replaced.ok().id == "i-0"
-        assert not theatre.promotions.orders
-        assert not any(d.held_term for d in theatre.databases)
+        assert not cluster.promotions.orders
+        assert not any(d.held_term for d in cluster.databases)
 
-    on_stage(scenario)
+    run_scenario(scenario)
 
 
-def test_a_deposed_stand_in_acknowledges_nothing_that_waited_for_a_slot() -> None:
-    """A commit in the queue when the lead is lost is refused (soak, seed 4)."""
+def test_a_deposed_stand_in_refuses_a_commit_queued_for_a_slot() -> None:
+    """A commit queued when the server is deposed is refused (soak, seed 4)."""
 
-    async def scenario(theatre: Theatre) -> None:
-        database = theatre.databases[0]
-        session = ServerSession(theatre.group, database, "kirk")
+    async def scenario(cluster: ReplacementCluster) -> None:
+        database = cluster.databases[0]
+        session = ServerSession(cluster.group, database, "kirk")
         await session.query("-", "BEGIN")
         await session.query("w", "WRITE a 1")
-        answers: list[list[str]] = []
+        responses: list[list[str]] = []
 
         async def commit() -> None:
-            answers.append(await session.query("c", "COMMIT"))
+            responses.append(await session.query("c", "COMMIT"))
 
         async with trio.open_nursery() as nursery:
             for _ in range(database.slot_count):
                 await database.slots.acquire_on_behalf_of(object())
             nursery.start_soon(commit)
             await trio.sleep(0.1)
-            theatre.group.promote_now(theatre.databases[1])
+            cluster.group.promote_now(cluster.databases[1])
             database.slots.total_tokens += 1
-        assert answers[0][0].startswith("ERROR READONLY")
-        assert not [e for e in theatre.group.acknowledged if e.request_id == "w"]
+        assert responses[0][0].startswith("ERROR READONLY")
+        assert not [e for e in cluster.group.acknowledged if e.request_id == "w"]
 
-    on_stage(scenario)
+    run_scenario(scenario)
 
 
 def test_one_replica_alone_is_not_promoted() -> None:
-    """What only the other replica holds may have been acknowledged."""
+    """A commit that only the other replica holds may have been acknowledged."""
 
-    async def scenario(theatre: Theatre) -> None:
-        theatre.databases[1].deaf = True
-        await theatre.commit(2)
-        theatre.databases[0].dark = theatre.databases[2].dark = True
-        assert (await theatre.replace(reachable=False)).is_err()
-        assert not theatre.promotions.orders
-        assert not theatre.databases[1].held_term
+    async def scenario(cluster: ReplacementCluster) -> None:
+        cluster.databases[1].deaf = True
+        await cluster.commit(2)
+        cluster.databases[0].dark = cluster.databases[2].dark = True
+        assert (await cluster.replace(reachable=False)).is_err()
+        assert not cluster.promotions.orders
+        assert not cluster.databases[1].held_term
 
-    on_stage(scenario)
+    run_scenario(scenario)
 
 
-def test_a_replica_that_joined_meanwhile_is_held_too() -> None:
+def test_a_replica_that_joins_during_a_replacement_is_held_too() -> None:
     """A server that joins while others are held may acknowledge commits."""
 
-    async def scenario(theatre: Theatre) -> None:
+    async def scenario(cluster: ReplacementCluster) -> None:
         joined = DatabaseServer("i-3", "z0")
-        joined.log = list(theatre.databases[0].log)
-        theatre.group.servers["i-3"] = joined
-        members = theatre._members
+        joined.log = list(cluster.databases[0].log)
+        cluster.group.servers["i-3"] = joined
+        members = cluster._members
         calls = 0
 
         async def read_members(service: str) -> list[BackendServer]:
             nonlocal calls
             calls += 1
             if calls == 2:
-                # The primary is cut from this coordinator, not from the others.
-                await theatre.commit(1)
-                theatre.known.append(joined)
+                # Only this coordinator cannot reach the primary; other hosts can.
+                await cluster.commit(1)
+                cluster.listed.append(joined)
             return await members(service)
 
-        theatre._members = read_members  # type: ignore[method-assign]
-        replaced = await theatre.replace(reachable=False)
+        cluster._members = read_members  # type: ignore[method-assign]
+        replaced = await cluster.replace(reachable=False)
         assert replaced.ok().id == "i-3"
 
-    on_stage(scenario)
+    run_scenario(scenario)
 
 
-def test_a_server_that_started_anew_counts_for_nothing() -> None:
-    """Its empty log doesn't show that it had acknowledged nothing."""
+def test_a_server_with_an_incomplete_log_is_not_counted() -> None:
+    """An empty log does not show that the server had acknowledged no commit."""
 
-    async def scenario(theatre: Theatre) -> None:
-        theatre.databases[1].deaf = True
-        await theatre.commit(2)
-        theatre.group.crash(theatre.databases[2], keeps_log=False)
-        theatre.databases[2].dark = False
-        theatre.databases[0].dark = True
+    async def scenario(cluster: ReplacementCluster) -> None:
+        cluster.databases[1].deaf = True
+        await cluster.commit(2)
+        cluster.group.crash(cluster.databases[2], keeps_log=False)
+        cluster.databases[2].dark = False
+        cluster.databases[0].dark = True
 
         def covers(found: BackendServer, status: ServerStatus) -> bool:
             return found.id != "i-2"
 
-        replaced = await theatre.replace(reachable=False, is_log_complete=covers)
-        assert replaced.is_err() and not theatre.promotions.orders
+        replaced = await cluster.replace(reachable=False, is_log_complete=covers)
+        assert replaced.is_err() and not cluster.promotions.orders
 
-    on_stage(scenario)
+    run_scenario(scenario)
 
 
-def test_a_lost_promotion_is_ordered_again_for_the_same_server() -> None:
-    """While an order may still be carried out, no other server is named."""
+def test_a_lost_promotion_is_requested_again_for_the_same_server() -> None:
+    """While a promotion may still be executed, no other server may be chosen."""
 
-    async def scenario(theatre: Theatre) -> None:
-        theatre.databases[0].dark = True
-        theatre.promotions.late_s = 9.0
-        first = await theatre.replace(reachable=False, holder="a")
+    async def scenario(cluster: ReplacementCluster) -> None:
+        cluster.databases[0].dark = True
+        cluster.promotions.late_s = 9.0
+        first = await cluster.replace(reachable=False, holder="a")
         assert first.is_err()
-        theatre.promotions.late_s = 0.0
-        second = await theatre.replace(reachable=False, holder="b")
+        cluster.promotions.late_s = 0.0
+        second = await cluster.replace(reachable=False, holder="b")
         assert second.is_ok()
         await trio.sleep(12)
-        assert len({target for _, target, _, _ in theatre.promotions.orders}) == 1
-        assert theatre.group.promotions == [second.ok().id]
-        tokens = [token for _, _, holder, token in theatre.promotions.orders]
+        assert len({target for _, target, _, _ in cluster.promotions.orders}) == 1
+        assert cluster.group.promotions == [second.ok().id]
+        tokens = [token for _, _, holder, token in cluster.promotions.orders]
         assert tokens == sorted(tokens) and tokens[0] < tokens[-1]
 
-    on_stage(scenario)
+    run_scenario(scenario)
 
 
-def test_a_named_server_is_named_again_although_it_leaves() -> None:
-    """A lost order to promote it may come true after another one leads."""
+def test_an_unfinished_target_is_promoted_although_it_drains() -> None:
+    """A lost request to promote it may be executed after another server leads."""
 
-    async def scenario(theatre: Theatre) -> None:
-        theatre.databases[0].dark = True
-        theatre.promotions.late_s = 6.0
-        assert (await theatre.replace(reachable=False, holder="a")).is_err()
-        named = theatre.promotions.orders[0][1]
-        theatre.group.servers[named].draining = True
-        theatre.promotions.late_s = 0.0
-        await theatre.replace(reachable=False, holder="b")
-        assert {target for _, target, _, _ in theatre.promotions.orders} == {named}
+    async def scenario(cluster: ReplacementCluster) -> None:
+        cluster.databases[0].dark = True
+        cluster.promotions.late_s = 6.0
+        assert (await cluster.replace(reachable=False, holder="a")).is_err()
+        named = cluster.promotions.orders[0][1]
+        cluster.group.servers[named].draining = True
+        cluster.promotions.late_s = 0.0
+        await cluster.replace(reachable=False, holder="b")
+        assert {target for _, target, _, _ in cluster.promotions.orders} == {named}
 
-    on_stage(scenario)
+    run_scenario(scenario)
 
 
-def test_late_holds_of_an_old_term_are_harmless() -> None:
-    """An order to stop receiving that is carried out late changes nothing."""
+def test_late_hold_commands_of_an_old_term_have_no_effect() -> None:
+    """A hold command of an old term that is executed late has no effect."""
 
-    async def scenario(theatre: Theatre) -> None:
-        theatre.databases[0].draining = True
-        theatre.databases[1].late_orders_s = 5.0
-        replaced = await theatre.replace()
-        theatre.databases[1].late_orders_s = 0.0
+    async def scenario(cluster: ReplacementCluster) -> None:
+        cluster.databases[0].draining = True
+        cluster.databases[1].late_orders_s = 5.0
+        replaced = await cluster.replace()
+        cluster.databases[1].late_orders_s = 0.0
         assert replaced.is_ok()
         await trio.sleep(8)
-        await theatre.commit(2)
-        assert len(theatre.group.acknowledged) == 5
+        await cluster.commit(2)
+        assert len(cluster.group.acknowledged) == 5
 
-    on_stage(scenario)
+    run_scenario(scenario)
 
 
 def test_two_coordinators_never_share_a_token() -> None:
-    """A race ends with one primary, and each promotion has its own token."""
+    """A race ends with one primary; no two coordinators promote with one token."""
 
-    async def scenario(theatre: Theatre) -> None:
-        theatre.databases[0].draining = True
+    async def scenario(cluster: ReplacementCluster) -> None:
+        cluster.databases[0].draining = True
         async with trio.open_nursery() as nursery:
             for holder in ("a", "b"):
-                nursery.start_soon(partial(theatre.replace, holder=holder))
+                nursery.start_soon(partial(cluster.replace, holder=holder))
         holders: dict[int, str] = {}
-        for _, _, holder, token in theatre.promotions.orders:
+        for _, _, holder, token in cluster.promotions.orders:
             assert holders.setdefault(token, holder) == holder
-        assert theatre.group.leader is not None
+        assert cluster.group.leader is not None
 
-    on_stage(scenario)
+    run_scenario(scenario)
 
 
-def test_a_second_coordinator_leaves_nobody_held() -> None:
-    """A replica held by both is free again behind the one promotion."""
+def test_a_second_coordinator_leaves_no_replica_held() -> None:
+    """A replica held by both coordinators is released after the one promotion."""
 
-    async def scenario(theatre: Theatre) -> None:
-        theatre.databases[0].draining = True
-        first = await claim(theatre.store, SERVICE, "a", "lost", "i-0")
+    async def scenario(cluster: ReplacementCluster) -> None:
+        cluster.databases[0].draining = True
+        first = await claim(cluster.store, SERVICE, "a", "lost", "i-0")
         assert first.is_ok()
-        for database in theatre.databases[1:]:
-            theatre.group.hold(database, theatre.group.term + 1)
-        replaced = await theatre.replace(holder="b")
+        for database in cluster.databases[1:]:
+            cluster.group.hold(database, cluster.group.term + 1)
+        replaced = await cluster.replace(holder="b")
         assert replaced.is_ok()
-        assert not any(database.held_term for database in theatre.databases)
+        assert not any(database.held_term for database in cluster.databases)
 
-    on_stage(scenario)
+    run_scenario(scenario)
 
 
-def test_a_coordinator_that_lost_its_claim_lets_nobody_go() -> None:
-    """Whoever claimed meanwhile relies on what is held."""
+def test_a_coordinator_that_lost_its_claim_releases_no_replica() -> None:
+    """The coordinator that has claimed since relies on the held replicas."""
 
-    async def scenario(theatre: Theatre) -> None:
-        members = theatre._members
+    async def scenario(cluster: ReplacementCluster) -> None:
+        members = cluster._members
 
         async def read_members(service: str) -> list[BackendServer]:
-            stored = (await theatre.store.get("successions", SERVICE)).ok()
+            stored = (await cluster.store.get("successions", SERVICE)).ok()
             assert stored is not None
             spec = {**stored.spec, "claim_id": "other", "holder": "b"}
-            await theatre.store.put("successions", SERVICE, spec, stored.version)
+            await cluster.store.put("successions", SERVICE, spec, stored.version)
             return await members(service)
 
-        theatre._members = read_members  # type: ignore[method-assign]
-        assert (await replace_primary(theatre.task(), theatre.parts())).is_err()
-        assert all(database.held_term for database in theatre.databases[1:])
+        cluster._members = read_members  # type: ignore[method-assign]
+        assert (await replace_primary(cluster.task(), cluster.parts())).is_err()
+        assert all(database.held_term for database in cluster.databases[1:])
 
-    on_stage(scenario)
+    run_scenario(scenario)
 
 
-def test_a_replica_held_for_nothing_is_released() -> None:
-    """By a claim, while the primary leads; never while a promotion is pending."""
+def test_a_replica_held_without_need_is_released() -> None:
+    """Under a claim while the primary leads; never while a promotion is pending."""
 
-    async def scenario(theatre: Theatre) -> None:
-        held = theatre.databases[1]
-        theatre.group.hold(held, theatre.group.term + 1)
+    async def scenario(cluster: ReplacementCluster) -> None:
+        held = cluster.databases[1]
+        cluster.group.hold(held, cluster.group.term + 1)
         released = await release_held_replica(
-            theatre.task(), server(held), theatre.parts()
+            cluster.task(), server(held), cluster.parts()
         )
         assert released.is_ok() and not held.held_term
-        theatre.group.hold(held, theatre.group.term + 1)
-        stored = (await theatre.store.get("successions", SERVICE)).ok()
+        cluster.group.hold(held, cluster.group.term + 1)
+        stored = (await cluster.store.get("successions", SERVICE)).ok()
         assert stored is not None
         spec = {**stored.spec, "phase": "chosen", "claim_id": "x"}
-        await theatre.store.put("successions", SERVICE, spec, stored.version)
+        await cluster.store.put("successions", SERVICE, spec, stored.version)
         refused = await release_held_replica(
-            theatre.task(), server(held), theatre.parts()
+            cluster.task(), server(held), cluster.parts()
         )
         assert refused.is_err() and held.held_term
 
-    on_stage(scenario)
+    run_scenario(scenario)
 
 
-def test_an_answer_of_the_store_that_is_lost_costs_no_second_claim() -> None:
+def test_a_lost_store_response_causes_no_second_claim() -> None:
     """A coordinator recognises its own claim."""
 
-    async def scenario(theatre: Theatre) -> None:
-        theatre.table.faults.lose_answers = 1
-        claimed = await claim(theatre.store, SERVICE, "h", "c", "i-0")
+    async def scenario(cluster: ReplacementCluster) -> None:
+        cluster.table.faults.lose_answers = 1
+        claimed = await claim(cluster.store, SERVICE, "h", "c", "i-0")
         assert claimed.ok().token == 1
-        again = await claim(theatre.store, SERVICE, "h", "c", "i-0")
-        assert again.ok().token == 1
+        repeated = await claim(cluster.store, SERVICE, "h", "c", "i-0")
+        assert repeated.ok().token == 1
 
-    on_stage(scenario)
+    run_scenario(scenario)
 
 
 def test_without_the_store_nothing_is_held() -> None:
-    """No claim, no order: the servers go on as they are."""
+    """Without a claim no command is sent, so the servers keep their state."""
 
-    async def scenario(theatre: Theatre) -> None:
-        theatre.table.faults.down = True
+    async def scenario(cluster: ReplacementCluster) -> None:
+        cluster.table.faults.down = True
         with trio.move_on_after(5):
-            await theatre.replace()
-        assert theatre.group.leader is theatre.databases[0]
-        assert not any(d.held_term for d in theatre.databases)
-        assert not theatre.promotions.orders
+            await cluster.replace()
+        assert cluster.group.leader is cluster.databases[0]
+        assert not any(d.held_term for d in cluster.databases)
+        assert not cluster.promotions.orders
 
-    on_stage(scenario)
+    run_scenario(scenario)
 
 
 @pytest.mark.parametrize("seed", range(100))
-def test_no_schedule_of_faults_loses_a_commit(seed: int) -> None:
-    """Random deaths, silence, late orders and coordinators, commits meanwhile."""
+def test_random_faults_lose_no_acknowledged_commit(seed: int) -> None:
+    """Random outages, late commands and competing coordinators during commits."""
     rng = random.Random(seed)
 
-    async def scenario(theatre: Theatre) -> None:
-        async def write() -> None:
+    async def scenario(cluster: ReplacementCluster) -> None:
+        async def commit_repeatedly() -> None:
             for _ in range(60):
-                await theatre.commit(1)
+                await cluster.commit(1)
                 await trio.sleep(0.1)
 
-        async def disturb() -> None:
+        async def inject_faults() -> None:
             for _ in range(8):
                 await trio.sleep(rng.uniform(0.1, 1.5))
-                database = rng.choice(theatre.databases)
+                database = rng.choice(cluster.databases)
                 faults = [
                     "dark",
                     "deaf",
@@ -474,79 +476,79 @@
                     "two",
                 ]
                 fault = rng.choice(faults)
-                length_s = rng.uniform(0.2, 4)
+                duration_s = rng.uniform(0.2, 4)
                 if fault == "dark":
                     database.dark = True
                 elif fault == "deaf":
                     database.deaf = True
                 elif fault == "two":
-                    # One replica falls behind, then the other two fall silent.
-                    leader = theatre.group.leader or theatre.databases[0]
-                    others = [d for d in theatre.databases if d is not leader]
+                    # One replica lags, then the other two servers become unreachable.
+                    leader = cluster.group.leader or cluster.databases[0]
+                    others = [d for d in cluster.databases if d is not leader]
                     others[0].deaf = True
                     await trio.sleep(0.5)
                     leader.dark = others[1].dark = True
                 elif fault == "late":
                     database.late_orders_s = rng.uniform(1, 6)
                 elif fault == "promotion":
-                    theatre.promotions.late_s = rng.uniform(1, 6)
+                    cluster.promotions.late_s = rng.uniform(1, 6)
                 else:
                     database.draining = True
-                await trio.sleep(length_s)
-                for database in theatre.databases:
+                await trio.sleep(duration_s)
+                for database in cluster.databases:
                     database.dark = database.deaf = database.draining = False
                     database.late_orders_s = 0.0
-                theatre.promotions.late_s = 0.0
+                cluster.promotions.late_s = 0.0
 
         async def coordinate(holder: str) -> None:
-            seen = ("", 0.0)
+            competing_claim = ("", 0.0)
 
             def note_competing_claim(service: str, claim_id: str) -> None:
-                nonlocal seen
-                if seen[0] != claim_id:
-                    seen = (claim_id, trio.current_time())
+                nonlocal competing_claim
+                if competing_claim[0] != claim_id:
+                    competing_claim = (claim_id, trio.current_time())
 
             for number in range(6):
                 await trio.sleep(rng.uniform(0.2, 2))
-                leader = theatre.group.leader or theatre.databases[0]
+                leader = cluster.group.leader or cluster.databases[0]
                 task = Task(
                     service=SERVICE,
                     sync_replica_count=1,
                     old_leader=server(leader),
                     reachable=not leader.dark,
                     claim_id=f"{holder}{number}",
-                    stale_claim_id=seen[0]
-                    if trio.current_time() - seen[1] > 2.5
+                    stale_claim_id=competing_claim[0]
+                    if trio.current_time() - competing_claim[1] > 2.5
                     else "",
                 )
-                parts = theatre.parts(holder)._replace(
+                parts = cluster.parts(holder)._replace(
                     note_competing_claim=note_competing_claim
                 )
                 with trio.move_on_after(rng.choice([0.1, 0.5, 2, 9])):
                     await replace_primary(task, parts)
 
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(write)
-            nursery.start_soon(disturb)
+            nursery.start_soon(commit_repeatedly)
+            nursery.start_soon(inject_faults)
             for holder in ("a", "b"):
                 nursery.start_soon(coordinate, holder)
 
-    on_stage(scenario, seed)
+    run_scenario(scenario, seed)
 
 
 def status(term: int, offset: int, held: int, leads: bool = False) -> ServerStatus:
-    """Return what a server answers."""
+    """Return a server's status response."""
     return ServerStatus(leads, term, Position(term, offset), held, 0, 0, 0)
 
 
 def member(name: str, found: ServerStatus | None, **changes: Any) -> Member:
     """Return a member of a group of three."""
-    whole = server(DatabaseServer(name, "z"))
-    return Member(whole._replace(**changes), found)
+    described = server(DatabaseServer(name, "z"))
+    return Member(described._replace(**changes), found)
 
 
-def test_choices() -> None:
-    """Who is chosen, and when nobody may be."""
+def test_choose_successor() -> None:
+    """Which server is chosen, and when none may be."""
     one, two = member("1", status(1, 7, 2)), member("2", status(1, 9, 2))
     assert choose_successor([one, two], None, 1, 2).ok().id == "2"
     assert choose_successor([one, member("2", None)], None, 1, 2).is_err()
@@ -554,8 +556,8 @@
     stopped = member("0", status(1, 9, 0), draining=True)
     assert choose_successor([two, member("1", None)], stopped, 1, 2).ok().id == "2"
     assert choose_successor([one, member("2", None)], stopped, 1, 2).is_err()
-    stays = member("0", status(1, 9, 0))
-    assert choose_successor([one, member("2", None)], stays, 1, 2).ok().id == "0"
+    not_draining = member("0", status(1, 9, 0))
+    assert choose_successor([one, member("2", None)], not_draining, 1, 2).ok().id == "0"
     leaving = member("2", status(1, 9, 2), draining=True)
     assert choose_successor([one, leaving], None, 1, 2).is_err()
     three = member("3", status(1, 5, 2))
@@ -563,20 +565,20 @@
     assert choose_successor([one, two, member("3", None)], None, 2, 2).ok().id == "2"
 
 
-def test_an_unfinished_choice_is_kept() -> None:
-    """The next claim knows whom the platform may still promote."""
+def test_an_unfinished_target_is_kept() -> None:
+    """The next claim keeps the target that the platform may still promote."""
 
-    async def scenario(theatre: Theatre) -> None:
-        first = (await claim(theatre.store, SERVICE, "a", "c1", "i-0")).ok()
+    async def scenario(cluster: ReplacementCluster) -> None:
+        first = (await claim(cluster.store, SERVICE, "a", "c1", "i-0")).ok()
         chosen = first._replace(phase=Phase.CHOSEN, target="i-1", target_born_ms=1)
-        stored = (await theatre.store.get("successions", SERVICE)).ok()
+        stored = (await cluster.store.get("successions", SERVICE)).ok()
         assert stored is not None
         spec = {**stored.spec, "phase": "chosen", "target": "i-1", "target_born_ms": 1}
-        await theatre.store.put("successions", SERVICE, spec, stored.version)
-        refused = await claim(theatre.store, SERVICE, "b", "c2", "i-0")
+        await cluster.store.put("successions", SERVICE, spec, stored.version)
+        refused = await claim(cluster.store, SERVICE, "b", "c2", "i-0")
         assert refused.err().claim_id == "c1"
-        second = (await claim(theatre.store, SERVICE, "b", "c2", "i-0", "c1")).ok()
+        second = (await claim(cluster.store, SERVICE, "b", "c2", "i-0", "c1")).ok()
         assert isinstance(second, SuccessionRecord)
         assert (second.token, second.target) == (first.token + 1, chosen.target)
 
-    on_stage(scenario)
+    run_scenario(scenario)
