--- a/src/rattanhollow/succession/_guardian.py
+++ b/src/rattanhollow/succession/_guardian.py
@@ -49,8 +49,8 @@
     ``is_responsible(service)`` when this host must act for the service.
     ``unresponsive_s(server)`` is how long a served server has not responded,
     ``oldest_commit_wait_s(server)`` how long its oldest commit has been pending.
-    ``lagging_replicas()`` returns served replicas with the time since which they
-    have lacked every requested position.
+    ``lagging_replicas()`` returns served replicas and how long each has lacked
+    every requested position.
     ``query_reachability(server)`` queries other hosts; None if too few respond.
     ``set_switching(server, on)`` keeps new transactions from a server;
     ``announce(server)`` notifies the other hosts of a new primary.
