Rename names of routing that other folders use

Whole words unless a line says where it applies.

AgentParts -> DispatcherDependencies Agents -> WorkDispatcher Floors -> FloorCache Places -> ZoneTopology RouterParts -> RouterDependencies saw_leader -> record_leader_proof saw_no_leader -> record_leader_denial started_anew_at_s -> restarted_at_s replica_lost_at_s -> replica_missing_at_s serves_first -> is_preferred_host_for Ran -> DispatchResult (exported by rattanhollow.routing; no uses elsewhere in src) Demand -> StatementRequest (src/rattanhollow/session/_session.py; benchmarks/rates.py has a Demand of its own, unchanged) router.within -> router.run_in_transaction (src/rattanhollow/session/_session.py) router.abandon -> router.roll_back_abandoned (src/rattanhollow/session/_session.py) directory.take -> directory.apply_description (src/rattanhollow/host/_root.py) directory.of -> directory.list_servers (src/rattanhollow/host/_watch_primaries.py, src/rattanhollow_standins/platform/_cluster.py) floors.known -> floors.cached_position (src/rattanhollow/host/_watch_primaries.py, tests/test_regions.py) floors.renew -> floors.refresh_position (tests/test_regions.py) floors.answer -> floors.respond_to_host (src/rattanhollow/host/_answer_peers.py, tests/test_regions.py) RouterDependencies(agents=) -> RouterDependencies(dispatcher=) (src/rattanhollow/host/_root.py) RouterDependencies(places=) -> RouterDependencies(topology=) (src/rattanhollow/host/_root.py)

--- a/src/rattanhollow/host/_answer_peers.py
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -18,7 +18,7 @@
     ReachQuestion,
 )
 from rattanhollow.rates import PooledRates
-from rattanhollow.routing import Floors, ServerDirectory
+from rattanhollow.routing import FloorCache, ServerDirectory
 from rattanhollow.serving import ProofQuestion, Serving, Work
 
 
@@ -30,7 +30,7 @@
     rates: PooledRates
     gossip: Gossip
     directory: ServerDirectory
-    floors: Floors
+    floors: FloorCache
 
 
 async def answer_peer(
@@ -42,7 +42,7 @@
     if isinstance(question, ProofQuestion):
         return await parts.serving.prove(question.server)
     if isinstance(question, FloorQuestion):
-        return await parts.floors.answer(question.service)
+        return await parts.floors.respond_to_host(question.service)
     if isinstance(question, PoolQuestion):
         return parts.rates.answer(question)
     if isinstance(question, DepositQuestion):
@@ -60,7 +60,7 @@
         reaches = served is not None and await served.reaches()
         return ReachAnswer(reaches, own.zone)
     if isinstance(question, LeaderNews):
-        parts.directory.saw_leader(question.service, question.server)
+        parts.directory.record_leader_proof(question.service, question.server)
         return None
     if isinstance(question, HostQuestion):
         is_other = question.host != own.name
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -40,13 +40,13 @@
 )
 from rattanhollow.rates import PooledRateParts, PooledRates
 from rattanhollow.routing import (
-    AgentParts,
-    Agents,
-    Floors,
-    Places,
+    DispatcherDependencies,
+    FloorCache,
     Router,
-    RouterParts,
+    RouterDependencies,
     ServerDirectory,
+    WorkDispatcher,
+    ZoneTopology,
 )
 from rattanhollow.serving import ProofAnswer, Serving
 from rattanhollow.session import (
@@ -99,18 +99,20 @@
         )
         self.serving = Serving(
             ends.backend,
-            lambda server: self.agents.serves_first(server),
+            lambda server: self.agents.is_preferred_host_for(server),
             self.directory.find,
             self._connections_of,
             lambda: self.routes.transaction_idle_ms,
             now_s,
             meter,
         )
-        places = Places(place.zone, place.regions)
-        self.agents = Agents(
-            AgentParts(self._own, self.hosts, self.peers, self.serving, places)
+        places = ZoneTopology(place.zone, place.regions)
+        self.agents = WorkDispatcher(
+            DispatcherDependencies(
+                self._own, self.hosts, self.peers, self.serving, places
+            )
         )
-        self.floors = Floors(self._prove, now_s, self._ask_nearby)
+        self.floors = FloorCache(self._prove, now_s, self._ask_nearby)
         self.rates = PooledRates(
             PooledRateParts(
                 organisations=lambda: self.routes.organisations,
@@ -126,7 +128,7 @@
         )
         self._places = places
         self._configurations = Follower(ends.configuration_kind, self._take_routes)
-        self._servers = Follower(ends.server_kind, self.directory.take)
+        self._servers = Follower(ends.server_kind, self.directory.apply_description)
         self._followers = [
             self._configurations,
             self._servers,
@@ -250,11 +252,11 @@
 
     def _serve_parts(self, nursery: trio.Nursery) -> ServeParts:
         router = Router(
-            RouterParts(
+            RouterDependencies(
                 directory=self.directory,
-                agents=self.agents,
+                dispatcher=self.agents,
                 floors=self.floors,
-                places=self._places,
+                topology=self._places,
                 clock=now_s,
                 nursery=nursery,
                 name=self._incarnation,
@@ -295,9 +297,9 @@
             return ProofAnswer(None, "no primary is known")
         answer = await self.agents.prove(leader)
         if answer.position is not None:
-            self.directory.saw_leader(service, leader.id)
+            self.directory.record_leader_proof(service, leader.id)
         elif answer.denied:
-            self.directory.saw_no_leader(leader.id)
+            self.directory.record_leader_denial(leader.id)
         return answer
 
     async def _ask_nearby(self, service: str) -> FloorAnswer | None:
--- a/src/rattanhollow/host/_watch_primaries.py
+++ b/src/rattanhollow/host/_watch_primaries.py
@@ -11,7 +11,7 @@
 from rattanhollow.host._ends import Ends
 from rattanhollow.membership import HostDirectory, HostRecord
 from rattanhollow.peer import LeaderNews, Peers, ReachAnswer, ReachQuestion
-from rattanhollow.routing import Agents, Floors, ServerDirectory
+from rattanhollow.routing import FloorCache, ServerDirectory, WorkDispatcher
 from rattanhollow.serving import (
     BackendServer,
     Command,
@@ -38,9 +38,9 @@
     hosts: HostDirectory
     peers: Peers
     directory: ServerDirectory
-    agents: Agents
+    agents: WorkDispatcher
     serving: Serving
-    floors: Floors
+    floors: FloorCache
     read_servers: Callable[[], Awaitable[bool]]
 
 
@@ -49,7 +49,11 @@
     own_name = parts.own().name
 
     def services() -> list[str]:
-        return [name for name in parts.routes().services if parts.directory.of(name)]
+        return [
+            name
+            for name in parts.routes().services
+            if parts.directory.list_servers(name)
+        ]
 
     def copies(service: str) -> int:
         known = parts.routes().services.get(service)
@@ -58,7 +62,7 @@
     def is_mine(service: str) -> bool:
         leader = parts.directory.leader(service)
         if leader is not None:
-            return parts.agents.serves_first(leader)
+            return parts.agents.is_preferred_host_for(leader)
         lit = [h for h in parts.hosts.staying() if not parts.peers.is_dark(h.peer)]
         names = {record.name for record in lit} | {own_name}
         return ranked(service, names)[0] == own_name
@@ -83,7 +87,7 @@
         return await _others_reach(server, parts)
 
     async def announce(server: BackendServer) -> None:
-        parts.directory.saw_leader(server.service, server.id)
+        parts.directory.record_leader_proof(server.service, server.id)
         await _tell_all(LeaderNews(server.service, server.id), parts)
 
     async def run_command(
@@ -93,7 +97,11 @@
         return await found.command(command, timeout_s) if found is not None else None
 
     async def members(service: str) -> list[BackendServer] | None:
-        return parts.directory.of(service) if await parts.read_servers() else None
+        return (
+            parts.directory.list_servers(service)
+            if await parts.read_servers()
+            else None
+        )
 
     def covers(server: BackendServer, status: ServerStatus) -> bool:
         return _covers(server, status.received, parts)
@@ -102,7 +110,7 @@
         return [
             (found.server, found.behind_s)
             for found in parts.serving.served()
-            if found.behind_s > 0 and parts.agents.serves_first(found.server)
+            if found.behind_s > 0 and parts.agents.is_preferred_host_for(found.server)
         ]
 
     # The guardian is told of claims by the very parts that it is built from.
@@ -115,7 +123,7 @@
         GuardianParts(
             services=services,
             copies=copies,
-            servers=parts.directory.of,
+            servers=parts.directory.list_servers,
             leader=parts.directory.leader,
             is_mine=is_mine,
             suspicion_s=suspicion_s,
@@ -151,14 +159,14 @@
     lost_at_s = [
         at_s
         for at_s in (
-            parts.directory.started_anew_at_s(server.id),
-            parts.directory.replica_lost_at_s(server.service),
+            parts.directory.restarted_at_s(server.id),
+            parts.directory.replica_missing_at_s(server.service),
         )
         if at_s is not None
     ]
     if not lost_at_s:
         return True
-    proven = parts.floors.known(server.service, max(lost_at_s))
+    proven = parts.floors.cached_position(server.service, max(lost_at_s))
     return proven is not None and received >= proven
 
 
--- a/src/rattanhollow/routing/__init__.py
+++ b/src/rattanhollow/routing/__init__.py
@@ -1,27 +1,31 @@
 """Routing statements to backend servers."""
 
-from rattanhollow.routing._agents import AgentParts, Agents, Ran
+from rattanhollow.routing._agents import (
+    DispatcherDependencies,
+    DispatchResult,
+    WorkDispatcher,
+)
 from rattanhollow.routing._directory import ServerDirectory
-from rattanhollow.routing._floors import Floors
-from rattanhollow.routing._places import Places
+from rattanhollow.routing._floors import FloorCache
+from rattanhollow.routing._places import ZoneTopology
 from rattanhollow.routing._router import (
-    Demand,
     Outcome,
     Placement,
     Router,
-    RouterParts,
+    RouterDependencies,
+    StatementRequest,
 )
 
 __all__ = [
-    "AgentParts",
-    "Agents",
-    "Demand",
-    "Floors",
+    "DispatcherDependencies",
+    "WorkDispatcher",
+    "StatementRequest",
+    "FloorCache",
     "Outcome",
     "Placement",
-    "Places",
-    "Ran",
+    "ZoneTopology",
+    "DispatchResult",
     "Router",
-    "RouterParts",
+    "RouterDependencies",
     "ServerDirectory",
 ]
--- a/src/rattanhollow/routing/_agents.py
+++ b/src/rattanhollow/routing/_agents.py
@@ -7,7 +7,7 @@
 from rattanhollow.coordination import ranked
 from rattanhollow.membership import HostDirectory, HostRecord
 from rattanhollow.peer import Peers
-from rattanhollow.routing._places import Places
+from rattanhollow.routing._places import ZoneTopology
 from rattanhollow.serving import (
     BackendServer,
     Done,
@@ -28,17 +28,17 @@
 PROOF_TIMEOUT_MS = 600
 
 
-class AgentParts(NamedTuple):
+class DispatcherDependencies(NamedTuple):
     """What reaching servers needs of the rest of the host."""
 
     own: Callable[[], HostRecord]
     hosts: HostDirectory
     peers: Peers
     serving: Serving
-    places: Places
+    topology: ZoneTopology
 
 
-class Ran(NamedTuple):
+class DispatchResult(NamedTuple):
     """The answer to work, the host that gave it, and the transaction it named."""
 
     done: Done
@@ -46,24 +46,26 @@
     transaction: str
 
 
-class Agents:
+class WorkDispatcher:
     """Finds the host that serves a backend server, and hands work to it."""
 
-    def __init__(self, parts: AgentParts) -> None:
+    def __init__(self, parts: DispatcherDependencies) -> None:
         self._parts = parts
         self._ranked: dict[tuple[str, str], list[HostRecord]] = {}
         self._ranked_for: tuple[int, HostRecord] | None = None
 
-    async def run(self, server: BackendServer, work: Work) -> Ran:
+    async def run(self, server: BackendServer, work: Work) -> DispatchResult:
         """Run work at a server, through the first host that reaches it."""
         detail = "no host is left to serve it"
         for record in itertools.islice(self.hosts_for(server), HOSTS_TRIED):
             done = await self.run_at(record.name, work)
             not_served = done.obstacle in (Obstacle.NOT_SERVED, Obstacle.HOST_LOST)
             if done.fate is not Fate.NOT_RUN or not not_served:
-                return Ran(done, record.name, work.transaction)
+                return DispatchResult(done, record.name, work.transaction)
             detail = f"{record.name}: {done.detail}"
-        return Ran(not_run(Obstacle.NOT_SERVED, detail), "", work.transaction)
+        return DispatchResult(
+            not_run(Obstacle.NOT_SERVED, detail), "", work.transaction
+        )
 
     async def run_at(self, host: str, work: Work) -> Done:
         """Run work through one host."""
@@ -101,7 +103,7 @@
                 return answer
         return answer
 
-    def serves_first(self, server: BackendServer) -> bool:
+    def is_preferred_host_for(self, server: BackendServer) -> bool:
         """Whether a server falls to this host."""
         first = next(self.hosts_for(server), None)
         return first is not None and first.name == self._parts.own().name
@@ -136,7 +138,7 @@
             records[own.name] = own
         by_distance: dict[int, list[str]] = {0: [], 1: [], 2: []}
         for record in records.values():
-            distance = self._parts.places.distance(zone, record.zone)
+            distance = self._parts.topology.distance(zone, record.zone)
             by_distance[distance].append(record.name)
         return [
             records[name]
--- a/src/rattanhollow/routing/_directory.py
+++ b/src/rattanhollow/routing/_directory.py
@@ -46,7 +46,7 @@
         self._replica_lost_at_s: dict[str, float] = {}
         self._changed = trio.Event()
 
-    def take(self, stored: Stored | None, name: str) -> None:
+    def apply_description(self, stored: Stored | None, name: str) -> None:
         """Take a description that was written, or its removal."""
         if stored is None:
             self._lose(name)
@@ -84,11 +84,11 @@
         since_s = self._missing_since_s.get(server_id)
         return since_s is not None and self._clock() - since_s > MISSING_GRACE_S
 
-    def started_anew_at_s(self, server_id: str) -> float | None:
+    def restarted_at_s(self, server_id: str) -> float | None:
         """Return when a server was seen to have started again, None if never."""
         return self._anew_at_s.get(server_id)
 
-    def replica_lost_at_s(self, service: str) -> float | None:
+    def replica_missing_at_s(self, service: str) -> float | None:
         """Return when a replica of a service was last seen to be gone."""
         return self._replica_lost_at_s.get(service)
 
@@ -102,7 +102,7 @@
         self._purge()
         return self._servers.get(server_id)
 
-    def of(self, service: str) -> list[BackendServer]:
+    def list_servers(self, service: str) -> list[BackendServer]:
         """Return the servers of a service, leaving ones included."""
         self._purge()
         return [item for item in self._servers.values() if item.service == service]
@@ -113,7 +113,7 @@
 
     def leader(self, service: str) -> BackendServer | None:
         """Return the server that is held to lead, None where none is."""
-        members = {item.id: item for item in self.of(service)}
+        members = {item.id: item for item in self.list_servers(service)}
         claims = {
             name: since
             for name, since in self._leads_since.items()
@@ -126,7 +126,7 @@
                 return members[proof.server]
         return members[newest] if newest is not None else None
 
-    def saw_leader(self, service: str, server_id: str) -> None:
+    def record_leader_proof(self, service: str, server_id: str) -> None:
         """Note that a server proved that it leads."""
         proof = self._proven.get(service)
         if proof is not None and proof.server == server_id:
@@ -137,7 +137,7 @@
         self._tell()
         log_event("leader.proven", service=service, server=server_id, version=newest)
 
-    def saw_no_leader(self, server_id: str) -> None:
+    def record_leader_denial(self, server_id: str) -> None:
         """Note that a server said that it doesn't lead."""
         server = self._servers.get(server_id)
         if server is None:
--- a/src/rattanhollow/routing/_floors.py
+++ b/src/rattanhollow/routing/_floors.py
@@ -23,7 +23,7 @@
     return None
 
 
-class Floors:
+class FloorCache:
     """Remembers what each service's primary proved, and asks when that is too old.
 
     ``prove(service)`` asks the primary; ``ask_nearby(service)`` the host that
@@ -43,19 +43,21 @@
         self._indexes: dict[str, ReadIndex] = {}
         self._renewing: dict[str, trio.Event] = {}
 
-    def saw(self, service: str, asked_at_s: float, position: Position) -> None:
+    def record_position(
+        self, service: str, asked_at_s: float, position: Position
+    ) -> None:
         """Note a position that was proven at or after ``asked_at_s``."""
         self._index(service).saw(asked_at_s, position)
 
-    def known(self, service: str, since_s: float) -> Position | None:
+    def cached_position(self, service: str, since_s: float) -> Position | None:
         """Return a position that covers all that was acknowledged by ``since_s``."""
         return self._index(service).reading_since(since_s)
 
-    async def newest(self, service: str) -> Result[Position, Refusal]:
+    async def request_proof(self, service: str) -> Result[Position, Refusal]:
         """Ask the primary; the answer covers all that is acknowledged by now."""
         return await self._index(service).read()
 
-    async def renew(self, service: str) -> None:
+    async def refresh_position(self, service: str) -> None:
         """Learn a young position, from a host nearby if that has one."""
         running = self._renewing.get(service)
         if running is not None:
@@ -66,21 +68,23 @@
         try:
             answer = await self._ask_nearby(service)
             if answer is None or answer.position is None:
-                await self.newest(service)
+                await self.request_proof(service)
             else:
                 # The asked host counted the age from a time behind the asking.
-                self.saw(service, asked_at_s - answer.age_ms / 1000, answer.position)
+                self.record_position(
+                    service, asked_at_s - answer.age_ms / 1000, answer.position
+                )
         finally:
             del self._renewing[service]
             done.set()
 
-    async def answer(self, service: str) -> FloorAnswer:
+    async def respond_to_host(self, service: str) -> FloorAnswer:
         """Answer a host nearby."""
         now_s = self._clock()
-        known = self.known(service, now_s - REUSED_FOR_S)
+        known = self.cached_position(service, now_s - REUSED_FOR_S)
         if known is not None:
             return FloorAnswer(known, int(REUSED_FOR_S * 1000))
-        proven = await self.newest(service)
+        proven = await self.request_proof(service)
         age_ms = math.ceil((self._clock() - now_s) * 1000)
         return FloorAnswer(proven.ok(), age_ms)
 
--- a/src/rattanhollow/routing/_places.py
+++ b/src/rattanhollow/routing/_places.py
@@ -7,7 +7,7 @@
 ELSEWHERE = 2
 
 
-class Places(NamedTuple):
+class ZoneTopology(NamedTuple):
     """The availability zone of this host, and the region of each zone."""
 
     zone: str
--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -10,10 +10,10 @@
 from rattanhollow.coordination import Position
 from rattanhollow.flow import TokenBucket
 from rattanhollow.observe import Meter, kinds, log_event
-from rattanhollow.routing._agents import Agents, Ran
+from rattanhollow.routing._agents import DispatchResult, WorkDispatcher
 from rattanhollow.routing._directory import ServerDirectory
-from rattanhollow.routing._floors import Floors
-from rattanhollow.routing._places import Places
+from rattanhollow.routing._floors import FloorCache
+from rattanhollow.routing._places import ZoneTopology
 from rattanhollow.serving import (
     BackendServer,
     Done,
@@ -57,23 +57,23 @@
 )
 
 
-class RouterParts(NamedTuple):
+class RouterDependencies(NamedTuple):
     """What routing needs of the rest of the host.
 
     ``name`` is unique to this start of the host, over the fleet.
     """
 
     directory: ServerDirectory
-    agents: Agents
-    floors: Floors
-    places: Places
+    dispatcher: WorkDispatcher
+    floors: FloorCache
+    topology: ZoneTopology
     clock: Callable[[], float]
     nursery: trio.Nursery
     name: str
     meter: Meter
 
 
-class Demand(NamedTuple):
+class StatementRequest(NamedTuple):
     """What a session wants of one statement.
 
     ``floor`` is the position of the session's own last commit. ``work`` is
@@ -111,15 +111,15 @@
 
     def __init__(self) -> None:
         self.done = trio.Event()
-        self.ran: Ran | None = None
+        self.ran: DispatchResult | None = None
 
 
 async def _first_done(
     first: _Pending, server: BackendServer, second: _Pending, other: BackendServer
-) -> tuple[Ran, BackendServer]:
+) -> tuple[DispatchResult, BackendServer]:
     """Return the first answer that succeeded, or the last that did not."""
     pending = [(first, server), (second, other)]
-    ended: list[tuple[Ran, BackendServer]] = []
+    ended: list[tuple[DispatchResult, BackendServer]] = []
     ready = trio.Event()
 
     async def wait(read: _Pending, at: BackendServer) -> None:
@@ -142,7 +142,7 @@
 class Router:
     """Runs the statements of sessions."""
 
-    def __init__(self, parts: RouterParts) -> None:
+    def __init__(self, parts: RouterDependencies) -> None:
         self._parts = parts
         self._wait_ms: dict[str, tuple[float, float]] = {}
         self._avoided_until_s: dict[str, float] = {}
@@ -152,23 +152,25 @@
         self._second_reads = TokenBucket(parts.clock)
         self._second_reads.resize(SECOND_READS_PER_S, SECOND_READS_PER_S)
 
-    async def read(self, demand: Demand) -> Outcome:
+    async def read(self, demand: StatementRequest) -> Outcome:
         """Run a read outside a transaction."""
         if demand.route.consistency is Consistency.NEWEST:
             return await self._at_primary(demand, Scope.PROVEN)
         return await self._at_any(demand, Scope.ALONE)
 
-    async def write(self, demand: Demand) -> Outcome:
+    async def write(self, demand: StatementRequest) -> Outcome:
         """Run a write outside a transaction."""
         return await self._at_primary(demand, Scope.ALONE)
 
-    async def begin(self, demand: Demand, read_only: bool) -> Outcome:
+    async def begin(self, demand: StatementRequest, read_only: bool) -> Outcome:
         """Run the first statement of a transaction."""
         if read_only and demand.route.consistency is not Consistency.NEWEST:
             return await self._at_any(demand, Scope.BEGIN_READ_ONLY)
         return await self._at_primary(demand, Scope.BEGIN)
 
-    async def within(self, demand: Demand, placement: Placement) -> Outcome:
+    async def run_in_transaction(
+        self, demand: StatementRequest, placement: Placement
+    ) -> Outcome:
         """Run a later statement of a transaction, or its end."""
         asked_at_s = self._parts.clock()
         work = demand.work._replace(
@@ -177,14 +179,14 @@
             transaction=placement.transaction,
             budget_ms=self._budget_ms(demand),
         )
-        done = await self._parts.agents.run_at(placement.host, work)
+        done = await self._parts.dispatcher.run_at(placement.host, work)
         self._learn(placement.server, done, asked_at_s)
         if done.fate is Fate.DONE:
             committed = done.position if work.kind is WorkKind.COMMIT else None
             return Outcome(_completed(done), placement, committed, done.open)
         return Outcome(_refusal_within(work, done))
 
-    def abandon(self, work: Work, placement: Placement) -> None:
+    def roll_back_abandoned(self, work: Work, placement: Placement) -> None:
         """Roll a transaction back that nobody waits for, in the background."""
         rollback = work._replace(
             server=placement.server.id,
@@ -194,10 +196,10 @@
             budget_ms=1_000,
         )
         self._parts.nursery.start_soon(
-            self._parts.agents.run_at, placement.host, rollback
+            self._parts.dispatcher.run_at, placement.host, rollback
         )
 
-    async def _at_primary(self, demand: Demand, scope: Scope) -> Outcome:
+    async def _at_primary(self, demand: StatementRequest, scope: Scope) -> Outcome:
         """Run a statement at the primary; repeated only where it did not run."""
         reads = demand.work.kind is WorkKind.READ or (
             demand.work.kind is WorkKind.EXECUTE and not demand.work.shape_writes
@@ -221,7 +223,7 @@
                 placement = Placement(server, ran.host, ran.transaction)
                 return Outcome(_completed(done), placement, committed, done.open)
             if done.reason is Reason.NOT_LEADER:
-                self._parts.directory.saw_no_leader(server.id)
+                self._parts.directory.record_leader_denial(server.id)
                 passed_over.add(server.id)
                 continue
             if done.reason is Reason.FAILED and reads:
@@ -235,7 +237,7 @@
                 continue
             return Outcome(_refusal(done, reads or scope is Scope.BEGIN))
 
-    async def _at_any(self, demand: Demand, scope: Scope) -> Outcome:
+    async def _at_any(self, demand: StatementRequest, scope: Scope) -> Outcome:
         """Run a read at any server that has what the session must see."""
         floor = await self._floor(demand)
         if floor is None:
@@ -277,13 +279,13 @@
 
     async def _read_once(
         self,
-        demand: Demand,
+        demand: StatementRequest,
         server: BackendServer,
         other: BackendServer | None,
         scope: Scope,
         floor: Position,
         budget_ms: int,
-    ) -> tuple[Ran, BackendServer]:
+    ) -> tuple[DispatchResult, BackendServer]:
         """Read at a server, and at the ``other`` where the first says nothing.
 
         Returns the answer that counts, and whose it is.
@@ -305,7 +307,11 @@
         return await _first_done(first, server, second, other)
 
     def _start_read(
-        self, demand: Demand, server: BackendServer, floor: Position, budget_ms: int
+        self,
+        demand: StatementRequest,
+        server: BackendServer,
+        floor: Position,
+        budget_ms: int,
     ) -> _Pending:
         """Begin a read that goes on though nobody waits for it any more.
 
@@ -324,13 +330,13 @@
 
     async def _attempt(
         self,
-        demand: Demand,
+        demand: StatementRequest,
         server: BackendServer,
         scope: Scope,
         floor: Position | None,
         budget_ms: int,
         movable: bool = False,
-    ) -> Ran:
+    ) -> DispatchResult:
         asked_at_s = self._parts.clock()
         # Each attempt opens a transaction of its own: what an earlier one left
         # open, where its fate is unknown, must not be taken for it.
@@ -342,7 +348,7 @@
             movable=movable,
             transaction=f"{self._parts.name}-{next(self._numbers)}",
         )
-        ran = await self._parts.agents.run(server, work)
+        ran = await self._parts.dispatcher.run(server, work)
         self._learn(server, ran.done, asked_at_s)
         done = ran.done
         reason = done.reason.name if done.reason else done.obstacle.name
@@ -367,37 +373,44 @@
 
     def _learn(self, server: BackendServer, done: Done, asked_at_s: float) -> None:
         if done.led and done.position is not None:
-            self._parts.floors.saw(server.service, asked_at_s, done.position)
-            self._parts.directory.saw_leader(server.service, server.id)
+            self._parts.floors.record_position(
+                server.service, asked_at_s, done.position
+            )
+            self._parts.directory.record_leader_proof(server.service, server.id)
         wait_ms = float(done.wait_ms)
         if done.reason is Reason.FAILED or done.obstacle is Obstacle.FAILING:
             wait_ms += FAILING_COSTS_MS
         self._wait_ms[server.id] = (self._parts.clock(), wait_ms)
 
-    async def _floor(self, demand: Demand) -> Position | None:
+    async def _floor(self, demand: StatementRequest) -> Position | None:
         """Return the position that a read must see, None where none is proven."""
         now_s = self._parts.clock()
         age_s = demand.route.max_age_ms / 1000
         service = demand.route.service
-        known = self._parts.floors.known(service, now_s - age_s)
+        known = self._parts.floors.cached_position(service, now_s - age_s)
         if known is None:
             known = await self._proven_since(demand, now_s - age_s)
             if known is None:
                 return None
-        elif self._parts.floors.known(service, now_s - age_s * RENEW_AT_PART) is None:
+        elif (
+            self._parts.floors.cached_position(service, now_s - age_s * RENEW_AT_PART)
+            is None
+        ):
             self._renew(service)
         return max(known, demand.floor) if demand.floor is not None else known
 
-    async def _proven_since(self, demand: Demand, since_s: float) -> Position | None:
+    async def _proven_since(
+        self, demand: StatementRequest, since_s: float
+    ) -> Position | None:
         service, floors = demand.route.service, self._parts.floors
-        await floors.renew(service)
-        known = floors.known(service, since_s)
+        await floors.refresh_position(service)
+        known = floors.cached_position(service, since_s)
         while known is None and self._budget_ms(demand) >= LEAST_ATTEMPT_MS:
-            answer = await floors.newest(service)
+            answer = await floors.request_proof(service)
             if answer.is_ok():
                 return answer.unwrap()
             await trio.sleep(RETRY_PAUSE_S)
-            known = floors.known(service, since_s)
+            known = floors.cached_position(service, since_s)
         return known
 
     def _renew(self, service: str) -> None:
@@ -408,7 +421,7 @@
 
     async def _renew_now(self, service: str) -> None:
         try:
-            await self._parts.floors.renew(service)
+            await self._parts.floors.refresh_position(service)
         finally:
             self._renewing.discard(service)
 
@@ -418,7 +431,11 @@
         if leader is not None and leader.id not in passed_over:
             return leader
         # None is known to lead: any of them says so if it does.
-        others = [s for s in self._parts.directory.of(service) if not self._leaves(s)]
+        others = [
+            s
+            for s in self._parts.directory.list_servers(service)
+            if not self._leaves(s)
+        ]
         others = [s for s in others if s.id not in passed_over]
         return min(others, key=lambda server: server.id, default=None)
 
@@ -431,19 +448,21 @@
         leader_id = leader.id if leader is not None else ""
         usable = [
             server
-            for server in self._parts.directory.of(service)
+            for server in self._parts.directory.list_servers(service)
             if server.id not in passed_over and not self._leaves(server)
         ]
 
         def cost(server: BackendServer) -> tuple[bool, float, str]:
-            distance = self._parts.places.distance(self._parts.places.zone, server.zone)
+            distance = self._parts.topology.distance(
+                self._parts.topology.zone, server.zone
+            )
             seen_s, wait_ms = self._wait_ms.get(server.id, (0.0, 0.0))
             faded = max(0.0, 1.0 - (self._parts.clock() - seen_s))
             return server.id == leader_id, distance * 20 + wait_ms * faded, server.id
 
         return min(usable, key=cost, default=None)
 
-    def _budget_ms(self, demand: Demand) -> int:
+    def _budget_ms(self, demand: StatementRequest) -> int:
         return int((demand.deadline_s - self._parts.clock()) * 1000)
 
 
--- a/src/rattanhollow/session/_session.py
+++ b/src/rattanhollow/session/_session.py
@@ -10,7 +10,7 @@
 from rattanhollow.configuration import Route, RouteTable
 from rattanhollow.coordination import Position
 from rattanhollow.rates import Admission
-from rattanhollow.routing import Demand, Outcome, Placement, Router
+from rattanhollow.routing import Outcome, Placement, Router, StatementRequest
 from rattanhollow.serving import Scope, Work, WorkKind
 from rattanhollow.statements import (
     Answer,
@@ -167,7 +167,7 @@
         """Roll back what is open, without waiting for it."""
         if self._placement is not None:
             work = Work("", self.organisation, "", WorkKind.ROLLBACK, Scope.WITHIN)
-            self._parts.router.abandon(work, self._placement)
+            self._parts.router.roll_back_abandoned(work, self._placement)
         self._end_transaction()
 
     def _end_transaction(self) -> None:
@@ -212,7 +212,7 @@
         assert self._route is not None
         timeout_s = self._route.statement_timeout_ms / 1000
         deadline_s = self._parts.clock() + timeout_s
-        demand = Demand(self._route, work, self._floor, deadline_s)
+        demand = StatementRequest(self._route, work, self._floor, deadline_s)
         outcome = await self._route_work(demand)
         self._take(outcome, work)
         return outcome.answer
@@ -247,10 +247,10 @@
             )
         return work
 
-    async def _route_work(self, demand: Demand) -> Outcome:
+    async def _route_work(self, demand: StatementRequest) -> Outcome:
         router = self._parts.router
         if self._placement is not None:
-            return await router.within(demand, self._placement)
+            return await router.run_in_transaction(demand, self._placement)
         if self._transaction is not None:
             return await router.begin(demand, self._read_only)
         if demand.work.kind is WorkKind.WRITE or demand.work.shape_writes:
--- a/src/rattanhollow_standins/platform/_cluster.py
+++ b/src/rattanhollow_standins/platform/_cluster.py
@@ -212,7 +212,7 @@
             ready = [
                 host.ready
                 and len(host.hosts.all()) == len(self.hosts)
-                and len(host.directory.of(SERVICE)) == len(self.group.servers)
+                and len(host.directory.list_servers(SERVICE)) == len(self.group.servers)
                 for host in self.hosts.values()
             ]
             if all(ready):
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -63,10 +63,10 @@
 def test_a_malformed_entry_names_no_server() -> None:
     """An entry that becomes unreadable is passed over; the others hold."""
     directory = ServerDirectory(read_server, lambda: 0.0)
-    directory.take(stored(), "i-7f")
-    assert [server.id for server in directory.of("huvo11a")] == ["i-7f"]
-    directory.take(stored(8, state="?"), "i-8a")
-    assert [server.id for server in directory.of("huvo11a")] == ["i-7f"]
+    directory.apply_description(stored(), "i-7f")
+    assert [server.id for server in directory.list_servers("huvo11a")] == ["i-7f"]
+    directory.apply_description(stored(8, state="?"), "i-8a")
+    assert [server.id for server in directory.list_servers("huvo11a")] == ["i-7f"]
 
 
 def test_a_configuration_is_decoded() -> None:
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -41,7 +41,7 @@
     possible_brokers,
 )
 from rattanhollow.rates._pooled import DEEPER_PART, WAIT_AT_MOST_S
-from rattanhollow.routing import Floors
+from rattanhollow.routing import FloorCache
 from rattanhollow.serving import ProofAnswer
 from rattanhollow.store import Stored
 
@@ -108,10 +108,10 @@
         clock.now_s += 0.1
         return FloorAnswer(Position(3, 70), age_ms=200)
 
-    floors = Floors(prove, clock, nearby)
-    trio.run(floors.renew, SERVICE)
-    assert floors.known(SERVICE, 50.0 - 0.2) == Position(3, 70)
-    assert floors.known(SERVICE, 50.0 - 0.19) is None
+    floors = FloorCache(prove, clock, nearby)
+    trio.run(floors.refresh_position, SERVICE)
+    assert floors.cached_position(SERVICE, 50.0 - 0.2) == Position(3, 70)
+    assert floors.cached_position(SERVICE, 50.0 - 0.19) is None
 
 
 @pytest.mark.parametrize("answer", [None, FloorAnswer(None)])
@@ -126,9 +126,9 @@
     async def nearby(service: str) -> FloorAnswer | None:
         return answer
 
-    floors = Floors(prove, _Clock(), nearby)
-    trio.run(floors.renew, SERVICE)
-    assert floors.known(SERVICE, 50.0) == Position(4, 1)
+    floors = FloorCache(prove, _Clock(), nearby)
+    trio.run(floors.refresh_position, SERVICE)
+    assert floors.cached_position(SERVICE, 50.0) == Position(4, 1)
 
 
 def test_many_hosts_nearby_cost_one_question_to_the_primary() -> None:
@@ -141,11 +141,11 @@
         asked += 1
         return ProofAnswer(Position(5, asked))
 
-    floors = Floors(prove, clock)
+    floors = FloorCache(prove, clock)
 
     async def ask_all() -> None:
         for _ in range(100):
-            answer = await floors.answer(SERVICE)
+            answer = await floors.respond_to_host(SERVICE)
             assert answer.position is not None
             clock.now_s += 0.001
 
@@ -161,7 +161,7 @@
         clock.now_s += 0.35
         return ProofAnswer(Position(6, 1))
 
-    answer = trio.run(Floors(prove, clock).answer, SERVICE)
+    answer = trio.run(FloorCache(prove, clock).respond_to_host, SERVICE)
     assert answer.age_ms >= 350
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -15,14 +15,14 @@
 from rattanhollow.observe import Meter
 from rattanhollow.platform import read_server
 from rattanhollow.routing import (
-    Demand,
-    Floors,
+    DispatchResult,
+    FloorCache,
     Outcome,
-    Places,
-    Ran,
     Router,
-    RouterParts,
+    RouterDependencies,
     ServerDirectory,
+    StatementRequest,
+    ZoneTopology,
 )
 from rattanhollow.serving import (
     Done,
@@ -74,7 +74,9 @@
     """Return a directory of three servers, the first of which leads."""
     directory = ServerDirectory(read_server, clock)
     for number in range(3):
-        directory.take(entry(number, number + 1, leads=number == 0), f"i-{number}")
+        directory.apply_description(
+            entry(number, number + 1, leads=number == 0), f"i-{number}"
+        )
     return directory
 
 
@@ -88,20 +90,20 @@
     """A deposed primary that still says that it leads is older."""
     directory = directory_of(Clock())
     assert leader_of(directory) == "i-0"
-    directory.take(entry(1, 9, leads=True), "i-1")
+    directory.apply_description(entry(1, 9, leads=True), "i-1")
     assert leader_of(directory) == "i-1"
-    directory.take(entry(0, 10, leads=True, cold_left_ms=5), "i-0")
+    directory.apply_description(entry(0, 10, leads=True, cold_left_ms=5), "i-0")
     assert leader_of(directory) == "i-1"
 
 
 def test_what_servers_say_goes_before_older_descriptions() -> None:
     """A refusal denies, a proof confirms, until something newer is described."""
     directory = directory_of(Clock())
-    directory.saw_no_leader("i-0")
+    directory.record_leader_denial("i-0")
     assert leader_of(directory) == ""
-    directory.saw_leader(SERVICE, "i-2")
+    directory.record_leader_proof(SERVICE, "i-2")
     assert leader_of(directory) == "i-2"
-    directory.take(entry(1, 9, leads=True), "i-1")
+    directory.apply_description(entry(1, 9, leads=True), "i-1")
     assert leader_of(directory) == "i-1"
 
 
@@ -109,7 +111,7 @@
     """It may be back within seconds; later it counts as gone, then is forgotten."""
     clock = Clock()
     directory = directory_of(clock)
-    directory.take(None, "i-0")
+    directory.apply_description(None, "i-0")
     clock.now_s = 2.0
     assert leader_of(directory) == "i-0" and not directory.is_missing("i-0")
     clock.now_s = 3.0
@@ -121,8 +123,8 @@
 def test_a_leaving_server_that_is_gone_is_forgotten_at_once() -> None:
     """It said that it leaves: nothing brings it back."""
     directory = directory_of(Clock())
-    directory.take(entry(2, 9, leads=False, state="draining"), "i-2")
-    directory.take(None, "i-2")
+    directory.apply_description(entry(2, 9, leads=False, state="draining"), "i-2")
+    directory.apply_description(None, "i-2")
     assert directory.find("i-2") is None
 
 
@@ -131,12 +133,12 @@
     clock = Clock()
     directory = directory_of(clock)
     clock.now_s = 5.0
-    directory.take(entry(1, 9, leads=False, born=2), "i-1")
-    assert directory.started_anew_at_s("i-1") == 5.0
-    assert directory.replica_lost_at_s(SERVICE) is None
+    directory.apply_description(entry(1, 9, leads=False, born=2), "i-1")
+    assert directory.restarted_at_s("i-1") == 5.0
+    assert directory.replica_missing_at_s(SERVICE) is None
     clock.now_s = 7.0
-    directory.take(None, "i-2")
-    assert directory.replica_lost_at_s(SERVICE) == 7.0
+    directory.apply_description(None, "i-2")
+    assert directory.replica_missing_at_s(SERVICE) == 7.0
 
 
 Script = Callable[[str, Work], Awaitable[Done]]
@@ -150,13 +152,13 @@
         self.tried: list[tuple[str, Work]] = []
         self.proofs = 0
         self.directory = directory_of(trio.current_time)
-        self.floors = Floors(self._prove, trio.current_time)
+        self.floors = FloorCache(self._prove, trio.current_time)
         self.router = Router(
-            RouterParts(
+            RouterDependencies(
                 directory=self.directory,
-                agents=self,  # type: ignore[arg-type]
+                dispatcher=self,  # type: ignore[arg-type]
                 floors=self.floors,
-                places=Places("tayside-a", {zone: zone for zone in ZONES}),
+                topology=ZoneTopology("tayside-a", {zone: zone for zone in ZONES}),
                 clock=trio.current_time,
                 nursery=nursery,
                 name="host",
@@ -164,10 +166,12 @@
             )
         )
 
-    async def run(self, server: Any, work: Work) -> Ran:
+    async def run(self, server: Any, work: Work) -> DispatchResult:
         """Stand in for the hosts that serve."""
         self.tried.append((server.id, work))
-        return Ran(await self.script(server.id, work), "host-1", work.transaction)
+        return DispatchResult(
+            await self.script(server.id, work), "host-1", work.transaction
+        )
 
     async def run_at(self, host: str, work: Work) -> Done:
         """Stand in for one host that serves."""
@@ -193,10 +197,10 @@
     kind: WorkKind = WorkKind.READ,
     consistency: Consistency = Consistency.BOUNDED,
     floor: Position | None = None,
-) -> Demand:
+) -> StatementRequest:
     """Return a statement with a second's time."""
     work = Work("", "kirk", "r", kind, Scope.ALONE, text="READ a")
-    return Demand(route(consistency), work, floor, trio.current_time() + 1)
+    return StatementRequest(route(consistency), work, floor, trio.current_time() + 1)
 
 
 def on_bench(
@@ -579,7 +583,7 @@
     async def scenario(bench: Bench) -> None:
         begun = await bench.router.begin(demand(WorkKind.WRITE), read_only=False)
         assert begun.placement is not None
-        outcome = await bench.router.within(demand(kind), begun.placement)
+        outcome = await bench.router.run_in_transaction(demand(kind), begun.placement)
         assert reason_of(outcome) is told and not outcome.open
 
     on_bench(script, scenario)
