Reword the modules of routing

Comments, docstrings, local and private names of all modules in the usual terms: hedged reads, candidate hosts, cached positions, leader proofs. _places becomes _zone_topology (imported by no other folder).

run_at -> run_on_host and hosts_for -> candidate_hosts are methods of WorkDispatcher that no other folder calls; tests/test_routing.py follows.

Six failure details are reworded with the same values: two of dispatch, the unexpected response, the floor's refusals and the router's last resort. No text in src or tests matches them.

--- a/src/rattanhollow/routing/__init__.py
+++ b/src/rattanhollow/routing/__init__.py
@@ -1,4 +1,4 @@
-"""Routing statements to backend servers."""
+"""Routing of statements to backend servers."""
 
 from rattanhollow.routing._agents import (
     DispatcherDependencies,
@@ -7,7 +7,6 @@
 )
 from rattanhollow.routing._directory import ServerDirectory
 from rattanhollow.routing._floors import FloorCache
-from rattanhollow.routing._places import ZoneTopology
 from rattanhollow.routing._router import (
     Outcome,
     Placement,
@@ -15,6 +14,7 @@
     RouterDependencies,
     StatementRequest,
 )
+from rattanhollow.routing._zone_topology import ZoneTopology
 
 __all__ = [
     "DispatcherDependencies",
--- a/src/rattanhollow/routing/_agents.py
+++ b/src/rattanhollow/routing/_agents.py
@@ -1,4 +1,4 @@
-"""Reaching backend servers through the hosts that serve them."""
+"""Running work on backend servers through the hosts that serve them."""
 
 import itertools
 from collections.abc import Callable, Iterator
@@ -7,7 +7,7 @@
 from rattanhollow.coordination import ranked
 from rattanhollow.membership import HostDirectory, HostRecord
 from rattanhollow.peer import Peers
-from rattanhollow.routing._places import ZoneTopology
+from rattanhollow.routing._zone_topology import ZoneTopology
 from rattanhollow.serving import (
     BackendServer,
     Done,
@@ -21,17 +21,17 @@
     unknown,
 )
 
-# What the way to another host and back may take beyond the work itself.
-WAY_MS = 150
-# Hosts that are tried for one server before it is held to be out of reach.
-HOSTS_TRIED = 3
+# Network round trip to another host, allowed in addition to the budget of the work.
+ROUND_TRIP_MS = 150
+# Hosts tried for one server before it is considered unreachable.
+MAX_HOSTS_TRIED = 3
 PROOF_TIMEOUT_MS = 600
 
 
 class DispatcherDependencies(NamedTuple):
-    """What reaching servers needs of the rest of the host."""
+    """The components of the host that `WorkDispatcher` uses."""
 
-    own: Callable[[], HostRecord]
+    own_record: Callable[[], HostRecord]
     hosts: HostDirectory
     peers: Peers
     serving: Serving
@@ -39,106 +39,118 @@
 
 
 class DispatchResult(NamedTuple):
-    """The answer to work, the host that gave it, and the transaction it named."""
+    """The result of work, the host that ran it, and the transaction of the work.
 
-    done: Done
+    ``host`` is empty if no host could serve the server.
+    """
+
+    result: Done
     host: str
     transaction: str
 
 
 class WorkDispatcher:
-    """Finds the host that serves a backend server, and hands work to it."""
+    """Finds the host that serves a backend server and sends work to it."""
 
-    def __init__(self, parts: DispatcherDependencies) -> None:
-        self._parts = parts
-        self._ranked: dict[tuple[str, str], list[HostRecord]] = {}
-        self._ranked_for: tuple[int, HostRecord] | None = None
+    def __init__(self, dependencies: DispatcherDependencies) -> None:
+        self._dependencies = dependencies
+        self._rankings: dict[tuple[str, str], list[HostRecord]] = {}
+        self._ranked_hosts_key: tuple[int, HostRecord] | None = None
 
     async def run(self, server: BackendServer, work: Work) -> DispatchResult:
-        """Run work at a server, through the first host that reaches it."""
-        detail = "no host is left to serve it"
-        for record in itertools.islice(self.hosts_for(server), HOSTS_TRIED):
-            done = await self.run_at(record.name, work)
-            not_served = done.obstacle in (Obstacle.NOT_SERVED, Obstacle.HOST_LOST)
-            if done.fate is not Fate.NOT_RUN or not not_served:
-                return DispatchResult(done, record.name, work.transaction)
-            detail = f"{record.name}: {done.detail}"
+        """Run work on a server through the first candidate host that can serve it.
+
+        Another host is tried only if the work did not run because this one does
+        not serve the server or was disconnected.
+        """
+        detail = "no host is available to serve it"
+        for record in itertools.islice(self.candidate_hosts(server), MAX_HOSTS_TRIED):
+            outcome = await self.run_on_host(record.name, work)
+            not_served = outcome.obstacle in (Obstacle.NOT_SERVED, Obstacle.HOST_LOST)
+            if outcome.fate is not Fate.NOT_RUN or not not_served:
+                return DispatchResult(outcome, record.name, work.transaction)
+            detail = f"{record.name}: {outcome.detail}"
         return DispatchResult(
             not_run(Obstacle.NOT_SERVED, detail), "", work.transaction
         )
 
-    async def run_at(self, host: str, work: Work) -> Done:
+    async def run_on_host(self, host: str, work: Work) -> Done:
         """Run work through one host."""
-        if host == self._parts.own().name:
-            return await self._parts.serving.work(work)
-        record = self._parts.hosts.find(host)
+        if host == self._dependencies.own_record().name:
+            return await self._dependencies.serving.work(work)
+        record = self._dependencies.hosts.find(host)
         if record is None:
-            return not_run(Obstacle.HOST_LOST, f"{host} is gone")
-        asked = await self._parts.peers.ask(record.peer, work, work.budget_ms + WAY_MS)
-        answer = asked.ok()
-        if isinstance(answer, Done):
-            return answer
-        failure = asked.err()
+            return not_run(Obstacle.HOST_LOST, f"{host} is no longer a member")
+        response = await self._dependencies.peers.ask(
+            record.peer, work, work.budget_ms + ROUND_TRIP_MS
+        )
+        result = response.ok()
+        if isinstance(result, Done):
+            return result
+        failure = response.err()
         if failure is not None and not failure.sent:
             return not_run(Obstacle.HOST_LOST, failure.reason)
-        reason = failure.reason if failure is not None else "an unexpected answer"
+        reason = failure.reason if failure is not None else "unexpected response type"
         return unknown(Obstacle.HOST_LOST, reason)
 
     async def prove(self, server: BackendServer) -> ProofAnswer:
-        """Return a log position that ``server`` proves as the primary."""
-        answer = ProofAnswer(None, "no host is left to ask")
-        for record in itertools.islice(self.hosts_for(server), HOSTS_TRIED):
-            if record.name == self._parts.own().name:
-                answer = await self._parts.serving.prove(server.id)
+        """Return a log position for which ``server`` proved that it is the primary."""
+        last = ProofAnswer(None, "no host is available to request a proof")
+        for record in itertools.islice(self.candidate_hosts(server), MAX_HOSTS_TRIED):
+            if record.name == self._dependencies.own_record().name:
+                last = await self._dependencies.serving.prove(server.id)
             else:
-                question = ProofQuestion(server.id)
-                asked = await self._parts.peers.ask(
-                    record.peer, question, PROOF_TIMEOUT_MS
+                request = ProofQuestion(server.id)
+                response = await self._dependencies.peers.ask(
+                    record.peer, request, PROOF_TIMEOUT_MS
                 )
-                found = asked.ok()
-                if not isinstance(found, ProofAnswer):
+                proof = response.ok()
+                if not isinstance(proof, ProofAnswer):
                     continue
-                answer = found
-            if answer.position is not None:
-                return answer
-        return answer
+                last = proof
+            if last.position is not None:
+                return last
+        return last
 
     def is_preferred_host_for(self, server: BackendServer) -> bool:
-        """Whether a server falls to this host."""
-        first = next(self.hosts_for(server), None)
-        return first is not None and first.name == self._parts.own().name
+        """Whether this host is the first candidate to serve a server."""
+        first = next(self.candidate_hosts(server), None)
+        return first is not None and first.name == self._dependencies.own_record().name
 
-    def hosts_for(self, server: BackendServer) -> Iterator[HostRecord]:
-        """Yield the hosts that may serve a server, the first choice first.
+    def candidate_hosts(self, server: BackendServer) -> Iterator[HostRecord]:
+        """Yield the hosts that may serve a server, in order of preference.
 
-        Hosts of the server's availability zone go first, then those of its
-        region, then all others; a host that leaves, or doesn't answer, is
-        passed over.
+        Hosts in the availability zone of the server come first, then hosts in its
+        region, then all others. Hosts that are leaving or do not respond are skipped.
         """
-        own = self._parts.own().name
-        for record in self._ranking(server.id, server.zone):
-            if record.name == own or not self._parts.peers.is_dark(record.peer):
+        own_name = self._dependencies.own_record().name
+        for record in self._cached_ranking(server.id, server.zone):
+            if record.name == own_name or not self._dependencies.peers.is_dark(
+                record.peer
+            ):
                 yield record
 
-    def _ranking(self, server_id: str, zone: str) -> list[HostRecord]:
-        own = self._parts.own()
-        hosts = (self._parts.hosts.changes, own)
-        if hosts != self._ranked_for:
-            self._ranked_for = hosts
-            self._ranked.clear()
+    def _cached_ranking(self, server_id: str, zone: str) -> list[HostRecord]:
+        own = self._dependencies.own_record()
+        membership = (self._dependencies.hosts.changes, own)
+        if membership != self._ranked_hosts_key:
+            self._ranked_hosts_key = membership
+            self._rankings.clear()
         key = (server_id, zone)
-        if key not in self._ranked:
-            self._ranked[key] = self._rank(server_id, zone, own)
-        return self._ranked[key]
-
-    def _rank(self, server_id: str, zone: str, own: HostRecord) -> list[HostRecord]:
-        records = {h.name: h for h in self._parts.hosts.staying()}
+        if key not in self._rankings:
+            self._rankings[key] = self._rank_hosts(server_id, zone, own)
+        return self._rankings[key]
+
+    def _rank_hosts(
+        self, server_id: str, zone: str, own: HostRecord
+    ) -> list[HostRecord]:
+        records = {h.name: h for h in self._dependencies.hosts.staying()}
         records.pop(own.name, None)
         if not own.leaving:
             records[own.name] = own
         by_distance: dict[int, list[str]] = {0: [], 1: [], 2: []}
         for record in records.values():
-            distance = self._parts.topology.distance(zone, record.zone)
+            distance = self._dependencies.topology.distance(zone, record.zone)
             by_distance[distance].append(record.name)
         return [
             records[name]
--- a/src/rattanhollow/routing/_floors.py
+++ b/src/rattanhollow/routing/_floors.py
@@ -1,4 +1,4 @@
-"""The log positions that reads must see, from proofs of the primaries."""
+"""The log positions that reads must see, as proven by the primaries."""
 
 import math
 from collections.abc import Awaitable, Callable
@@ -11,79 +11,87 @@
 from rattanhollow.serving import ProofAnswer
 from rattanhollow.verdict import Refusal, not_run
 
-# A proof this young is handed on to hosts nearby; a third of the shortest age
-# that operators allow is left to them for the rest.
-REUSED_FOR_S = 0.2
+# Proofs up to this age are reused in responses to nearby hosts. This leaves those
+# hosts a third of the shortest maximum age that operators allow for the remainder.
+PROOF_REUSE_S = 0.2
 
-Prove = Callable[[str], Awaitable[ProofAnswer]]
-AskNearby = Callable[[str], Awaitable[FloorAnswer | None]]
+ProvePrimary = Callable[[str], Awaitable[ProofAnswer]]
+QueryNearbyHost = Callable[[str], Awaitable[FloorAnswer | None]]
 
 
-async def _nobody_nearby(service: str) -> FloorAnswer | None:
+async def _no_nearby_host(service: str) -> FloorAnswer | None:
     return None
 
 
 class FloorCache:
-    """Remembers what each service's primary proved, and asks when that is too old.
+    """Caches the proven position of each service's primary and refreshes old ones.
 
-    ``prove(service)`` asks the primary; ``ask_nearby(service)`` the host that
-    asks it for this region, None where that is this host or gives no answer.
-    ``clock`` counts the time that the host was suspended, too.
+    ``prove(service)`` requests a proof from the primary.
+    ``query_nearby_host(service)`` queries the host that requests proofs on behalf
+    of this region; it returns None if that is this host or if there is no
+    response. ``clock`` must include time during which the host was suspended.
     """
 
     def __init__(
         self,
-        prove: Prove,
+        prove: ProvePrimary,
         clock: Callable[[], float],
-        ask_nearby: AskNearby = _nobody_nearby,
+        query_nearby_host: QueryNearbyHost = _no_nearby_host,
     ) -> None:
         self._prove = prove
         self._clock = clock
-        self._ask_nearby = ask_nearby
+        self._query_nearby_host = query_nearby_host
         self._indexes: dict[str, ReadIndex] = {}
-        self._renewing: dict[str, trio.Event] = {}
+        self._refreshing: dict[str, trio.Event] = {}
 
     def record_position(
-        self, service: str, asked_at_s: float, position: Position
+        self, service: str, requested_at_s: float, position: Position
     ) -> None:
-        """Note a position that was proven at or after ``asked_at_s``."""
-        self._index(service).saw(asked_at_s, position)
+        """Record a position that was proven at or after ``requested_at_s``."""
+        self._index(service).saw(requested_at_s, position)
 
     def cached_position(self, service: str, since_s: float) -> Position | None:
-        """Return a position that covers all that was acknowledged by ``since_s``."""
+        """Return a position covering every commit acknowledged by ``since_s``."""
         return self._index(service).reading_since(since_s)
 
     async def request_proof(self, service: str) -> Result[Position, Refusal]:
-        """Ask the primary; the answer covers all that is acknowledged by now."""
+        """Query the primary for a position covering every commit acknowledged so far.
+
+        Concurrent callers share a request.
+        """
         return await self._index(service).read()
 
     async def refresh_position(self, service: str) -> None:
-        """Learn a young position, from a host nearby if that has one."""
-        running = self._renewing.get(service)
+        """Obtain a recent position, from a nearby host if it has one.
+
+        Concurrent calls for one service wait for the refresh in progress.
+        """
+        running = self._refreshing.get(service)
         if running is not None:
             await running.wait()
             return
-        done = self._renewing[service] = trio.Event()
-        asked_at_s = self._clock()
+        finished = self._refreshing[service] = trio.Event()
+        requested_at_s = self._clock()
         try:
-            answer = await self._ask_nearby(service)
-            if answer is None or answer.position is None:
+            response = await self._query_nearby_host(service)
+            if response is None or response.position is None:
                 await self.request_proof(service)
             else:
-                # The asked host counted the age from a time behind the asking.
+                # The other host measured the age at a time after this host sent
+                # the request, so the position is at least this recent.
                 self.record_position(
-                    service, asked_at_s - answer.age_ms / 1000, answer.position
+                    service, requested_at_s - response.age_ms / 1000, response.position
                 )
         finally:
-            del self._renewing[service]
-            done.set()
+            del self._refreshing[service]
+            finished.set()
 
     async def respond_to_host(self, service: str) -> FloorAnswer:
-        """Answer a host nearby."""
+        """Return the response to a nearby host's floor request."""
         now_s = self._clock()
-        known = self.cached_position(service, now_s - REUSED_FOR_S)
-        if known is not None:
-            return FloorAnswer(known, int(REUSED_FOR_S * 1000))
+        cached = self.cached_position(service, now_s - PROOF_REUSE_S)
+        if cached is not None:
+            return FloorAnswer(cached, int(PROOF_REUSE_S * 1000))
         proven = await self.request_proof(service)
         age_ms = math.ceil((self._clock() - now_s) * 1000)
         return FloorAnswer(proven.ok(), age_ms)
@@ -92,11 +100,13 @@
         index = self._indexes.get(service)
         if index is None:
 
-            async def ask(_: object) -> Result[Position, Refusal]:
-                answer = await self._prove(service)
-                if answer.position is None:
-                    return Err(not_run(f"no primary proved itself: {answer.detail}"))
-                return Ok(answer.position)
+            async def query_primary(_: object) -> Result[Position, Refusal]:
+                response = await self._prove(service)
+                if response.position is None:
+                    return Err(
+                        not_run(f"no primary proved its leadership: {response.detail}")
+                    )
+                return Ok(response.position)
 
-            index = self._indexes[service] = ReadIndex(ask, self._clock)
+            index = self._indexes[service] = ReadIndex(query_primary, self._clock)
         return index
--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -1,4 +1,4 @@
-"""Where statements go, what is repeated, and what the caller is told."""
+"""Routing of statements: choice of server, retries, and responses to callers."""
 
 import itertools
 from collections.abc import Callable
@@ -13,7 +13,7 @@
 from rattanhollow.routing._agents import DispatchResult, WorkDispatcher
 from rattanhollow.routing._directory import ServerDirectory
 from rattanhollow.routing._floors import FloorCache
-from rattanhollow.routing._places import ZoneTopology
+from rattanhollow.routing._zone_topology import ZoneTopology
 from rattanhollow.serving import (
     BackendServer,
     Done,
@@ -25,42 +25,43 @@
 )
 from rattanhollow.statements import Answer, Completed, Reason, Refused
 
-# A statement that no server could take is tried again this often.
+# Pause before a statement that no server could accept is retried.
 RETRY_PAUSE_S = 0.1
-# A proof of the primary is renewed when it is older than this part of the age
-# that reads may have: reads then go on for the rest while no primary answers.
-RENEW_AT_PART = 0.4
-# What a server that fails its work is held to cost more than others; as all that
-# is known of waits, it is forgotten within a second.
-FAILING_COSTS_MS = 1_000.0
-# The same for a server whose log is behind what all readers must see.
-BEHIND_COSTS_MS = 400.0
-# How often a read that only the primary may answer is repeated where it fails.
-FAILURES_REPEATED = 2
-# A read that is unanswered for this part of the time within which its caller
-# expects the answer is asked of another server, so many times a second: at most a
-# tenth of a busy host's reads.
-SECOND_ASKED_PART = 0.35
-SECOND_READS_PER_S = 4.0
-# Below this rest of a statement's time another attempt is no use.
-LEAST_ATTEMPT_MS = 20
-
-_PASSED_ON = {
+# A cached position is refreshed once it is older than this fraction of the maximum
+# age of reads; the remaining time lets reads continue while no primary responds.
+REFRESH_AT_FRACTION = 0.4
+# Added to the cost of a server that fails its work. Like all wait estimates, it
+# expires within a second.
+FAILURE_PENALTY_MS = 1_000.0
+# Cost of a server whose log lags the position that all readers must see; expires
+# likewise.
+LAG_PENALTY_MS = 400.0
+# Retries of a failed read that only the primary may serve.
+MAX_PRIMARY_READ_RETRIES = 2
+# A read without a response after this fraction of the latency that its caller expects
+# is hedged: also sent to another server. The rate of hedged reads is limited to at
+# most a tenth of the reads of a busy host.
+HEDGE_AFTER_FRACTION = 0.35
+HEDGED_READS_PER_S = 4.0
+# With less time left before the deadline, another attempt is not worthwhile.
+MIN_ATTEMPT_MS = 20
+
+_FORWARDED_REASONS = {
     Reason.FAILED: Reason.FAILED,
     Reason.TIMED_OUT: Reason.TIMED_OUT,
     Reason.MALFORMED: Reason.MALFORMED,
     Reason.IN_DOUBT: Reason.IN_DOUBT,
 }
-# The server refused before it ran anything: another attempt may be made.
-_NOT_RUN = frozenset(
+# The server refused before running anything, so a retry is safe.
+_NOT_RUN_REASONS = frozenset(
     {Reason.BUSY, Reason.NOT_LEADER, Reason.BEHIND, Reason.NO_STATEMENT}
 )
 
 
 class RouterDependencies(NamedTuple):
-    """What routing needs of the rest of the host.
+    """The components of the host that `Router` uses.
 
-    ``name`` is unique to this start of the host, over the fleet.
+    ``name`` identifies this run of the host uniquely in the fleet.
     """
 
     directory: ServerDirectory
@@ -74,10 +75,10 @@
 
 
 class StatementRequest(NamedTuple):
-    """What a session wants of one statement.
+    """The request of a session to run one statement.
 
     ``floor`` is the position of the session's own last commit. ``work`` is
-    complete but for server, scope and floor.
+    complete except for server, scope, floor, budget and transaction.
     """
 
     route: Route
@@ -87,7 +88,7 @@
 
 
 class Placement(NamedTuple):
-    """Where a transaction runs; ``transaction`` identifies it over the fleet."""
+    """Where a transaction runs; ``transaction`` identifies it uniquely in the fleet."""
 
     server: BackendServer
     host: str
@@ -95,9 +96,10 @@
 
 
 class Outcome(NamedTuple):
-    """What became of a statement.
+    """The outcome of a statement.
 
-    ``committed`` is the position that the session must see from now on.
+    ``committed`` is the position that later reads of the session must see.
+    ``open`` is whether the transaction is still open.
     """
 
     answer: Answer
@@ -106,27 +108,30 @@
     open: bool = False
 
 
-class _Pending:
-    """A read under way."""
+class _PendingRead:
+    """A read in progress."""
 
     def __init__(self) -> None:
-        self.done = trio.Event()
-        self.ran: DispatchResult | None = None
+        self.finished = trio.Event()
+        self.dispatched: DispatchResult | None = None
 
 
-async def _first_done(
-    first: _Pending, server: BackendServer, second: _Pending, other: BackendServer
+async def _first_success(
+    first: _PendingRead,
+    server: BackendServer,
+    second: _PendingRead,
+    other: BackendServer,
 ) -> tuple[DispatchResult, BackendServer]:
-    """Return the first answer that succeeded, or the last that did not."""
+    """Return the first successful result, or the last failed one, and its server."""
     pending = [(first, server), (second, other)]
-    ended: list[tuple[DispatchResult, BackendServer]] = []
+    results: list[tuple[DispatchResult, BackendServer]] = []
     ready = trio.Event()
 
-    async def wait(read: _Pending, at: BackendServer) -> None:
-        await read.done.wait()
-        assert read.ran is not None
-        ended.append((read.ran, at))
-        if read.ran.done.fate is Fate.DONE or len(ended) == len(pending):
+    async def wait(read: _PendingRead, at: BackendServer) -> None:
+        await read.finished.wait()
+        assert read.dispatched is not None
+        results.append((read.dispatched, at))
+        if read.dispatched.result.fate is Fate.DONE or len(results) == len(pending):
             ready.set()
 
     async with trio.open_nursery() as nursery:
@@ -134,60 +139,60 @@
             nursery.start_soon(wait, read, at)
         await ready.wait()
         nursery.cancel_scope.cancel()
-    # Both may have ended by now: the one that succeeded counts.
-    done = [pair for pair in ended if pair[0].done.fate is Fate.DONE]
-    return done[0] if done else ended[-1]
+    # Both may have finished by now; a successful result takes precedence.
+    successful = [pair for pair in results if pair[0].result.fate is Fate.DONE]
+    return successful[0] if successful else results[-1]
 
 
 class Router:
-    """Runs the statements of sessions."""
+    """Routes statements of sessions to backend servers and retries them where safe."""
 
-    def __init__(self, parts: RouterDependencies) -> None:
-        self._parts = parts
-        self._wait_ms: dict[str, tuple[float, float]] = {}
+    def __init__(self, dependencies: RouterDependencies) -> None:
+        self._dependencies = dependencies
+        self._wait_seen_ms: dict[str, tuple[float, float]] = {}
         self._avoided_until_s: dict[str, float] = {}
-        self._renewing: set[str] = set()
-        self._numbers = itertools.count(1)
+        self._refreshing: set[str] = set()
+        self._attempt_numbers = itertools.count(1)
         # An overload must not grow by reads that are asked twice.
-        self._second_reads = TokenBucket(parts.clock)
-        self._second_reads.resize(SECOND_READS_PER_S, SECOND_READS_PER_S)
+        self._hedge_bucket = TokenBucket(dependencies.clock)
+        self._hedge_bucket.resize(HEDGED_READS_PER_S, HEDGED_READS_PER_S)
 
-    async def read(self, demand: StatementRequest) -> Outcome:
+    async def read(self, statement: StatementRequest) -> Outcome:
         """Run a read outside a transaction."""
-        if demand.route.consistency is Consistency.NEWEST:
-            return await self._at_primary(demand, Scope.PROVEN)
-        return await self._at_any(demand, Scope.ALONE)
+        if statement.route.consistency is Consistency.NEWEST:
+            return await self._run_on_primary(statement, Scope.PROVEN)
+        return await self._run_on_any_server(statement, Scope.ALONE)
 
-    async def write(self, demand: StatementRequest) -> Outcome:
+    async def write(self, statement: StatementRequest) -> Outcome:
         """Run a write outside a transaction."""
-        return await self._at_primary(demand, Scope.ALONE)
+        return await self._run_on_primary(statement, Scope.ALONE)
 
-    async def begin(self, demand: StatementRequest, read_only: bool) -> Outcome:
+    async def begin(self, statement: StatementRequest, read_only: bool) -> Outcome:
         """Run the first statement of a transaction."""
-        if read_only and demand.route.consistency is not Consistency.NEWEST:
-            return await self._at_any(demand, Scope.BEGIN_READ_ONLY)
-        return await self._at_primary(demand, Scope.BEGIN)
+        if read_only and statement.route.consistency is not Consistency.NEWEST:
+            return await self._run_on_any_server(statement, Scope.BEGIN_READ_ONLY)
+        return await self._run_on_primary(statement, Scope.BEGIN)
 
     async def run_in_transaction(
-        self, demand: StatementRequest, placement: Placement
+        self, statement: StatementRequest, placement: Placement
     ) -> Outcome:
-        """Run a later statement of a transaction, or its end."""
-        asked_at_s = self._parts.clock()
-        work = demand.work._replace(
+        """Run a subsequent statement of a transaction, or its commit or rollback."""
+        requested_at_s = self._dependencies.clock()
+        work = statement.work._replace(
             server=placement.server.id,
             scope=Scope.WITHIN,
             transaction=placement.transaction,
-            budget_ms=self._budget_ms(demand),
+            budget_ms=self._budget_ms(statement),
         )
-        done = await self._parts.dispatcher.run_at(placement.host, work)
-        self._learn(placement.server, done, asked_at_s)
-        if done.fate is Fate.DONE:
-            committed = done.position if work.kind is WorkKind.COMMIT else None
-            return Outcome(_completed(done), placement, committed, done.open)
-        return Outcome(_refusal_within(work, done))
+        result = await self._dependencies.dispatcher.run_on_host(placement.host, work)
+        self._record_result(placement.server, result, requested_at_s)
+        if result.fate is Fate.DONE:
+            committed = result.position if work.kind is WorkKind.COMMIT else None
+            return Outcome(_completed(result), placement, committed, result.open)
+        return Outcome(_transaction_refusal(work, result))
 
     def roll_back_abandoned(self, work: Work, placement: Placement) -> None:
-        """Roll a transaction back that nobody waits for, in the background."""
+        """Roll back, in the background, a transaction that no caller waits for."""
         rollback = work._replace(
             server=placement.server.id,
             kind=WorkKind.ROLLBACK,
@@ -195,314 +200,344 @@
             transaction=placement.transaction,
             budget_ms=1_000,
         )
-        self._parts.nursery.start_soon(
-            self._parts.dispatcher.run_at, placement.host, rollback
+        self._dependencies.nursery.start_soon(
+            self._dependencies.dispatcher.run_on_host, placement.host, rollback
         )
 
-    async def _at_primary(self, demand: StatementRequest, scope: Scope) -> Outcome:
-        """Run a statement at the primary; repeated only where it did not run."""
-        reads = demand.work.kind is WorkKind.READ or (
-            demand.work.kind is WorkKind.EXECUTE and not demand.work.shape_writes
+    async def _run_on_primary(
+        self, statement: StatementRequest, scope: Scope
+    ) -> Outcome:
+        """Run a statement on the primary; retry it only if that cannot run it twice.
+
+        Reads and statements that begin a transaction may always be retried.
+        """
+        reads = statement.work.kind is WorkKind.READ or (
+            statement.work.kind is WorkKind.EXECUTE and not statement.work.shape_writes
         )
-        passed_over: set[str] = set()
+        skipped: set[str] = set()
         last: Done | None = None
         failures = 0
         while True:
-            server = self._primary(demand.route.service, passed_over)
-            budget_ms = self._budget_ms(demand)
-            if budget_ms < LEAST_ATTEMPT_MS:
-                return Outcome(_given_up(last))
+            server = self._select_primary(statement.route.service, skipped)
+            budget_ms = self._budget_ms(statement)
+            if budget_ms < MIN_ATTEMPT_MS:
+                return Outcome(_busy_refusal(last))
             if server is None:
-                passed_over.clear()
-                await self._parts.directory.wait_for_change(RETRY_PAUSE_S)
+                skipped.clear()
+                await self._dependencies.directory.wait_for_change(RETRY_PAUSE_S)
                 continue
-            ran = await self._attempt(demand, server, scope, None, budget_ms)
-            done = last = ran.done
-            if done.fate is Fate.DONE:
-                committed = done.position if scope is Scope.ALONE else None
-                placement = Placement(server, ran.host, ran.transaction)
-                return Outcome(_completed(done), placement, committed, done.open)
-            if done.reason is Reason.NOT_LEADER:
-                self._parts.directory.record_leader_denial(server.id)
-                passed_over.add(server.id)
+            dispatched = await self._attempt(statement, server, scope, None, budget_ms)
+            result = last = dispatched.result
+            if result.fate is Fate.DONE:
+                committed = result.position if scope is Scope.ALONE else None
+                placement = Placement(server, dispatched.host, dispatched.transaction)
+                return Outcome(_completed(result), placement, committed, result.open)
+            if result.reason is Reason.NOT_LEADER:
+                self._dependencies.directory.record_leader_denial(server.id)
+                skipped.add(server.id)
                 continue
-            if done.reason is Reason.FAILED and reads:
+            if result.reason is Reason.FAILED and reads:
                 failures += 1
-                if failures <= FAILURES_REPEATED:
+                if failures <= MAX_PRIMARY_READ_RETRIES:
                     continue
-            if _may_repeat(done, reads or scope is Scope.BEGIN):
-                if done.obstacle is Obstacle.OVERLOADED:
-                    return Outcome(_given_up(done))
-                await self._parts.directory.wait_for_change(RETRY_PAUSE_S)
+            if _may_retry(result, reads or scope is Scope.BEGIN):
+                if result.obstacle is Obstacle.OVERLOADED:
+                    return Outcome(_busy_refusal(result))
+                await self._dependencies.directory.wait_for_change(RETRY_PAUSE_S)
                 continue
-            return Outcome(_refusal(done, reads or scope is Scope.BEGIN))
+            return Outcome(_standalone_refusal(result, reads or scope is Scope.BEGIN))
 
-    async def _at_any(self, demand: StatementRequest, scope: Scope) -> Outcome:
-        """Run a read at any server that has what the session must see."""
-        floor = await self._floor(demand)
+    async def _run_on_any_server(
+        self, statement: StatementRequest, scope: Scope
+    ) -> Outcome:
+        """Run a read on any server whose log has reached the required position."""
+        floor = await self._required_position(statement)
         if floor is None:
-            detail = "no primary proved how far its log reaches"
+            detail = "no primary proved its current log position"
             return Outcome(Refused(Reason.BUSY, detail))
-        passed_over: set[str] = set()
+        skipped: set[str] = set()
         last: Done | None = None
         while True:
-            budget_ms = self._budget_ms(demand)
-            if budget_ms < LEAST_ATTEMPT_MS:
-                return Outcome(_given_up(last))
-            server = self._reader(demand.route.service, passed_over)
+            budget_ms = self._budget_ms(statement)
+            if budget_ms < MIN_ATTEMPT_MS:
+                return Outcome(_busy_refusal(last))
+            server = self._select_reader(statement.route.service, skipped)
             if server is None:
-                passed_over.clear()
+                skipped.clear()
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
-            other = self._reader(demand.route.service, {*passed_over, server.id})
+            other = self._select_reader(statement.route.service, {*skipped, server.id})
             movable = other is not None
-            ran, server = await self._read_once(
-                demand, server, other, scope, floor, budget_ms
+            dispatched, server = await self._hedged_read(
+                statement, server, other, scope, floor, budget_ms
             )
-            done = last = ran.done
-            if done.fate is Fate.DONE:
-                leader = self._parts.directory.leader(server.service)
+            result = last = dispatched.result
+            if result.fate is Fate.DONE:
+                leader = self._dependencies.directory.leader(server.service)
                 leads = leader is not None and leader.id == server.id
-                self._parts.meter.count(kinds.READS, "primary" if leads else "replica")
-                placement = Placement(server, ran.host, ran.transaction)
-                return Outcome(_completed(done), placement, None, done.open)
-            if done.reason is Reason.FAILED and movable:
-                # It read nothing: another server may do better.
-                passed_over.add(server.id)
+                self._dependencies.meter.count(
+                    kinds.READS, "primary" if leads else "replica"
+                )
+                placement = Placement(server, dispatched.host, dispatched.transaction)
+                return Outcome(_completed(result), placement, None, result.open)
+            if result.reason is Reason.FAILED and movable:
+                # The read had no effect; another server may succeed.
+                skipped.add(server.id)
                 continue
-            if not _may_repeat(done, repeatable=True):
-                return Outcome(_refusal(done, reads=True))
-            if done.reason is Reason.BEHIND and floor != demand.floor:
-                # Not for what this session alone has just written.
-                self._wait_ms[server.id] = (self._parts.clock(), BEHIND_COSTS_MS)
-            passed_over.add(server.id)
-
-    async def _read_once(
+            if not _may_retry(result, repeatable=True):
+                return Outcome(_standalone_refusal(result, reads=True))
+            if result.reason is Reason.BEHIND and floor != statement.floor:
+                # No penalty if only this session.s own writes are missing there.
+                self._wait_seen_ms[server.id] = (
+                    self._dependencies.clock(),
+                    LAG_PENALTY_MS,
+                )
+            skipped.add(server.id)
+
+    async def _hedged_read(
         self,
-        demand: StatementRequest,
+        statement: StatementRequest,
         server: BackendServer,
         other: BackendServer | None,
         scope: Scope,
         floor: Position,
         budget_ms: int,
     ) -> tuple[DispatchResult, BackendServer]:
-        """Read at a server, and at the ``other`` where the first says nothing.
+        """Read from a server, and from ``other`` too if the first is slow to respond.
 
-        Returns the answer that counts, and whose it is.
+        Returns the result to use and the server that it came from.
         """
         movable = other is not None
         if other is None or scope is not Scope.ALONE:
-            ran = await self._attempt(demand, server, scope, floor, budget_ms, movable)
-            return ran, server
-        first = self._start_read(demand, server, floor, budget_ms)
-        with trio.move_on_after(demand.route.target_ms / 1000 * SECOND_ASKED_PART):
-            await first.done.wait()
-        left_ms = self._budget_ms(demand)
-        late = first.ran is None and left_ms >= LEAST_ATTEMPT_MS
-        if not late or not self._second_reads.take():
-            await first.done.wait()
-            assert first.ran is not None
-            return first.ran, server
-        second = self._start_read(demand, other, floor, left_ms)
-        return await _first_done(first, server, second, other)
+            dispatched = await self._attempt(
+                statement, server, scope, floor, budget_ms, movable
+            )
+            return dispatched, server
+        first = self._start_read(statement, server, floor, budget_ms)
+        with trio.move_on_after(
+            statement.route.target_ms / 1000 * HEDGE_AFTER_FRACTION
+        ):
+            await first.finished.wait()
+        left_ms = self._budget_ms(statement)
+        late = first.dispatched is None and left_ms >= MIN_ATTEMPT_MS
+        if not late or not self._hedge_bucket.take():
+            await first.finished.wait()
+            assert first.dispatched is not None
+            return first.dispatched, server
+        second = self._start_read(statement, other, floor, left_ms)
+        return await _first_success(first, server, second, other)
 
     def _start_read(
         self,
-        demand: StatementRequest,
+        statement: StatementRequest,
         server: BackendServer,
         floor: Position,
         budget_ms: int,
-    ) -> _Pending:
-        """Begin a read that goes on though nobody waits for it any more.
+    ) -> _PendingRead:
+        """Start a read that continues even if no caller waits for it any longer.
 
-        The slower of two is let come in: breaking it off costs a connection.
+        The slower of two reads is not cancelled, as that would cost a connection.
         """
-        read = _Pending()
+        read = _PendingRead()
 
         async def run() -> None:
-            read.ran = await self._attempt(
-                demand, server, Scope.ALONE, floor, budget_ms, movable=True
+            read.dispatched = await self._attempt(
+                statement, server, Scope.ALONE, floor, budget_ms, movable=True
             )
-            read.done.set()
+            read.finished.set()
 
-        self._parts.nursery.start_soon(run)
+        self._dependencies.nursery.start_soon(run)
         return read
 
     async def _attempt(
         self,
-        demand: StatementRequest,
+        statement: StatementRequest,
         server: BackendServer,
         scope: Scope,
         floor: Position | None,
         budget_ms: int,
         movable: bool = False,
     ) -> DispatchResult:
-        asked_at_s = self._parts.clock()
-        # Each attempt opens a transaction of its own: what an earlier one left
-        # open, where its fate is unknown, must not be taken for it.
-        work = demand.work._replace(
+        requested_at_s = self._dependencies.clock()
+        # Each attempt has its own transaction identifier, so that a transaction left
+        # open by a previous attempt of unknown outcome is not mistaken for it.
+        work = statement.work._replace(
             server=server.id,
             scope=scope,
             floor=floor,
             budget_ms=budget_ms,
             movable=movable,
-            transaction=f"{self._parts.name}-{next(self._numbers)}",
+            transaction=f"{self._dependencies.name}-{next(self._attempt_numbers)}",
         )
-        ran = await self._parts.dispatcher.run(server, work)
-        self._learn(server, ran.done, asked_at_s)
-        done = ran.done
-        reason = done.reason.name if done.reason else done.obstacle.name
-        self._parts.meter.count(kinds.ATTEMPTS, done.fate.name, reason)
-        if ran.done.fate is not Fate.DONE:
+        dispatched = await self._dependencies.dispatcher.run(server, work)
+        self._record_result(server, dispatched.result, requested_at_s)
+        result = dispatched.result
+        reason = result.reason.name if result.reason else result.obstacle.name
+        self._dependencies.meter.count(kinds.ATTEMPTS, result.fate.name, reason)
+        if dispatched.result.fate is not Fate.DONE:
             log_event(
                 "attempt.failed",
                 request=work.request_id,
                 service=server.service,
                 server=server.id,
-                host=ran.host,
+                host=dispatched.host,
                 scope=scope.value,
-                fate=ran.done.fate.value,
-                reason=ran.done.reason.name if ran.done.reason else "",
-                obstacle=ran.done.obstacle.value,
-                detail=ran.done.detail,
+                fate=dispatched.result.fate.value,
+                reason=dispatched.result.reason.name
+                if dispatched.result.reason
+                else "",
+                obstacle=dispatched.result.obstacle.value,
+                detail=dispatched.result.detail,
                 floor=floor,
                 budget_ms=budget_ms,
-                took_ms=int((self._parts.clock() - asked_at_s) * 1000),
+                took_ms=int((self._dependencies.clock() - requested_at_s) * 1000),
             )
-        return ran
-
-    def _learn(self, server: BackendServer, done: Done, asked_at_s: float) -> None:
-        if done.led and done.position is not None:
-            self._parts.floors.record_position(
-                server.service, asked_at_s, done.position
+        return dispatched
+
+    def _record_result(
+        self, server: BackendServer, result: Done, requested_at_s: float
+    ) -> None:
+        if result.led and result.position is not None:
+            self._dependencies.floors.record_position(
+                server.service, requested_at_s, result.position
             )
-            self._parts.directory.record_leader_proof(server.service, server.id)
-        wait_ms = float(done.wait_ms)
-        if done.reason is Reason.FAILED or done.obstacle is Obstacle.FAILING:
-            wait_ms += FAILING_COSTS_MS
-        self._wait_ms[server.id] = (self._parts.clock(), wait_ms)
-
-    async def _floor(self, demand: StatementRequest) -> Position | None:
-        """Return the position that a read must see, None where none is proven."""
-        now_s = self._parts.clock()
-        age_s = demand.route.max_age_ms / 1000
-        service = demand.route.service
-        known = self._parts.floors.cached_position(service, now_s - age_s)
-        if known is None:
-            known = await self._proven_since(demand, now_s - age_s)
-            if known is None:
+            self._dependencies.directory.record_leader_proof(server.service, server.id)
+        wait_ms = float(result.wait_ms)
+        if result.reason is Reason.FAILED or result.obstacle is Obstacle.FAILING:
+            wait_ms += FAILURE_PENALTY_MS
+        self._wait_seen_ms[server.id] = (self._dependencies.clock(), wait_ms)
+
+    async def _required_position(self, statement: StatementRequest) -> Position | None:
+        """Return the position that a read must see, or None if none is proven."""
+        now_s = self._dependencies.clock()
+        age_s = statement.route.max_age_ms / 1000
+        service = statement.route.service
+        position = self._dependencies.floors.cached_position(service, now_s - age_s)
+        if position is None:
+            position = await self._await_proof(statement, now_s - age_s)
+            if position is None:
                 return None
         elif (
-            self._parts.floors.cached_position(service, now_s - age_s * RENEW_AT_PART)
+            self._dependencies.floors.cached_position(
+                service, now_s - age_s * REFRESH_AT_FRACTION
+            )
             is None
         ):
-            self._renew(service)
-        return max(known, demand.floor) if demand.floor is not None else known
+            self._start_refresh(service)
+        return (
+            max(position, statement.floor) if statement.floor is not None else position
+        )
 
-    async def _proven_since(
-        self, demand: StatementRequest, since_s: float
+    async def _await_proof(
+        self, statement: StatementRequest, since_s: float
     ) -> Position | None:
-        service, floors = demand.route.service, self._parts.floors
+        service, floors = statement.route.service, self._dependencies.floors
         await floors.refresh_position(service)
-        known = floors.cached_position(service, since_s)
-        while known is None and self._budget_ms(demand) >= LEAST_ATTEMPT_MS:
+        position = floors.cached_position(service, since_s)
+        while position is None and self._budget_ms(statement) >= MIN_ATTEMPT_MS:
             answer = await floors.request_proof(service)
             if answer.is_ok():
                 return answer.unwrap()
             await trio.sleep(RETRY_PAUSE_S)
-            known = floors.cached_position(service, since_s)
-        return known
+            position = floors.cached_position(service, since_s)
+        return position
 
-    def _renew(self, service: str) -> None:
-        if service in self._renewing:
+    def _start_refresh(self, service: str) -> None:
+        if service in self._refreshing:
             return
-        self._renewing.add(service)
-        self._parts.nursery.start_soon(self._renew_now, service)
+        self._refreshing.add(service)
+        self._dependencies.nursery.start_soon(self._refresh_position, service)
 
-    async def _renew_now(self, service: str) -> None:
+    async def _refresh_position(self, service: str) -> None:
         try:
-            await self._parts.floors.refresh_position(service)
+            await self._dependencies.floors.refresh_position(service)
         finally:
-            self._renewing.discard(service)
+            self._refreshing.discard(service)
 
-    def _primary(self, service: str, passed_over: set[str]) -> BackendServer | None:
-        """Return the server to try as the primary."""
-        leader = self._parts.directory.leader(service)
-        if leader is not None and leader.id not in passed_over:
+    def _select_primary(self, service: str, skipped: set[str]) -> BackendServer | None:
+        """Return the server to try as the primary, or None if all were skipped."""
+        leader = self._dependencies.directory.leader(service)
+        if leader is not None and leader.id not in skipped:
             return leader
-        # None is known to lead: any of them says so if it does.
+        # No leader is known; a server that leads accepts the work, others refuse it.
         others = [
             s
-            for s in self._parts.directory.list_servers(service)
-            if not self._leaves(s)
+            for s in self._dependencies.directory.list_servers(service)
+            if not self._is_leaving(s)
         ]
-        others = [s for s in others if s.id not in passed_over]
+        others = [s for s in others if s.id not in skipped]
         return min(others, key=lambda server: server.id, default=None)
 
-    def _leaves(self, server: BackendServer) -> bool:
-        return server.draining or self._parts.directory.is_missing(server.id)
+    def _is_leaving(self, server: BackendServer) -> bool:
+        return server.draining or self._dependencies.directory.is_missing(server.id)
 
-    def _reader(self, service: str, passed_over: set[str]) -> BackendServer | None:
-        """Return the server to read from: the nearest in time, replicas first."""
-        leader = self._parts.directory.leader(service)
+    def _select_reader(self, service: str, skipped: set[str]) -> BackendServer | None:
+        """Return the server with the lowest expected cost of a read, or None.
+
+        Replicas are preferred to the leader. The cost is the distance of the server
+        and its recent wait, which fades out within a second.
+        """
+        leader = self._dependencies.directory.leader(service)
         leader_id = leader.id if leader is not None else ""
         usable = [
             server
-            for server in self._parts.directory.list_servers(service)
-            if server.id not in passed_over and not self._leaves(server)
+            for server in self._dependencies.directory.list_servers(service)
+            if server.id not in skipped and not self._is_leaving(server)
         ]
 
         def cost(server: BackendServer) -> tuple[bool, float, str]:
-            distance = self._parts.topology.distance(
-                self._parts.topology.zone, server.zone
+            distance = self._dependencies.topology.distance(
+                self._dependencies.topology.zone, server.zone
             )
-            seen_s, wait_ms = self._wait_ms.get(server.id, (0.0, 0.0))
-            faded = max(0.0, 1.0 - (self._parts.clock() - seen_s))
+            seen_s, wait_ms = self._wait_seen_ms.get(server.id, (0.0, 0.0))
+            faded = max(0.0, 1.0 - (self._dependencies.clock() - seen_s))
             return server.id == leader_id, distance * 20 + wait_ms * faded, server.id
 
         return min(usable, key=cost, default=None)
 
-    def _budget_ms(self, demand: StatementRequest) -> int:
-        return int((demand.deadline_s - self._parts.clock()) * 1000)
+    def _budget_ms(self, statement: StatementRequest) -> int:
+        return int((statement.deadline_s - self._dependencies.clock()) * 1000)
 
 
-def _completed(done: Done) -> Completed:
-    return Completed(done.rows, done.proof)
+def _completed(result: Done) -> Completed:
+    return Completed(result.rows, result.proof)
 
 
-def _may_repeat(done: Done, repeatable: bool) -> bool:
-    """Whether another attempt can't make the statement run twice."""
-    if done.fate is Fate.NOT_RUN:
+def _may_retry(result: Done, repeatable: bool) -> bool:
+    """Whether a retry cannot run a statement twice that is not ``repeatable``."""
+    if result.fate is Fate.NOT_RUN:
         return True
-    if done.fate is Fate.REFUSED:
-        return done.reason in _NOT_RUN
+    if result.fate is Fate.REFUSED:
+        return result.reason in _NOT_RUN_REASONS
     return repeatable
 
 
-def _given_up(last: Done | None) -> Refused:
-    detail = last.detail if last is not None else "no backend server"
+def _busy_refusal(last: Done | None) -> Refused:
+    detail = last.detail if last is not None else "no backend server available"
     retry_after_ms = last.retry_after_ms if last is not None else 0
     return Refused(Reason.BUSY, detail, retry_after_ms)
 
 
-def _refusal(done: Done, reads: bool) -> Refused:
-    """Return what a caller is told of a statement outside a transaction."""
-    if done.fate is Fate.REFUSED and done.reason is not None:
-        if done.reason in _PASSED_ON:
-            return Refused(done.reason, done.detail)
-        return Refused(Reason.BUSY, done.detail)
-    if done.fate is Fate.NOT_RUN or reads:
-        return Refused(Reason.BUSY, done.detail, done.retry_after_ms)
-    return Refused(Reason.IN_DOUBT, done.detail)
+def _standalone_refusal(result: Done, reads: bool) -> Refused:
+    """Return the response to a failed statement outside a transaction."""
+    if result.fate is Fate.REFUSED and result.reason is not None:
+        if result.reason in _FORWARDED_REASONS:
+            return Refused(result.reason, result.detail)
+        return Refused(Reason.BUSY, result.detail)
+    if result.fate is Fate.NOT_RUN or reads:
+        return Refused(Reason.BUSY, result.detail, result.retry_after_ms)
+    return Refused(Reason.IN_DOUBT, result.detail)
 
 
-def _refusal_within(work: Work, done: Done) -> Refused:
-    """Return what a caller is told of a statement in its transaction."""
+def _transaction_refusal(work: Work, result: Done) -> Refused:
+    """Return the response to a failed statement within a transaction."""
     commits = work.kind is WorkKind.COMMIT
-    if done.fate is Fate.REFUSED and done.reason is not None:
-        if done.reason in _NOT_RUN or done.reason is Reason.ABORTED:
-            return Refused(Reason.ABORTED, done.detail)
-        return Refused(_PASSED_ON.get(done.reason, Reason.IN_DOUBT), done.detail)
-    if done.fate is Fate.UNKNOWN and commits:
-        return Refused(Reason.IN_DOUBT, done.detail)
-    return Refused(Reason.ABORTED, done.detail)
+    if result.fate is Fate.REFUSED and result.reason is not None:
+        if result.reason in _NOT_RUN_REASONS or result.reason is Reason.ABORTED:
+            return Refused(Reason.ABORTED, result.detail)
+        return Refused(
+            _FORWARDED_REASONS.get(result.reason, Reason.IN_DOUBT), result.detail
+        )
+    if result.fate is Fate.UNKNOWN and commits:
+        return Refused(Reason.IN_DOUBT, result.detail)
+    return Refused(Reason.ABORTED, result.detail)
--- a/src/rattanhollow/routing/_places.py
+++ b/src/rattanhollow/routing/_zone_topology.py
@@ -1,10 +1,10 @@
-"""How far availability zones lie apart."""
+"""Distances between availability zones."""
 
 from typing import NamedTuple
 
 SAME_ZONE = 0
 SAME_REGION = 1
-ELSEWHERE = 2
+OTHER_REGION = 2
 
 
 class ZoneTopology(NamedTuple):
@@ -14,14 +14,14 @@
     region_of: dict[str, str]
 
     def region(self, zone: str) -> str:
-        """Return the region of a zone; one that isn't known is a region of its own."""
+        """Return the region of a zone; an unknown zone is its own region."""
         return self.region_of.get(zone, zone)
 
-    def distance(self, one: str, other: str) -> int:
+    def distance(self, zone: str, other_zone: str) -> int:
         """Return 0 within a zone, 1 within a region, 2 otherwise."""
-        if one == other:
+        if zone == other_zone:
             return SAME_ZONE
-        region = self.region_of.get(one)
-        if region is not None and region == self.region_of.get(other):
+        region = self.region_of.get(zone)
+        if region is not None and region == self.region_of.get(other_zone):
             return SAME_REGION
-        return ELSEWHERE
+        return OTHER_REGION
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -173,7 +173,7 @@
             await self.script(server.id, work), "host-1", work.transaction
         )
 
-    async def run_at(self, host: str, work: Work) -> Done:
+    async def run_on_host(self, host: str, work: Work) -> Done:
         """Stand in for one host that serves."""
         self.tried.append((work.server, work))
         return await self.script(work.server, work)
