--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -149,11 +149,11 @@
 
     def __init__(self, dependencies: RouterDependencies) -> None:
         self._dependencies = dependencies
-        self._wait_seen_ms: dict[str, tuple[float, float]] = {}
+        self._recent_wait_ms: dict[str, tuple[float, float]] = {}
         self._avoided_until_s: dict[str, float] = {}
         self._refreshing: set[str] = set()
         self._attempt_numbers = itertools.count(1)
-        # An overload must not grow by reads that are asked twice.
+        # Limits hedged reads, so that they do not aggravate an overload.
         self._hedge_bucket = TokenBucket(dependencies.clock)
         self._hedge_bucket.resize(HEDGED_READS_PER_S, HEDGED_READS_PER_S)
 
@@ -209,7 +209,8 @@
     ) -> Outcome:
         """Run a statement on the primary; retry it only if that cannot run it twice.
 
-        Reads and statements that begin a transaction may always be retried.
+        Reads and statements that begin a transaction are also retried after an unknown
+        outcome.
         """
         reads = statement.work.kind is WorkKind.READ or (
             statement.work.kind is WorkKind.EXECUTE and not statement.work.shape_writes
@@ -287,8 +288,8 @@
             if not _may_retry(result, repeatable=True):
                 return Outcome(_standalone_refusal(result, reads=True))
             if result.reason is Reason.BEHIND and floor != statement.floor:
-                # No penalty if only this session.s own writes are missing there.
-                self._wait_seen_ms[server.id] = (
+                # No penalty if only this session's own writes are missing there.
+                self._recent_wait_ms[server.id] = (
                     self._dependencies.clock(),
                     LAG_PENALTY_MS,
                 )
@@ -405,7 +406,7 @@
         wait_ms = float(result.wait_ms)
         if result.reason is Reason.FAILED or result.obstacle is Obstacle.FAILING:
             wait_ms += FAILURE_PENALTY_MS
-        self._wait_seen_ms[server.id] = (self._dependencies.clock(), wait_ms)
+        self._recent_wait_ms[server.id] = (self._dependencies.clock(), wait_ms)
 
     async def _required_position(self, statement: StatementRequest) -> Position | None:
         """Return the position that a read must see, or None if none is proven."""
@@ -435,9 +436,9 @@
         await floors.refresh_position(service)
         position = floors.cached_position(service, since_s)
         while position is None and self._budget_ms(statement) >= MIN_ATTEMPT_MS:
-            answer = await floors.request_proof(service)
-            if answer.is_ok():
-                return answer.unwrap()
+            response = await floors.request_proof(service)
+            if response.is_ok():
+                return response.unwrap()
             await trio.sleep(RETRY_PAUSE_S)
             position = floors.cached_position(service, since_s)
         return position
@@ -455,7 +456,7 @@
             self._refreshing.discard(service)
 
     def _select_primary(self, service: str, skipped: set[str]) -> BackendServer | None:
-        """Return the server to try as the primary, or None if all were skipped."""
+        """Return the server to try as the primary, or None without a candidate."""
         leader = self._dependencies.directory.leader(service)
         if leader is not None and leader.id not in skipped:
             return leader
@@ -489,7 +490,7 @@
             distance = self._dependencies.topology.distance(
                 self._dependencies.topology.zone, server.zone
             )
-            seen_s, wait_ms = self._wait_seen_ms.get(server.id, (0.0, 0.0))
+            seen_s, wait_ms = self._recent_wait_ms.get(server.id, (0.0, 0.0))
             faded = max(0.0, 1.0 - (self._dependencies.clock() - seen_s))
             return server.id == leader_id, distance * 20 + wait_ms * faded, server.id
 
@@ -504,7 +505,7 @@
 
 
 def _may_retry(result: Done, repeatable: bool) -> bool:
-    """Whether a retry cannot run a statement twice that is not ``repeatable``."""
+    """Whether a retry is safe: the statement did not run, or may run twice."""
     if result.fate is Fate.NOT_RUN:
         return True
     if result.fate is Fate.REFUSED:
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -1,4 +1,4 @@
-"""What others write into the platform's store: read, or refused with a reason."""
+"""Decoding of what others write into the store of the platform, and its errors."""
 
 from typing import Any
 
@@ -25,12 +25,12 @@
 
 
 def stored(version: int = 7, **changes: Any) -> Stored:
-    """Return a server's entry with some fields changed."""
+    """Return the stored entry of a server with some fields changed."""
     return Stored("servers", "i-7f", version, {**SERVER, **changes})
 
 
 def test_a_server_is_decoded() -> None:
-    """Each field, in our words."""
+    """Each field is mapped to the field of `BackendServer`."""
     server = read_server(stored()).unwrap()
     assert (server.id, server.address, server.port) == ("i-7f", "10.128.0.9", 8080)
     assert (server.slots, server.draining, server.leads) == (3, False, False)
@@ -60,8 +60,8 @@
     assert field in read_server(stored(**{field: value})).unwrap_err()
 
 
-def test_a_malformed_entry_names_no_server() -> None:
-    """An entry that becomes unreadable is passed over; the others hold."""
+def test_a_malformed_entry_adds_no_server() -> None:
+    """An unreadable entry is ignored; the other servers remain."""
     directory = ServerDirectory(read_server, lambda: 0.0)
     directory.apply_description(stored(), "i-7f")
     assert [server.id for server in directory.list_servers("huvo11a")] == ["i-7f"]
@@ -70,7 +70,7 @@
 
 
 def test_a_configuration_is_decoded() -> None:
-    """Routes by the name that callers ask for, keys as digests."""
+    """Routes are indexed by the name that callers request, keys by digest."""
     routes = read_routes(configuration(3)).unwrap()
     assert routes.version == 3
     assert routes.routes["bounded"].consistency is Consistency.BOUNDED
@@ -93,12 +93,12 @@
     ],
 )
 def test_a_malformed_configuration_is_refused(part: str, value: Any) -> None:
-    """A reason comes back, never half a configuration."""
+    """The outcome is an error, never a partial configuration."""
     assert read_routes({**configuration(3), part: value}).is_err()
 
 
-def test_fractions_of_a_rate_are_not_granted() -> None:
-    """A rate that is no whole number is rounded down, not refused."""
+def test_a_fractional_rate_is_rounded_down() -> None:
+    """A rate that is not a whole number is accepted."""
     tenant = {"name": "a", "api_keys": [], "rate_per_s": 12.8, "burst": 3.0}
     routes = read_routes(configuration(3, tenants=[tenant])).unwrap()
     assert routes.organisations["a"].rate_per_s == 12
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,6 +1,6 @@
-"""Who is held to lead, where statements go, what is repeated, what is told.
+"""Choice of the leader, routing of statements, retries and responses to callers.
 
-No network: scripted serving hosts, time that jumps.
+No network: scripted serving hosts and simulated time.
 """
 
 from collections.abc import Awaitable, Callable
@@ -43,8 +43,8 @@
 PROVEN = Position(1, 50)
 
 
-def entry(number: int, version: int, leads: bool, **changes: Any) -> Stored:
-    """Return the description of a server."""
+def make_description(number: int, version: int, leads: bool, **changes: Any) -> Stored:
+    """Return a stored description of a server."""
     spec = {
         "service": SERVICE,
         "address": f"10.0.0.{number + 1}:1",
@@ -70,70 +70,74 @@
         return self.now_s
 
 
-def directory_of(clock: Callable[[], float]) -> ServerDirectory:
+def make_directory(clock: Callable[[], float]) -> ServerDirectory:
     """Return a directory of three servers, the first of which leads."""
     directory = ServerDirectory(read_server, clock)
     for number in range(3):
         directory.apply_description(
-            entry(number, number + 1, leads=number == 0), f"i-{number}"
+            make_description(number, number + 1, leads=number == 0), f"i-{number}"
         )
     return directory
 
 
-def leader_of(directory: ServerDirectory) -> str:
-    """Return the identifier of the server held to lead."""
+def leader_id(directory: ServerDirectory) -> str:
+    """Return the identifier of the presumed primary, or an empty string."""
     leader = directory.leader(SERVICE)
     return leader.id if leader is not None else ""
 
 
-def test_the_newest_description_that_leads_wins() -> None:
-    """A deposed primary that still says that it leads is older."""
-    directory = directory_of(Clock())
-    assert leader_of(directory) == "i-0"
-    directory.apply_description(entry(1, 9, leads=True), "i-1")
-    assert leader_of(directory) == "i-1"
-    directory.apply_description(entry(0, 10, leads=True, cold_left_ms=5), "i-0")
-    assert leader_of(directory) == "i-1"
+def test_the_newest_description_that_claims_leadership_wins() -> None:
+    """A deposed primary that still claims leadership has an older description."""
+    directory = make_directory(Clock())
+    assert leader_id(directory) == "i-0"
+    directory.apply_description(make_description(1, 9, leads=True), "i-1")
+    assert leader_id(directory) == "i-1"
+    directory.apply_description(
+        make_description(0, 10, leads=True, cold_left_ms=5), "i-0"
+    )
+    assert leader_id(directory) == "i-1"
 
 
-def test_what_servers_say_goes_before_older_descriptions() -> None:
-    """A refusal denies, a proof confirms, until something newer is described."""
-    directory = directory_of(Clock())
+def test_responses_of_servers_override_older_descriptions() -> None:
+    """A denial or a proof of leadership holds until a newer description claims it."""
+    directory = make_directory(Clock())
     directory.record_leader_denial("i-0")
-    assert leader_of(directory) == ""
+    assert leader_id(directory) == ""
     directory.record_leader_proof(SERVICE, "i-2")
-    assert leader_of(directory) == "i-2"
-    directory.apply_description(entry(1, 9, leads=True), "i-1")
-    assert leader_of(directory) == "i-1"
+    assert leader_id(directory) == "i-2"
+    directory.apply_description(make_description(1, 9, leads=True), "i-1")
+    assert leader_id(directory) == "i-1"
 
 
-def test_a_lapsed_description_is_held_for_a_while() -> None:
-    """It may be back within seconds; later it counts as gone, then is forgotten."""
+def test_a_missing_description_is_kept_for_a_grace_period() -> None:
+    """It may return within seconds; then the server is missing, and later removed."""
     clock = Clock()
-    directory = directory_of(clock)
+    directory = make_directory(clock)
     directory.apply_description(None, "i-0")
     clock.now_s = 2.0
-    assert leader_of(directory) == "i-0" and not directory.is_missing("i-0")
+    assert leader_id(directory) == "i-0" and not directory.is_missing("i-0")
     clock.now_s = 3.0
-    assert leader_of(directory) == "i-0" and directory.is_missing("i-0")
+    assert leader_id(directory) == "i-0" and directory.is_missing("i-0")
     clock.now_s = 6.0
-    assert leader_of(directory) == "" and directory.find("i-0") is None
+    assert leader_id(directory) == "" and directory.find("i-0") is None
 
 
-def test_a_leaving_server_that_is_gone_is_forgotten_at_once() -> None:
-    """It said that it leaves: nothing brings it back."""
-    directory = directory_of(Clock())
-    directory.apply_description(entry(2, 9, leads=False, state="draining"), "i-2")
+def test_a_draining_server_without_description_is_removed_at_once() -> None:
+    """A server that announced its shutdown is not expected to return."""
+    directory = make_directory(Clock())
+    directory.apply_description(
+        make_description(2, 9, leads=False, state="draining"), "i-2"
+    )
     directory.apply_description(None, "i-2")
     assert directory.find("i-2") is None
 
 
-def test_lost_replicas_and_new_starts_are_remembered() -> None:
-    """A succession has to know whose log may be missing."""
+def test_missing_replicas_and_restarts_are_recorded() -> None:
+    """A succession must know which logs may be unavailable."""
     clock = Clock()
-    directory = directory_of(clock)
+    directory = make_directory(clock)
     clock.now_s = 5.0
-    directory.apply_description(entry(1, 9, leads=False, born=2), "i-1")
+    directory.apply_description(make_description(1, 9, leads=False, born=2), "i-1")
     assert directory.restarted_at_s("i-1") == 5.0
     assert directory.replica_missing_at_s(SERVICE) is None
     clock.now_s = 7.0
@@ -144,14 +148,14 @@
 Script = Callable[[str, Work], Awaitable[Done]]
 
 
-class Bench:
-    """A router over scripted serving hosts."""
+class RouterHarness:
+    """A router whose serving hosts are scripted."""
 
     def __init__(self, nursery: trio.Nursery, script: Script) -> None:
         self.script = script
-        self.tried: list[tuple[str, Work]] = []
+        self.attempts: list[tuple[str, Work]] = []
         self.proofs = 0
-        self.directory = directory_of(trio.current_time)
+        self.directory = make_directory(trio.current_time)
         self.floors = FloorCache(self._prove, trio.current_time)
         self.router = Router(
             RouterDependencies(
@@ -167,15 +171,15 @@
         )
 
     async def run(self, server: Any, work: Work) -> DispatchResult:
-        """Stand in for the hosts that serve."""
-        self.tried.append((server.id, work))
+        """Simulate `WorkDispatcher.run`."""
+        self.attempts.append((server.id, work))
         return DispatchResult(
             await self.script(server.id, work), "host-1", work.transaction
         )
 
     async def run_on_host(self, host: str, work: Work) -> Done:
-        """Stand in for one host that serves."""
-        self.tried.append((work.server, work))
+        """Simulate `WorkDispatcher.run_on_host`."""
+        self.attempts.append((work.server, work))
         return await self.script(work.server, work)
 
     async def _prove(self, service: str) -> ProofAnswer:
@@ -185,259 +189,263 @@
     @property
     def servers(self) -> list[str]:
         """The servers tried, in order."""
-        return [server for server, _ in self.tried]
+        return [server for server, _ in self.attempts]
 
 
-def route(consistency: Consistency) -> Route:
+def make_route(consistency: Consistency) -> Route:
     """Return a route."""
     return Route("r", SERVICE, consistency, 1_000, 600, 1, 1_500, False)
 
 
-def demand(
+def make_request(
     kind: WorkKind = WorkKind.READ,
     consistency: Consistency = Consistency.BOUNDED,
     floor: Position | None = None,
 ) -> StatementRequest:
-    """Return a statement with a second's time."""
+    """Return a statement request with a deadline in one second."""
     work = Work("", "kirk", "r", kind, Scope.ALONE, text="READ a")
-    return StatementRequest(route(consistency), work, floor, trio.current_time() + 1)
+    return StatementRequest(
+        make_route(consistency), work, floor, trio.current_time() + 1
+    )
 
 
-def on_bench(
-    script: Script, scenario: Callable[[Bench], Awaitable[Any]], seed: int = 0
+def run_scenario(
+    script: Script, scenario: Callable[[RouterHarness], Awaitable[Any]], seed: int = 0
 ) -> None:
-    """Run a scenario in time that jumps."""
+    """Run a scenario in simulated time."""
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
-            await scenario(Bench(nursery, script))
+            await scenario(RouterHarness(nursery, script))
             nursery.cancel_scope.cancel()
 
     run_jumping(main, seed)
 
 
-async def done(server: str, work: Work) -> Done:
-    """Succeed everywhere."""
+async def succeed(server: str, work: Work) -> Done:
+    """Succeed on any server."""
     return Done(Fate.DONE, position=Position(1, 60), led=server == "i-0")
 
 
 def refused(reason: Reason) -> Done:
-    """Return a refusal of the server."""
+    """Return a refusal by the server."""
     return Done(Fate.REFUSED, reason=reason, detail=reason.name)
 
 
 def reason_of(outcome: Outcome) -> Reason:
-    """Return why the caller was refused."""
+    """Return the reason of a refusal."""
     assert isinstance(outcome.answer, Refused)
     return outcome.answer.reason
 
 
-def test_a_read_that_a_server_fails_is_asked_elsewhere() -> None:
-    """A server that fails what it is given costs a read one more question."""
+def test_a_read_that_a_server_fails_is_retried_on_another() -> None:
+    """A failing server costs one read another attempt; the next read avoids it."""
 
     async def script(server: str, work: Work) -> Done:
         if server == "i-1":
             return refused(Reason.FAILED)
-        return await done(server, work)
+        return await succeed(server, work)
 
-    async def scenario(bench: Bench) -> None:
-        outcome = await bench.router.read(demand())
+    async def scenario(harness: RouterHarness) -> None:
+        outcome = await harness.router.read(make_request())
         assert isinstance(outcome.answer, Completed)
-        assert bench.servers == ["i-1", "i-2"]
-        await bench.router.read(demand())
-        assert bench.servers[2:] == ["i-2"]
+        assert harness.servers == ["i-1", "i-2"]
+        await harness.router.read(make_request())
+        assert harness.servers[2:] == ["i-2"]
 
-    on_bench(script, scenario)
+    run_scenario(script, scenario)
 
 
-def test_a_replica_that_is_behind_is_left_for_a_while() -> None:
-    """While it lags reads begin elsewhere; what it alone lacks says nothing."""
+def test_a_lagging_replica_is_avoided_for_a_while() -> None:
+    """Lacking the writes of one session only is not counted as lagging."""
 
     async def script(server: str, work: Work) -> Done:
         if server == "i-1":
             return refused(Reason.BEHIND)
-        return await done(server, work)
-
-    async def scenario(bench: Bench) -> None:
-        await bench.router.read(demand(floor=Position(1, 90)))
-        assert bench.servers == ["i-1", "i-2"]
-        await bench.router.read(demand())
-        assert bench.servers[2:] == ["i-1", "i-2"]
-        await bench.router.read(demand())
-        assert bench.servers[4:] == ["i-2"]
+        return await succeed(server, work)
+
+    async def scenario(harness: RouterHarness) -> None:
+        await harness.router.read(make_request(floor=Position(1, 90)))
+        assert harness.servers == ["i-1", "i-2"]
+        await harness.router.read(make_request())
+        assert harness.servers[2:] == ["i-1", "i-2"]
+        await harness.router.read(make_request())
+        assert harness.servers[4:] == ["i-2"]
         await trio.sleep(1.0)
-        await bench.router.read(demand())
-        assert bench.servers[5:] == ["i-1", "i-2"]
+        await harness.router.read(make_request())
+        assert harness.servers[5:] == ["i-1", "i-2"]
 
-    on_bench(script, scenario)
+    run_scenario(script, scenario)
 
 
-def test_a_read_that_stays_unanswered_is_asked_elsewhere() -> None:
-    """A server, or its serving host, that has gone silent costs part of the time."""
+def test_a_read_without_response_is_hedged() -> None:
+    """An unresponsive server or serving host uses up only a part of the time."""
 
     async def script(server: str, work: Work) -> Done:
         if server == "i-1":
             await trio.sleep(5)
-        return await done(server, work)
+        return await succeed(server, work)
 
-    async def scenario(bench: Bench) -> None:
+    async def scenario(harness: RouterHarness) -> None:
         began_s = trio.current_time()
-        # The bucket of second reads begins empty.
+        # The token bucket of hedged reads is empty at first.
         await trio.sleep(0.5)
-        outcome = await bench.router.read(demand())
+        outcome = await harness.router.read(make_request())
         assert isinstance(outcome.answer, Completed)
-        assert bench.servers == ["i-1", "i-2"]
+        assert harness.servers == ["i-1", "i-2"]
         assert trio.current_time() - began_s < 1.1
 
-    on_bench(script, scenario)
+    run_scenario(script, scenario)
 
 
-def test_a_slow_answer_that_succeeds_is_delivered() -> None:
-    """The other server may fail: the first answer still counts."""
+def test_a_slow_success_is_returned_if_the_hedged_read_fails() -> None:
+    """The failure of the second server must not hide the result of the first."""
 
     async def script(server: str, work: Work) -> Done:
         if server == "i-1":
             await trio.sleep(0.5)
-            return await done(server, work)
+            return await succeed(server, work)
         return refused(Reason.BUSY)
 
-    async def scenario(bench: Bench) -> None:
+    async def scenario(harness: RouterHarness) -> None:
         await trio.sleep(0.5)
-        outcome = await bench.router.read(demand())
+        outcome = await harness.router.read(make_request())
         assert isinstance(outcome.answer, Completed)
-        assert bench.servers == ["i-1", "i-2"]
+        assert harness.servers == ["i-1", "i-2"]
 
-    on_bench(script, scenario)
+    run_scenario(script, scenario)
 
 
-def test_of_two_answers_at_once_the_success_is_delivered() -> None:
-    """A failure that comes in the same moment doesn't hide it."""
+def test_of_two_simultaneous_results_the_success_is_returned() -> None:
+    """A failure received at the same moment must not hide the success."""
 
     async def script(server: str, work: Work) -> Done:
         at_s = 1.2 - trio.current_time()
         await trio.sleep(at_s)
-        return refused(Reason.BUSY) if server == "i-2" else await done(server, work)
+        return refused(Reason.BUSY) if server == "i-2" else await succeed(server, work)
 
-    async def scenario(bench: Bench) -> None:
+    async def scenario(harness: RouterHarness) -> None:
         await trio.sleep(0.5)
-        outcome = await bench.router.read(demand())
+        outcome = await harness.router.read(make_request())
         assert isinstance(outcome.answer, Completed)
-        assert bench.servers == ["i-1", "i-2"]
+        assert harness.servers == ["i-1", "i-2"]
 
     for seed in range(10):
-        on_bench(script, scenario, seed)
+        run_scenario(script, scenario, seed)
 
 
-def test_few_reads_are_asked_twice() -> None:
-    """Where all servers are slow, a flood of reads is not doubled."""
+def test_hedged_reads_are_limited() -> None:
+    """If all servers are slow, hedging must not double the load."""
 
     async def script(server: str, work: Work) -> Done:
         await trio.sleep(0.4)
-        return await done(server, work)
+        return await succeed(server, work)
 
-    async def scenario(bench: Bench) -> None:
+    async def scenario(harness: RouterHarness) -> None:
         async with trio.open_nursery() as nursery:
             for _ in range(100):
-                nursery.start_soon(bench.router.read, demand())
-        assert len(bench.tried) <= 100 + 8
+                nursery.start_soon(harness.router.read, make_request())
+        assert len(harness.attempts) <= 100 + 8
 
-    on_bench(script, scenario)
+    run_scenario(script, scenario)
 
 
-def test_the_last_server_s_failure_is_passed_on() -> None:
-    """Where all fail, the caller hears of it at once."""
+def test_the_failure_of_the_last_server_is_returned() -> None:
+    """If all servers fail, the caller receives the failure at once."""
 
     async def script(server: str, work: Work) -> Done:
         return refused(Reason.FAILED)
 
-    async def scenario(bench: Bench) -> None:
-        assert reason_of(await bench.router.read(demand())) is Reason.FAILED
-        assert sorted(bench.servers) == ["i-0", "i-1", "i-2"]
-        assert [work.movable for _, work in bench.tried] == [True, True, False]
+    async def scenario(harness: RouterHarness) -> None:
+        assert reason_of(await harness.router.read(make_request())) is Reason.FAILED
+        assert sorted(harness.servers) == ["i-0", "i-1", "i-2"]
+        assert [work.movable for _, work in harness.attempts] == [True, True, False]
 
-    on_bench(script, scenario)
+    run_scenario(script, scenario)
 
 
-def test_a_read_that_only_the_primary_may_answer_is_repeated_there() -> None:
-    """A primary that fails part of its work answers the next time, or not."""
+def test_a_read_that_needs_the_primary_is_retried_there() -> None:
+    """A primary that fails only some of its work may succeed on a retry."""
     failures = 0
 
     async def script(server: str, work: Work) -> Done:
         nonlocal failures
         failures += 1
-        return refused(Reason.FAILED) if failures <= 2 else await done(server, work)
+        return refused(Reason.FAILED) if failures <= 2 else await succeed(server, work)
 
-    async def scenario(bench: Bench) -> None:
-        newest = demand(consistency=Consistency.NEWEST)
-        assert isinstance((await bench.router.read(newest)).answer, Completed)
-        assert bench.servers == ["i-0"] * 3
+    async def scenario(harness: RouterHarness) -> None:
+        newest = make_request(consistency=Consistency.NEWEST)
+        assert isinstance((await harness.router.read(newest)).answer, Completed)
+        assert harness.servers == ["i-0"] * 3
 
-    on_bench(script, scenario)
+    run_scenario(script, scenario)
 
 
 @pytest.mark.parametrize("kind", [WorkKind.WRITE])
-def test_a_write_that_failed_is_not_repeated(kind: WorkKind) -> None:
-    """It ran: the caller decides what becomes of it."""
+def test_a_failed_write_is_not_retried(kind: WorkKind) -> None:
+    """It ran, so the decision is left to the caller."""
 
     async def script(server: str, work: Work) -> Done:
         return refused(Reason.FAILED)
 
-    async def scenario(bench: Bench) -> None:
-        assert reason_of(await bench.router.write(demand(kind))) is Reason.FAILED
-        assert bench.servers == ["i-0"]
+    async def scenario(harness: RouterHarness) -> None:
+        assert (
+            reason_of(await harness.router.write(make_request(kind))) is Reason.FAILED
+        )
+        assert harness.servers == ["i-0"]
 
-    on_bench(script, scenario)
+    run_scenario(script, scenario)
 
 
-def test_reads_go_to_the_near_replica_with_a_floor() -> None:
-    """The host's own zone first, the primary kept for what only it can do."""
+def test_reads_go_to_the_nearest_replica_with_a_floor() -> None:
+    """The zone of the host is preferred; the primary is spared for what needs it."""
 
-    async def scenario(bench: Bench) -> None:
-        outcome = await bench.router.read(demand())
+    async def scenario(harness: RouterHarness) -> None:
+        outcome = await harness.router.read(make_request())
         assert isinstance(outcome.answer, Completed)
-        server, work = bench.tried[0]
+        server, work = harness.attempts[0]
         assert (server, work.floor, work.scope) == ("i-1", PROVEN, Scope.ALONE)
-        later = await bench.router.read(demand(floor=Position(1, 70)))
-        assert isinstance(later.answer, Completed)
-        assert bench.tried[1][1].floor == Position(1, 70)
-        assert bench.proofs == 1
+        second = await harness.router.read(make_request(floor=Position(1, 70)))
+        assert isinstance(second.answer, Completed)
+        assert harness.attempts[1][1].floor == Position(1, 70)
+        assert harness.proofs == 1
 
-    on_bench(done, scenario)
+    run_scenario(succeed, scenario)
 
 
-def test_the_newest_reads_are_proven_at_the_primary() -> None:
-    """On such routes a read runs where leadership is checked."""
+def test_newest_reads_are_proven_on_the_primary() -> None:
+    """A read on such a route runs on a server that proves its leadership."""
 
-    async def scenario(bench: Bench) -> None:
-        await bench.router.read(demand(consistency=Consistency.NEWEST))
-        server, work = bench.tried[0]
+    async def scenario(harness: RouterHarness) -> None:
+        await harness.router.read(make_request(consistency=Consistency.NEWEST))
+        server, work = harness.attempts[0]
         assert (server, work.scope) == ("i-0", Scope.PROVEN)
 
-    on_bench(done, scenario)
+    run_scenario(succeed, scenario)
 
 
 def test_an_old_proof_is_not_used() -> None:
-    """A floor must cover all that was acknowledged up to the allowed age."""
+    """A floor must cover every commit acknowledged before the maximum age."""
 
-    async def scenario(bench: Bench) -> None:
-        await bench.router.read(demand())
+    async def scenario(harness: RouterHarness) -> None:
+        await harness.router.read(make_request())
         await trio.sleep(1.6)
-        await bench.router.read(demand())
-        assert bench.proofs == 2
+        await harness.router.read(make_request())
+        assert harness.proofs == 2
 
-    on_bench(done, scenario)
+    run_scenario(succeed, scenario)
 
 
-def test_proofs_are_renewed_before_they_lapse() -> None:
-    """Reads don't wait for a proof while there is traffic."""
+def test_proofs_are_refreshed_before_they_expire() -> None:
+    """With continuous traffic, reads do not wait for a proof."""
 
-    async def scenario(bench: Bench) -> None:
+    async def scenario(harness: RouterHarness) -> None:
         for _ in range(20):
-            await bench.router.read(demand())
+            await harness.router.read(make_request())
             await trio.sleep(0.25)
-        assert 5 <= bench.proofs <= 10
+        assert 5 <= harness.proofs <= 10
 
-    on_bench(done, scenario)
+    run_scenario(succeed, scenario)
 
 
 @pytest.mark.parametrize(
@@ -451,22 +459,22 @@
         unknown(Obstacle.HOST_LOST, "x"),
     ],
 )
-def test_a_read_that_fails_is_asked_elsewhere(failure: Done) -> None:
-    """Whatever became of it: a read may run twice."""
+def test_a_read_that_did_not_succeed_is_retried_on_another(failure: Done) -> None:
+    """Whatever the outcome, a read may run twice."""
 
     async def script(server: str, work: Work) -> Done:
-        return failure if server == "i-1" else await done(server, work)
+        return failure if server == "i-1" else await succeed(server, work)
 
-    async def scenario(bench: Bench) -> None:
-        outcome = await bench.router.read(demand())
+    async def scenario(harness: RouterHarness) -> None:
+        outcome = await harness.router.read(make_request())
         assert isinstance(outcome.answer, Completed)
-        assert bench.servers == ["i-1", "i-2"]
+        assert harness.servers == ["i-1", "i-2"]
 
-    on_bench(script, scenario)
+    run_scenario(script, scenario)
 
 
 @pytest.mark.parametrize(
-    ("failure", "told"),
+    ("failure", "expected"),
     [
         (unknown(Obstacle.LOST, "x"), Reason.IN_DOUBT),
         (unknown(Obstacle.HOST_LOST, "x"), Reason.IN_DOUBT),
@@ -475,70 +483,72 @@
         (refused(Reason.FAILED), Reason.FAILED),
     ],
 )
-def test_a_write_that_may_have_run_is_not_repeated(failure: Done, told: Reason) -> None:
-    """It runs once, and nobody is told that nothing of it is kept."""
+def test_a_write_that_may_have_run_is_not_retried(
+    failure: Done, expected: Reason
+) -> None:
+    """It runs at most once, and the reason must not imply that it was not kept."""
 
     async def script(server: str, work: Work) -> Done:
         return failure
 
-    async def scenario(bench: Bench) -> None:
-        outcome = await bench.router.write(demand(WorkKind.WRITE))
-        assert reason_of(outcome) is told and told not in NOTHING_KEPT
-        assert bench.servers == ["i-0"]
+    async def scenario(harness: RouterHarness) -> None:
+        outcome = await harness.router.write(make_request(WorkKind.WRITE))
+        assert reason_of(outcome) is expected and expected not in NOTHING_KEPT
+        assert harness.servers == ["i-0"]
 
-    on_bench(script, scenario)
+    run_scenario(script, scenario)
 
 
 def test_a_write_that_did_not_run_goes_to_the_new_primary() -> None:
-    """A refusal for want of leadership moves it on; its position is kept."""
+    """It moves on after a `NOT_LEADER` refusal, and its position is returned."""
 
     async def script(server: str, work: Work) -> Done:
         if server == "i-0":
             return refused(Reason.NOT_LEADER)
         return Done(Fate.DONE, position=Position(2, 61), led=True)
 
-    async def scenario(bench: Bench) -> None:
-        outcome = await bench.router.write(demand(WorkKind.WRITE))
+    async def scenario(harness: RouterHarness) -> None:
+        outcome = await harness.router.write(make_request(WorkKind.WRITE))
         assert isinstance(outcome.answer, Completed)
         assert outcome.committed == Position(2, 61)
-        assert bench.servers[0] == "i-0" and len(bench.servers) == 2
-        assert leader_of(bench.directory) == bench.servers[1]
+        assert harness.servers[0] == "i-0" and len(harness.servers) == 2
+        assert leader_id(harness.directory) == harness.servers[1]
 
-    on_bench(script, scenario)
+    run_scenario(script, scenario)
 
 
-def test_a_write_waits_for_a_primary_within_its_time() -> None:
-    """While the primary is replaced the statement waits, then says it did not run."""
+def test_a_write_waits_for_a_primary_until_its_deadline() -> None:
+    """It waits while the primary is replaced, then is refused as not run."""
 
     async def script(server: str, work: Work) -> Done:
         return not_run(Obstacle.SWITCHING, "x")
 
-    async def scenario(bench: Bench) -> None:
-        outcome = await bench.router.write(demand(WorkKind.WRITE))
+    async def scenario(harness: RouterHarness) -> None:
+        outcome = await harness.router.write(make_request(WorkKind.WRITE))
         assert reason_of(outcome) is Reason.BUSY
         assert trio.current_time() <= 1.01
 
-    on_bench(script, scenario)
+    run_scenario(script, scenario)
 
 
 def test_an_overloaded_primary_refuses_at_once() -> None:
-    """Nothing is held that can't be served, and the time to come back is told."""
+    """Work that cannot be served is not queued; the refusal has a retry delay."""
 
     async def script(server: str, work: Work) -> Done:
         return not_run(Obstacle.OVERLOADED, "x", retry_after_ms=400)
 
-    async def scenario(bench: Bench) -> None:
-        outcome = await bench.router.write(demand(WorkKind.WRITE))
+    async def scenario(harness: RouterHarness) -> None:
+        outcome = await harness.router.write(make_request(WorkKind.WRITE))
         assert reason_of(outcome) is Reason.BUSY
         assert isinstance(outcome.answer, Refused)
         assert outcome.answer.retry_after_ms == 400
         assert trio.current_time() == 0
 
-    on_bench(script, scenario)
+    run_scenario(script, scenario)
 
 
-def test_each_attempt_opens_a_transaction_of_its_own() -> None:
-    """What an attempt of unknown fate left open is never taken for another."""
+def test_each_attempt_has_its_own_transaction() -> None:
+    """A transaction left open by an attempt of unknown outcome is never reused."""
 
     async def script(server: str, work: Work) -> Done:
         if len(names) < 2:
@@ -549,17 +559,19 @@
 
     names: list[str] = []
 
-    async def scenario(bench: Bench) -> None:
-        outcome = await bench.router.begin(demand(WorkKind.WRITE), read_only=False)
+    async def scenario(harness: RouterHarness) -> None:
+        outcome = await harness.router.begin(
+            make_request(WorkKind.WRITE), read_only=False
+        )
         assert outcome.open and outcome.placement is not None
         assert outcome.placement.transaction == names[-1]
         assert len(set(names)) == len(names) == 3
 
-    on_bench(script, scenario)
+    run_scenario(script, scenario)
 
 
 @pytest.mark.parametrize(
-    ("kind", "failure", "told"),
+    ("kind", "failure", "expected"),
     [
         (WorkKind.READ, unknown(Obstacle.LOST, "x"), Reason.ABORTED),
         (WorkKind.WRITE, unknown(Obstacle.HOST_LOST, "x"), Reason.ABORTED),
@@ -570,20 +582,24 @@
         (WorkKind.COMMIT, refused(Reason.IN_DOUBT), Reason.IN_DOUBT),
     ],
 )
-def test_what_a_lost_transaction_is_told(
-    kind: WorkKind, failure: Done, told: Reason
+def test_the_refusal_within_a_failed_transaction(
+    kind: WorkKind, failure: Done, expected: Reason
 ) -> None:
-    """Only a commit that may have been made is in doubt."""
+    """Only a commit that may have taken effect is in doubt."""
 
     async def script(server: str, work: Work) -> Done:
         return opened if work.scope is Scope.BEGIN else failure
 
     opened = Done(Fate.DONE, position=Position(1, 60), led=True, open=True)
 
-    async def scenario(bench: Bench) -> None:
-        begun = await bench.router.begin(demand(WorkKind.WRITE), read_only=False)
-        assert begun.placement is not None
-        outcome = await bench.router.run_in_transaction(demand(kind), begun.placement)
-        assert reason_of(outcome) is told and not outcome.open
+    async def scenario(harness: RouterHarness) -> None:
+        begin_outcome = await harness.router.begin(
+            make_request(WorkKind.WRITE), read_only=False
+        )
+        assert begin_outcome.placement is not None
+        outcome = await harness.router.run_in_transaction(
+            make_request(kind), begin_outcome.placement
+        )
+        assert reason_of(outcome) is expected and not outcome.open
 
-    on_bench(script, scenario)
+    run_scenario(script, scenario)
