Reword comments and internal names of membership

Comments and docstrings use the usual terms: cached copies, relays, notifications, responses. Private functions are named by verb and object; constants by what they limit.

--- a/src/rattanhollow/membership/__init__.py
+++ b/src/rattanhollow/membership/__init__.py
@@ -1,4 +1,4 @@
-"""The hosts of the fleet: their records, whether they live, what they know."""
+"""Hosts of the fleet: host records, failure detection and shared configuration."""
 
 from rattanhollow.membership._freshness import Freshness, Reach
 from rattanhollow.membership._gossip import Gossip
--- a/src/rattanhollow/membership/_freshness.py
+++ b/src/rattanhollow/membership/_freshness.py
@@ -1,9 +1,10 @@
-"""Whether this host's configuration can be the newest.
+"""Detection of a configuration that may be out of date.
 
-A host that the store has lost can't hear that a key was withdrawn. It goes on
-while other hosts tell it what they know: one that hears the store, or, where
-nobody does, hosts in most availability zones. A newer configuration is taken
-from them. Otherwise the host takes no requests.
+A host that is disconnected from the store cannot learn that a key was withdrawn.
+It keeps serving as long as other hosts confirm its configuration: either one that
+receives changes from the store, or, if none does, hosts in most availability zones.
+If another host has a newer configuration, it is fetched from there. Without
+confirmation the host stops accepting requests.
 """
 
 import random
@@ -29,13 +30,14 @@
 
 CHECK_INTERVAL_S = 0.5
 STALE_AFTER_S = 5.0
-HEARD_LATELY_S = 3.0
-ASKED_IN_A_ZONE = 2
-ASK_TIMEOUT_MS = 500
+# A host whose last contact with the store is no older than this is connected to it.
+RECENT_CONTACT_S = 3.0
+HOSTS_QUERIED_PER_ZONE = 2
+QUERY_TIMEOUT_MS = 500
 
 
 class Reach(NamedTuple):
-    """Who is asked: the other hosts, and the links to them."""
+    """The own record, the other hosts, and the connections to query them."""
 
     own: Callable[[], HostRecord]
     hosts: HostDirectory
@@ -44,103 +46,109 @@
 
 
 class Freshness:
-    """Keeps track of when the configuration was last known to be the newest."""
+    """Tracks when the configuration was last confirmed to be the newest."""
 
     def __init__(self, follower: Follower, reach: Reach) -> None:
         self._follower = follower
         self._reach = reach
-        self._confirmed_at_s = float("-inf")
+        self._confirmed_by_hosts_at_s = float("-inf")
 
     def is_fresh(self) -> bool:
-        """Whether requests may be taken."""
-        return time.monotonic() - self._last_s() < STALE_AFTER_S
+        """Whether the configuration is recent enough to accept requests."""
+        return time.monotonic() - self._last_confirmed_at_s() < STALE_AFTER_S
 
     def answer(self) -> FreshnessAnswer:
-        """Tell another host what this one knows."""
-        heard_ms = int((time.monotonic() - self._follower.heard_at_s) * 1000)
-        return FreshnessAnswer(self._version(), heard_ms)
+        """Return this host's configuration version and the age of its store contact."""
+        contact_age_ms = int((time.monotonic() - self._follower.heard_at_s) * 1000)
+        return FreshnessAnswer(self._known_version(), contact_age_ms)
 
     def configuration(self) -> ConfigurationAnswer:
-        """Give another host all that was read from the store."""
+        """Return all configuration objects known from the store, for another host."""
         items = list(self._follower.items.values())
         return ConfigurationAnswer(msgspec.json.encode([item[1:] for item in items]))
 
     async def run(self) -> None:
-        """Ask other hosts while the store is silent, until cancelled."""
+        """Query other hosts while the store sends nothing, until cancelled."""
         was_fresh = True
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
-            if time.monotonic() - self._follower.heard_at_s > HEARD_LATELY_S:
-                await self._ask_others()
+            if time.monotonic() - self._follower.heard_at_s > RECENT_CONTACT_S:
+                await self._query_other_hosts()
             if self.is_fresh() != was_fresh:
                 was_fresh = not was_fresh
                 log_event("configuration.freshness", fresh=was_fresh)
 
-    def _last_s(self) -> float:
-        return max(self._confirmed_at_s, self._follower.heard_at_s)
+    def _last_confirmed_at_s(self) -> float:
+        return max(self._confirmed_by_hosts_at_s, self._follower.heard_at_s)
 
-    def _version(self) -> int:
-        """Return the store's version of the newest object that is known."""
+    def _known_version(self) -> int:
+        """Return the store version of the newest known configuration object."""
         return max((i.version for i in self._follower.items.values()), default=0)
 
-    async def _ask_others(self) -> None:
-        asked_at_s = time.monotonic()
-        answers: dict[str, list[tuple[HostRecord, FreshnessAnswer]]]
-        answers = defaultdict(list)
+    async def _query_other_hosts(self) -> None:
+        queried_at_s = time.monotonic()
+        responses: dict[str, list[tuple[HostRecord, FreshnessAnswer]]]
+        responses = defaultdict(list)
 
-        async def ask(record: HostRecord) -> None:
-            question = FreshnessQuestion()
-            asked = await self._reach.peers.ask(record.peer, question, ASK_TIMEOUT_MS)
-            answer: Message | None = asked.ok()
-            if isinstance(answer, FreshnessAnswer):
-                answers[record.zone].append((record, answer))
+        async def query(record: HostRecord) -> None:
+            request = FreshnessQuestion()
+            result = await self._reach.peers.ask(record.peer, request, QUERY_TIMEOUT_MS)
+            response: Message | None = result.ok()
+            if isinstance(response, FreshnessAnswer):
+                responses[record.zone].append((record, response))
 
-        zones = self._sample()
+        zones = self._sample_hosts()
         async with trio.open_nursery() as nursery:
             for record in [record for zone in zones.values() for record in zone]:
-                nursery.start_soon(ask, record)
-        heard = [pair for zone in answers.values() for pair in zone]
-        newest = max(heard, key=lambda pair: pair[1].version, default=None)
-        if newest is not None and newest[1].version > self._version():
-            await self._fetch(newest[0])
-        if newest is not None and newest[1].version > self._version():
+                nursery.start_soon(query, record)
+        received = [pair for zone in responses.values() for pair in zone]
+        newest = max(received, key=lambda pair: pair[1].version, default=None)
+        if newest is not None and newest[1].version > self._known_version():
+            await self._fetch_configuration(newest[0])
+        if newest is not None and newest[1].version > self._known_version():
             return
-        if self._confirmed(zones, answers):
-            self._confirmed_at_s = asked_at_s
+        if self._is_confirmed_by(zones, responses):
+            self._confirmed_by_hosts_at_s = queried_at_s
 
-    def _confirmed(
+    def _is_confirmed_by(
         self,
         zones: dict[str, list[HostRecord]],
-        answers: dict[str, list[tuple[HostRecord, FreshnessAnswer]]],
+        responses: dict[str, list[tuple[HostRecord, FreshnessAnswer]]],
     ) -> bool:
-        """Whether the answers show that nobody can know anything newer."""
-        lately_ms = HEARD_LATELY_S * 1000
-        heard = [answer for zone in answers.values() for _, answer in zone]
-        if any(answer.heard_ms < lately_ms for answer in heard):
+        """Whether the responses rule out a newer configuration at any host.
+
+        Either one of the hosts is connected to the store, or hosts in most
+        availability zones responded.
+        """
+        recent_contact_ms = RECENT_CONTACT_S * 1000
+        received = [response for zone in responses.values() for _, response in zone]
+        if any(response.heard_ms < recent_contact_ms for response in received):
             return True
         own_zone = self._reach.own().zone
-        reached = {*answers, own_zone}
-        everywhere = {*zones, own_zone}
-        alone = not heard and any(zones.values())
-        return not alone and 2 * len(reached) > len(everywhere)
+        responding_zones = {*responses, own_zone}
+        all_zones = {*zones, own_zone}
+        is_isolated = not received and any(zones.values())
+        return not is_isolated and 2 * len(responding_zones) > len(all_zones)
 
-    def _sample(self) -> dict[str, list[HostRecord]]:
-        """Choose some hosts of each zone."""
+    def _sample_hosts(self) -> dict[str, list[HostRecord]]:
+        """Choose a few random hosts of each zone, without this one."""
         zones: dict[str, list[HostRecord]] = defaultdict(list)
         for record in self._reach.hosts.all():
             if record.name != self._reach.own().name:
                 zones[record.zone].append(record)
         return {
-            zone: self._reach.rng.sample(records, min(ASKED_IN_A_ZONE, len(records)))
+            zone: self._reach.rng.sample(
+                records, min(HOSTS_QUERIED_PER_ZONE, len(records))
+            )
             for zone, records in zones.items()
         }
 
-    async def _fetch(self, record: HostRecord) -> None:
-        question = ConfigurationQuestion()
-        asked = await self._reach.peers.ask(record.peer, question, ASK_TIMEOUT_MS)
-        answer: Message | None = asked.ok()
-        if not isinstance(answer, ConfigurationAnswer):
+    async def _fetch_configuration(self, record: HostRecord) -> None:
+        request = ConfigurationQuestion()
+        result = await self._reach.peers.ask(record.peer, request, QUERY_TIMEOUT_MS)
+        response: Message | None = result.ok()
+        if not isinstance(response, ConfigurationAnswer):
             return
-        for name, version, spec in msgspec.json.decode(answer.content):
+        for name, version, spec in msgspec.json.decode(response.content):
             self._follower.offer(Stored(self._follower.kind, name, version, spec))
         log_event("configuration.from_host", host=record.name)
--- a/src/rattanhollow/membership/_gossip.py
+++ b/src/rattanhollow/membership/_gossip.py
@@ -1,9 +1,9 @@
-"""Passing followed copies on from host to host.
+"""Propagation of cached store objects between hosts.
 
-A few hosts of each availability zone watch the store and tell the others of
-their zone. All hosts compare copies with one of the few now and then: so a host
-hears of changes that the store turns away, whose watch has gone silent, or whose
-relays died.
+A few hosts of each availability zone, the relays, watch the store and notify the
+others of their zone. In addition, every host periodically compares its cached copies
+with those of a relay. A host therefore receives changes even if the store refuses its
+calls, its watch no longer delivers events, or the relays of its zone failed.
 """
 
 import hashlib
@@ -13,7 +13,7 @@
 import trio
 
 from rattanhollow.membership._hosts import HostDirectory, HostRecord
-from rattanhollow.membership._relays import relays_of
+from rattanhollow.membership._relays import select_relays
 from rattanhollow.observe import log_event
 from rattanhollow.peer import (
     ChangeNews,
@@ -27,20 +27,22 @@
 )
 from rattanhollow.store import Changes, Follower, Listing, Stored
 
-# News needs a few rounds to reach every host within the time that operators give.
-ROUNDS_IN_TIME = 5
-# Relays are few, and all of their zone wait for them where the store turns them away.
-RELAY_ROUNDS_IN_TIME = 12
-ASK_TIMEOUT_MS = 400
-# How often a host that is no relay asks beyond its zone, whose relays may all
-# be turned away.
-ELSEWHERE_PART = 0.4
+# A change needs several rounds to reach every host within the configured deadline.
+ROUNDS_PER_DEADLINE = 5
+# If the store refuses the relays, all hosts of their zone depend on what the relays
+# receive from other hosts. Relays are few, so that frequent comparisons cost little.
+RELAY_ROUNDS_PER_DEADLINE = 12
+QUERY_TIMEOUT_MS = 400
+# Fraction of comparisons for which a host that is not a relay considers the relays of
+# all zones: the store may refuse every relay of its own zone.
+CROSS_ZONE_FRACTION = 0.4
 
 
 class Gossip:
-    """Compares followed copies with other hosts, and passes them on.
+    """Compares cached copies with other hosts and notifies them of changes.
 
-    ``in_force_s`` is how soon a change has to be known to every host.
+    ``propagation_deadline_s`` is the time within which every host has to know a
+    change.
     """
 
     def __init__(
@@ -50,195 +52,210 @@
         hosts: HostDirectory,
         peers: Peers,
         rng: random.Random,
-        in_force_s: float,
+        propagation_deadline_s: float,
     ) -> None:
         self._followers = {follower.kind: follower for follower in followers}
         self._own = own
         self._hosts = hosts
         self._peers = peers
         self._rng = rng
-        self._in_force_s = in_force_s
-        # Up to which version the hosts of the zone were told, by kind.
-        self._told: dict[str, int] = {}
+        self._propagation_deadline_s = propagation_deadline_s
+        # The version up to which the hosts of the zone were notified, by kind.
+        self._notified_versions: dict[str, int] = {}
         self._nursery: trio.Nursery | None = None
 
     def is_relay(self) -> bool:
-        """Whether this host watches the store for others of its zone."""
+        """Whether this host watches the store on behalf of its zone."""
         own = self._own()
-        names = [record.name for record in relays_of(own.zone, self._reached())]
+        names = [
+            record.name for record in select_relays(own.zone, self._reachable_hosts())
+        ]
         return own.name in names
 
     async def run(self) -> None:
-        """Compare until cancelled."""
+        """Compare cached copies with other hosts periodically, until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             while True:
                 await trio.sleep(self.interval_s * self._rng.uniform(0.8, 1.2))
-                await self._compare()
+                await self._compare_with_random_relay()
 
     @property
     def interval_s(self) -> float:
-        """How far this host's comparisons are apart."""
-        rounds = RELAY_ROUNDS_IN_TIME if self.is_relay() else ROUNDS_IN_TIME
-        return self._in_force_s / rounds
+        """The mean interval between comparisons of this host."""
+        rounds = RELAY_ROUNDS_PER_DEADLINE if self.is_relay() else ROUNDS_PER_DEADLINE
+        return self._propagation_deadline_s / rounds
 
     def pass_on(self, follower: Follower) -> None:
-        """Tell the hosts of this zone what they have not been told of a copy."""
+        """If this host is a relay, notify its zone of changes it was not sent yet."""
         own = self._own()
         if self._nursery is None or not self.is_relay():
             return
-        news = self._news_of(follower)
-        if news is None:
+        notification = self._pending_notification(follower)
+        if notification is None:
             return
-        for record in self._reached():
+        for record in self._reachable_hosts():
             if record.zone == own.zone and record.name != own.name:
-                self._nursery.start_soon(self._peers.tell, record.peer, news)
+                self._nursery.start_soon(self._peers.tell, record.peer, notification)
 
     def spread(self, follower: Follower) -> None:
-        """Tell this zone and the relays of all others what no relay has told.
+        """Notify this zone and all other relays of a change that no relay announced.
 
-        The store may turn all of them away.
+        The store may refuse the calls of all relays.
         """
         if self._nursery is None:
             return
-        copies = (_copy(follower),)
+        copies = (_make_copy(follower),)
         own = self._own()
-        for record in self._reached():
+        for record in self._reachable_hosts():
             if record.zone == own.zone and record.name != own.name:
-                news = CopyNews(copies)
-                self._nursery.start_soon(self._peers.tell, record.peer, news)
-        for record in self._relays():
+                notification = CopyNews(copies)
+                self._nursery.start_soon(self._peers.tell, record.peer, notification)
+        for record in self._reachable_relays():
             if record.zone != own.zone:
-                news = CopyNews(copies, pass_on=True)
-                self._nursery.start_soon(self._peers.tell, record.peer, news)
-
-    def take(self, news: CopyNews) -> None:
-        """Take what another host tells."""
-        for copy in news.copies:
-            taken = self._take(copy, "")
-            if taken is not None and news.pass_on:
-                self.pass_on(taken)
-            elif taken is not None:
-                # The zone was told it, too; who wasn't finds so with the next news.
-                self._told.setdefault(copy.kind, taken.version)
-
-    def take_changes(self, news: ChangeNews) -> None:
-        """Take what a relay tells; where earlier news was missed, compare at once."""
-        for change in news.changes:
-            follower = self._behind(change)
+                notification = CopyNews(copies, pass_on=True)
+                self._nursery.start_soon(self._peers.tell, record.peer, notification)
+
+    def take(self, notification: CopyNews) -> None:
+        """Apply copies that another host sent."""
+        for copy in notification.copies:
+            updated = self._apply_copy(copy, "")
+            if updated is not None and notification.pass_on:
+                self.pass_on(updated)
+            elif updated is not None:
+                # The sender notified the rest of the zone, too. A host that missed
+                # this detects the gap with the next change notification.
+                self._notified_versions.setdefault(copy.kind, updated.version)
+
+    def take_changes(self, notification: ChangeNews) -> None:
+        """Apply changes that a relay sent, or compare at once after a missed one."""
+        for change in notification.changes:
+            follower = self._follower_if_older(change)
             if follower is None:
                 continue
-            missed = not follower.listed.is_set() or follower.version < change.since
-            if missed and self._nursery is not None:
-                self._nursery.start_soon(self._compare)
-            elif not self._apply(follower, change) and self._nursery is not None:
-                self._nursery.start_soon(self._compare, change.kind)
-
-    def answer(self, question: CopyQuestion) -> CopyAnswer:
-        """Return what is newer here."""
+            has_gap = not follower.listed.is_set() or follower.version < change.since
+            if has_gap and self._nursery is not None:
+                self._nursery.start_soon(self._compare_with_random_relay)
+            elif (
+                not self._apply_changes(follower, change) and self._nursery is not None
+            ):
+                self._nursery.start_soon(self._compare_with_random_relay, change.kind)
+
+    def answer(self, request: CopyQuestion) -> CopyAnswer:
+        """Return the changes or copies that are newer here than at the sender."""
         copies, changes = [], []
-        for state in question.states:
+        for state in request.states:
             follower = self._followers.get(state.kind)
             if follower is None or follower.version <= state.version:
                 continue
-            if digest_of_copy(follower) == state.digest:
-                changes.append(_same_at(follower, state))
+            if digest_copy(follower) == state.digest:
+                changes.append(_make_version_update(follower, state))
                 continue
-            change = _change_since(follower, state.version)
-            if change is None or _is_empty(change):
-                copies.append(_copy(follower))
+            change = _make_change(follower, state.version)
+            if change is None or _has_no_objects(change):
+                copies.append(_make_copy(follower))
             else:
                 changes.append(change)
         return CopyAnswer(tuple(copies), tuple(changes))
 
-    def _reached(self) -> list[HostRecord]:
-        """Return this host and those that are not known to be dark."""
+    def _reachable_hosts(self) -> list[HostRecord]:
+        """Return this host and the others that are not known to be unreachable."""
         own = self._own()
         others = [h for h in self._hosts.staying() if h.name != own.name]
         return [own, *(h for h in others if not self._peers.is_dark(h.peer))]
 
     def _partners(self) -> list[HostRecord]:
-        """Return whom to ask: relays of all zones ask one another.
+        """Return the hosts to compare with.
 
-        All others ask those of their own zone, which are near: what a relay
-        hears from elsewhere it passes on.
+        Relays compare with the relays of all zones. Other hosts mostly compare with
+        the relays of their own zone: these are near, and notify their zone of what
+        they receive from other zones.
         """
         own = self._own()
-        elsewhere = self.is_relay() or self._rng.random() < ELSEWHERE_PART
+        includes_other_zones = (
+            self.is_relay() or self._rng.random() < CROSS_ZONE_FRACTION
+        )
         return [
             record
-            for record in self._relays()
-            if record.name != own.name and (record.zone == own.zone or elsewhere)
+            for record in self._reachable_relays()
+            if record.name != own.name
+            and (record.zone == own.zone or includes_other_zones)
         ]
 
-    def _relays(self) -> list[HostRecord]:
-        """Return the relays of all zones."""
+    def _reachable_relays(self) -> list[HostRecord]:
+        """Return the reachable relays of all zones."""
         by_zone: dict[str, list[HostRecord]] = {}
-        for record in self._reached():
+        for record in self._reachable_hosts():
             by_zone.setdefault(record.zone, []).append(record)
         return [
             record
             for zone, records in by_zone.items()
-            for record in relays_of(zone, records)
+            for record in select_relays(zone, records)
         ]
 
-    async def _compare(self, whole: str = "") -> None:
+    async def _compare_with_random_relay(self, full_kind: str = "") -> None:
         partners = self._partners()
         if partners:
-            await self._ask(self._rng.choice(partners), whole)
-
-    def _news_of(self, follower: Follower) -> CopyNews | ChangeNews | None:
-        """Return what the zone has not been told; the whole copy the first time."""
-        told = self._told.get(follower.kind)
-        change = _change_since(follower, told) if told is not None else None
-        if change is not None and _is_empty(change):
+            await self._compare_with(self._rng.choice(partners), full_kind)
+
+    def _pending_notification(self, follower: Follower) -> CopyNews | ChangeNews | None:
+        """Return what the zone was not notified of yet; at first, the full copy."""
+        notified_version = self._notified_versions.get(follower.kind)
+        change = (
+            _make_change(follower, notified_version)
+            if notified_version is not None
+            else None
+        )
+        if change is not None and _has_no_objects(change):
             return None
-        self._told[follower.kind] = follower.version
+        self._notified_versions[follower.kind] = follower.version
         if change is None:
-            return CopyNews((_copy(follower),))
+            return CopyNews((_make_copy(follower),))
         return ChangeNews((change,))
 
-    async def _ask(self, record: HostRecord, whole: str = "") -> None:
-        """Compare with a host; of the kind ``whole`` it is asked for everything."""
+    async def _compare_with(self, record: HostRecord, full_kind: str = "") -> None:
+        """Compare with a host, requesting all objects of the kind ``full_kind``."""
         states = tuple(
-            CopyState(kind, 0 if kind == whole else f.version, digest_of_copy(f))
+            CopyState(kind, 0 if kind == full_kind else f.version, digest_copy(f))
             for kind, f in self._followers.items()
         )
-        asked = await self._peers.ask(record.peer, CopyQuestion(states), ASK_TIMEOUT_MS)
-        answer = asked.ok()
-        if not isinstance(answer, CopyAnswer):
+        result = await self._peers.ask(
+            record.peer, CopyQuestion(states), QUERY_TIMEOUT_MS
+        )
+        response = result.ok()
+        if not isinstance(response, CopyAnswer):
             return
-        for copy in answer.copies:
-            taken = self._take(copy, record.name)
-            if taken is not None:
-                self.pass_on(taken)
-        for change in answer.changes:
-            follower = self._behind(change)
+        for copy in response.copies:
+            updated = self._apply_copy(copy, record.name)
+            if updated is not None:
+                self.pass_on(updated)
+        for change in response.changes:
+            follower = self._follower_if_older(change)
             if follower is None:
                 continue
-            if self._apply(follower, change):
+            if self._apply_changes(follower, change):
                 self.pass_on(follower)
-            elif not whole:
-                await self._ask(record, whole=change.kind)
+            elif not full_kind:
+                await self._compare_with(record, full_kind=change.kind)
 
-    def _behind(self, newer: Copy | CopyChange) -> Follower | None:
-        """Return the followed copy that another host's is newer than, if it is."""
+    def _follower_if_older(self, newer: Copy | CopyChange) -> Follower | None:
+        """Return this host's cached copy if that of the other host is newer."""
         follower = self._followers.get(newer.kind)
         if follower is None or newer.version <= follower.version:
             return None
         return follower
 
-    def _apply(self, follower: Follower, change: CopyChange) -> bool:
-        """Take changes, unless that doesn't give what the other host has."""
+    def _apply_changes(self, follower: Follower, change: CopyChange) -> bool:
+        """Apply changes, unless the result would differ from the other host's copy."""
         items = [Stored(change.kind, *item) for item in change.items]
         versions = {name: item.version for name, item in follower.items.items()}
         for name in change.gone:
             versions.pop(name, None)
         for item in items:
             versions[item.name] = max(item.version, versions.get(item.name, 0))
-        if _digest(versions) != change.digest:
+        if _digest_versions(versions) != change.digest:
             return False
-        if not _is_empty(change):
+        if not _has_no_objects(change):
             log_event(
                 "copy.changed",
                 kind=change.kind,
@@ -250,9 +267,9 @@
         follower.take_changes(change.version, Changes(items, list(change.gone)))
         return True
 
-    def _take(self, copy: Copy, host: str) -> Follower | None:
-        """Take a copy, and return what it changed if it is newer."""
-        follower = self._behind(copy)
+    def _apply_copy(self, copy: Copy, host: str) -> Follower | None:
+        """Apply a copy if it is newer, and return the cached copy that it updated."""
+        follower = self._follower_if_older(copy)
         if follower is None:
             return None
         log_event(
@@ -267,39 +284,41 @@
         return follower
 
 
-def _change_since(follower: Follower, version: int) -> CopyChange | None:
+def _make_change(follower: Follower, version: int) -> CopyChange | None:
     changes = follower.changes_since(version)
     if changes is None:
         return None
     items = tuple((i.name, i.version, i.spec) for i in changes.items)
-    digest = digest_of_copy(follower)
+    digest = digest_copy(follower)
     return CopyChange(
         follower.kind, version, follower.version, items, tuple(changes.gone), digest
     )
 
 
-def _same_at(follower: Follower, state: CopyState) -> CopyChange:
-    """Return that a copy has the same objects, at a newer version."""
+def _make_version_update(follower: Follower, state: CopyState) -> CopyChange:
+    """Return a change without objects, which only updates the version."""
     return CopyChange(
         follower.kind, state.version, follower.version, (), (), state.digest
     )
 
 
-def _is_empty(change: CopyChange) -> bool:
+def _has_no_objects(change: CopyChange) -> bool:
     return not (change.items or change.gone)
 
 
-def _copy(follower: Follower) -> Copy:
+def _make_copy(follower: Follower) -> Copy:
     items = tuple((i.name, i.version, i.spec) for i in follower.items.values())
     return Copy(follower.kind, follower.version, items)
 
 
-def digest_of_copy(follower: Follower) -> int:
-    """Return what two copies with the same objects have in common."""
-    return _digest({name: item.version for name, item in follower.items.items()})
+def digest_copy(follower: Follower) -> int:
+    """Return a digest of names and versions; equal for copies of equal objects."""
+    return _digest_versions(
+        {name: item.version for name, item in follower.items.items()}
+    )
 
 
-def _digest(versions: dict[str, int]) -> int:
+def _digest_versions(versions: dict[str, int]) -> int:
     names = sorted(f"{name}\0{version}" for name, version in versions.items())
     digest = hashlib.blake2b("\n".join(names).encode(), digest_size=8).digest()
     return int.from_bytes(digest)
--- a/src/rattanhollow/membership/_hosts.py
+++ b/src/rattanhollow/membership/_hosts.py
@@ -1,8 +1,8 @@
-"""The hosts of the fleet, as objects in the store, without heartbeats there.
+"""Host records in the store, and failure detection between neighbouring hosts.
 
-A host writes its record when it starts and deletes it when it leaves. Whether
-it lives is watched by its neighbours on a ring, over the links between hosts:
-the store hears only of changes.
+A host writes its record when it starts and deletes it when it leaves. Its neighbours
+on a ring check over the connections between hosts whether it is alive. No heartbeats
+go through the store; it is called only for changes.
 """
 
 import random
@@ -23,19 +23,20 @@
 HOST_KIND = "hosts"
 REPORT_KIND = "reports"
 RING_SEED = "ring"
-NEIGHBOURS = 2
+NEIGHBOURS_PER_HOST = 2
 RETRY_PAUSE_S = 1.0
-# Where there are many hosts, a dead one's record does less harm: neighbours are
-# asked as rarely as to make this many questions a second over the fleet.
-QUESTIONS_PER_S = 40
-REPORT_SPREAD_S = 2.0
-# Many hosts come at once or not at all, and a new one uses nothing that others
-# have to know of before `rate_settle_ms` (1.5 s) are over.
-GATHER_S = 0.3
+# Upper limit for neighbour queries of the whole fleet: each host queries less often in
+# a larger fleet, where the record of one dead host does less harm.
+FLEET_QUERIES_PER_S = 40
+REPORT_JITTER_S = 2.0
+# Hosts usually join either in large numbers at once or not at all. Batching delays
+# nothing that matters: a new host uses nothing that others have to know of until
+# `rate_settle_ms` (1.5 s) have passed.
+CHANGE_BATCH_S = 0.3
 
 
 class HostRecord(NamedTuple):
-    """What a host says of itself; ``incarnation`` differs each time it starts."""
+    """A host as it describes itself; ``incarnation`` is unique to each start."""
 
     name: str
     address: str
@@ -47,39 +48,42 @@
 
     @property
     def peer(self) -> PeerAddress:
-        """Where the host answers other hosts."""
+        """The address at which other hosts connect to this one."""
         return PeerAddress(self.name, self.address, self.peer_port, self.public_key)
 
 
 class HostReport(NamedTuple):
-    """What operators read of a host; other hosts don't."""
+    """The status of a host for operators; other hosts do not read it."""
 
     name: str
     configuration_version: int
 
 
 class HostDirectory:
-    """The hosts heard of; ``on_change`` is called when one comes or goes."""
+    """All known hosts.
+
+    ``on_change`` is called when a record is added, changed or removed.
+    """
 
     def __init__(self, on_change: Callable[[], None]) -> None:
         self.follower = Follower(
-            HOST_KIND, self._take, begins_lagging=True, gather_s=GATHER_S
+            HOST_KIND, self._apply_record, begins_lagging=True, gather_s=CHANGE_BATCH_S
         )
         self._on_change = on_change
         self._records: dict[str, HostRecord] = {}
 
     def all(self) -> list[HostRecord]:
-        """Return all hosts, leaving ones included."""
+        """Return all hosts, including those that are leaving."""
         return list(self._records.values())
 
     @property
     def count(self) -> int:
-        """How many hosts there are, leaving ones included."""
+        """The number of hosts, including those that are leaving."""
         return len(self._records)
 
     @property
     def changes(self) -> int:
-        """How often a record has come, gone or changed."""
+        """The number of times that a record was added, changed or removed."""
         return self.follower.changes
 
     def staying(self) -> list[HostRecord]:
@@ -87,11 +91,11 @@
         return [record for record in self._records.values() if not record.leaving]
 
     def find(self, name: str) -> HostRecord | None:
-        """Return a host by name."""
+        """Return the host with this name, if it is known."""
         return self._records.get(name)
 
     def by_incarnation(self, incarnation: str) -> HostRecord | None:
-        """Return a host by its incarnation."""
+        """Return the host with this incarnation, if it is known."""
         for record in self._records.values():
             if record.incarnation == incarnation:
                 return record
@@ -101,7 +105,7 @@
         """Whether a CURVE key belongs to a host of the fleet."""
         return any(item.public_key == public_key for item in self._records.values())
 
-    def _take(self, stored: Stored | None, name: str) -> None:
+    def _apply_record(self, stored: Stored | None, name: str) -> None:
         if stored is None:
             self._records.pop(name, None)
         else:
@@ -114,10 +118,11 @@
 
 
 class Registration:
-    """Keeps this host's own record in the store, and its report if ``reports``.
+    """Keeps this host's record in the store, and with ``reports`` also its report.
 
-    ``written`` once the store has the record, ``anew`` unless it had one of an
-    earlier start of this host; None before that is known.
+    ``written`` is set once the store has the record. ``anew`` is False if the store
+    still had the record of a previous start of this host, and None until that is
+    known.
     """
 
     def __init__(
@@ -128,34 +133,37 @@
         reports: bool = True,
     ) -> None:
         self.record = record
-        self._reports = reports
+        self._writes_report = reports
         self._store = store
         self._rng = rng
         self._version = 0
         self._removed = False
         self.written = trio.Event()
         self.anew: bool | None = None
-        self._due = trio.Event()
+        self._write_needed = trio.Event()
 
     def set_version(self, configuration_version: int) -> None:
-        """Report another configuration in force, soon."""
+        """Schedule a report of the configuration version that is now in force."""
         self._version = configuration_version
-        self._due.set()
+        self._write_needed.set()
 
     def record_lost(self) -> None:
-        """Write the record again: somebody deleted it while this host lives."""
-        self._due.set()
+        """Schedule writing the record again after it was deleted by mistake."""
+        self._write_needed.set()
 
     async def announce_leaving(self) -> None:
-        """Tell the other hosts that this one leaves."""
+        """Mark the record as leaving, so that the other hosts see it."""
         self.record = self.record._replace(leaving=True)
         await self._write(HOST_KIND, to_spec(self.record))
 
     async def remove(self) -> None:
-        """Delete record and report; a host that dies instead is found silent."""
+        """Delete record and report.
+
+        The record of a host that dies instead is deleted by its neighbours.
+        """
         self._removed = True
         name = self.record.name
-        kinds = (HOST_KIND, REPORT_KIND) if self._reports else (HOST_KIND,)
+        kinds = (HOST_KIND, REPORT_KIND) if self._writes_report else (HOST_KIND,)
         for kind in kinds:
             found = await self._store.get(kind, name)
             if found.is_ok():
@@ -164,30 +172,30 @@
     async def run(self) -> None:
         """Write record and report now and after each change, until cancelled."""
         while not self._removed:
-            self._due = trio.Event()
-            done = await self._write(HOST_KIND, to_spec(self.record))
-            if done:
+            self._write_needed = trio.Event()
+            is_written = await self._write(HOST_KIND, to_spec(self.record))
+            if is_written:
                 self.written.set()
-            if done and self._reports:
+            if is_written and self._writes_report:
                 report = HostReport(self.record.name, self._version)
-                done = await self._write(REPORT_KIND, to_spec(report))
-            if not done:
+                is_written = await self._write(REPORT_KIND, to_spec(report))
+            if not is_written:
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
-            await self._due.wait()
-            # A change reaches all hosts at once; their reports are spread.
-            await trio.sleep(self._rng.uniform(0, REPORT_SPREAD_S))
+            await self._write_needed.wait()
+            # All hosts receive a change at once; the jitter spreads their writes.
+            await trio.sleep(self._rng.uniform(0, REPORT_JITTER_S))
 
-    async def _write(self, kind: str, wanted: dict[str, Any]) -> bool:
+    async def _write(self, kind: str, desired_spec: dict[str, Any]) -> bool:
         def change(spec: dict[str, Any] | None) -> Result[dict[str, Any] | None, Any]:
             if self.anew is None:
-                # Its own creation may have got no answer.
-                self.anew = spec is None or spec == wanted
-            return Ok(None if spec == wanted else wanted)
+                # An equal record is from a creation whose response was lost.
+                self.anew = spec is None or spec == desired_spec
+            return Ok(None if spec == desired_spec else desired_spec)
 
         name = self.record.name
         if self.anew is None:
-            created = await self._store.put(kind, name, wanted, 0)
+            created = await self._store.put(kind, name, desired_spec, 0)
             if created.is_ok():
                 self.anew = True
                 return True
@@ -196,7 +204,7 @@
 
 
 class NeighbourWatch:
-    """Watches the next hosts on the ring, and deletes records of dead ones."""
+    """Checks the next hosts on the ring, and deletes the records of dead ones."""
 
     def __init__(
         self,
@@ -210,69 +218,84 @@
         self._hosts = hosts
         self._peers = peers
         self._store = store
-        self._ask_s = settings.ask_interval_ms / 1000
+        self._query_interval_s = settings.ask_interval_ms / 1000
         self._timeout_ms = settings.ask_timeout_ms
         self._silent_s = settings.silent_after_ms / 1000
         self._silent_since_s: dict[str, float] = {}
 
-    def finds_silent(self, question: HostQuestion) -> bool:
-        """Whether this host finds the one asked about silent for long enough."""
-        since_s = self._silent_since_s.get(question.incarnation)
-        return since_s is not None and time.monotonic() - since_s >= self._silent_s
+    def finds_silent(self, request: HostQuestion) -> bool:
+        """Whether the host in ``request`` has been silent here for long enough."""
+        silent_since_s = self._silent_since_s.get(request.incarnation)
+        return (
+            silent_since_s is not None
+            and time.monotonic() - silent_since_s >= self._silent_s
+        )
 
     async def run(self) -> None:
-        """Ask the neighbours now and then, until cancelled."""
+        """Query the neighbours periodically, until cancelled."""
         while True:
             hosts = len(self._hosts.all())
-            await trio.sleep(max(self._ask_s, hosts * NEIGHBOURS / QUESTIONS_PER_S))
-            neighbours = self._after(self._own().name)
-            asked = {record.incarnation for record in neighbours}
-            for gone in self._silent_since_s.keys() - asked:
+            await trio.sleep(
+                max(
+                    self._query_interval_s,
+                    hosts * NEIGHBOURS_PER_HOST / FLEET_QUERIES_PER_S,
+                )
+            )
+            neighbours = self._hosts_watched_by(self._own().name)
+            watched = {record.incarnation for record in neighbours}
+            for gone in self._silent_since_s.keys() - watched:
                 del self._silent_since_s[gone]
             async with trio.open_nursery() as nursery:
                 for record in neighbours:
-                    nursery.start_soon(self._ask, record)
+                    nursery.start_soon(self._query, record)
 
-    async def _ask(self, record: HostRecord) -> None:
-        question = HostQuestion(record.name, record.incarnation)
-        answer = await self._peers.ask(record.peer, question, self._timeout_ms)
-        if answer.is_ok():
+    async def _query(self, record: HostRecord) -> None:
+        request = HostQuestion(record.name, record.incarnation)
+        response = await self._peers.ask(record.peer, request, self._timeout_ms)
+        if response.is_ok():
             self._silent_since_s.pop(record.incarnation, None)
             return
         self._silent_since_s.setdefault(record.incarnation, time.monotonic())
-        if self.finds_silent(question) and await self._seconded(record, question):
-            await self._delete(record)
-
-    async def _seconded(self, record: HostRecord, question: HostQuestion) -> bool:
-        """Whether the other host that watches this one finds it silent too."""
-        watching = [
+        if self.finds_silent(request) and await self._is_silent_for_others(
+            record, request
+        ):
+            await self._delete_record(record)
+
+    async def _is_silent_for_others(
+        self, record: HostRecord, request: HostQuestion
+    ) -> bool:
+        """Whether another host that watches this one also considers it silent.
+
+        True if no other host watches it.
+        """
+        watchers = [
             other
             for other in self._hosts.all()
             if other.name not in (self._own().name, record.name)
-            and record in self._after(other.name)
+            and record in self._hosts_watched_by(other.name)
         ]
-        if not watching:
+        if not watchers:
             return True
-        answers = [
-            (await self._peers.ask(other.peer, question, self._timeout_ms)).ok()
-            for other in watching
+        responses = [
+            (await self._peers.ask(other.peer, request, self._timeout_ms)).ok()
+            for other in watchers
         ]
-        return any(isinstance(a, HostAnswer) and a.silent for a in answers)
+        return any(isinstance(a, HostAnswer) and a.silent for a in responses)
 
-    async def _delete(self, record: HostRecord) -> None:
+    async def _delete_record(self, record: HostRecord) -> None:
         stored = self._hosts.follower.items.get(record.name)
         if stored is None:
             return
         deleted = await self._store.delete(HOST_KIND, record.name, stored.version)
         log_event("host.silent", host=record.name, deleted=deleted.is_ok())
 
-    def _after(self, name: str) -> list[HostRecord]:
-        """Return the hosts that ``name`` watches: the next ones on the ring."""
+    def _hosts_watched_by(self, name: str) -> list[HostRecord]:
+        """Return the hosts that ``name`` watches, which are the next on the ring."""
         records = {record.name: record for record in self._hosts.all()}
         records.setdefault(self._own().name, self._own())
         ring = ranked(RING_SEED, records)
         if name not in ring:
             return []
-        at = ring.index(name)
-        following = [*ring[at + 1 :], *ring[:at]]
-        return [records[other] for other in following[:NEIGHBOURS]]
+        own_index = ring.index(name)
+        successors = [*ring[own_index + 1 :], *ring[:own_index]]
+        return [records[other] for other in successors[:NEIGHBOURS_PER_HOST]]
