Rename membership names that other packages use

Outside src/rattanhollow/membership only the uses change.

rattanhollow.membership.Reach -> rattanhollow.membership.PeerAccess (proxy/_root.py) Freshness.answer -> Freshness.freshness_response (proxy/_answer_peers.py) Freshness.configuration -> Freshness.configuration_response (proxy/_answer_peers.py) Gossip.answer -> Gossip.comparison_response (host/_answer_peers.py, tests/memory_fleet.py) Gossip.take -> Gossip.receive_copies (host/_answer_peers.py, tests/memory_fleet.py) Gossip.take_changes -> Gossip.receive_changes (host/_answer_peers.py, tests/memory_fleet.py) Gossip.pass_on -> Gossip.notify_zone (host/_root.py, tests/memory_fleet.py; the field CopyNews.pass_on stays) Gossip.spread -> Gossip.notify_all_zones (host/_root.py, tests/memory_fleet.py; the field PollParts.spread stays) HostDirectory.staying -> HostDirectory.active_hosts (host/_root.py, host/_watch_primaries.py, proxy/_watch_all.py, proxy/_watch_primary.py, rates/_rates.py, routing/_agents.py) HostDirectory.knows_key -> HostDirectory.has_public_key (host/_root.py, proxy/_root.py) HostDirectory.by_incarnation -> HostDirectory.find_by_incarnation (rates/_rates.py) Registration.anew -> Registration.is_first_registration (host/_root.py, tests/test_store_calls.py; the parameter of rates' registered() stays) Registration.record_lost -> Registration.restore_record (proxy/_root.py) Registration.set_version -> Registration.set_configuration_version (proxy/_root.py) NeighbourWatch.finds_silent -> NeighbourWatch.considers_silent (host/_answer_peers.py, proxy/_answer_peers.py)

--- a/src/rattanhollow/host/_answer_peers.py
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -48,12 +48,12 @@
     if isinstance(question, DepositQuestion):
         return parts.rates.answer_deposit(question)
     if isinstance(question, CopyQuestion):
-        return parts.gossip.answer(question)
+        return parts.gossip.comparison_response(question)
     if isinstance(question, CopyNews):
-        parts.gossip.take(question)
+        parts.gossip.receive_copies(question)
         return None
     if isinstance(question, ChangeNews):
-        parts.gossip.take_changes(question)
+        parts.gossip.receive_changes(question)
         return None
     if isinstance(question, ReachQuestion):
         served = parts.serving.serve(question.server)
@@ -64,5 +64,5 @@
         return None
     if isinstance(question, HostQuestion):
         is_other = question.host != own.name
-        return HostAnswer(is_other and parts.neighbours.finds_silent(question))
+        return HostAnswer(is_other and parts.neighbours.considers_silent(question))
     return None
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -93,7 +93,9 @@
             incarnation=self._incarnation,
         )
         self.registration = Registration(ends.store, record, rng, reports=False)
-        self.peers = Peers(place.address, None, self.hosts.knows_key, self._answer_peer)
+        self.peers = Peers(
+            place.address, None, self.hosts.has_public_key, self._answer_peer
+        )
         self._neighbours = NeighbourWatch(
             self._own, self.hosts, self.peers, ends.store, settings.membership
         )
@@ -228,7 +230,7 @@
         if self.settings.first_start:
             await wait_for_relays(follower, self.hosts.follower, gossip.is_relay)
         store = self._ends.store
-        await follow(store, follower, self._rng, gossip.is_relay, gossip.pass_on)
+        await follow(store, follower, self._rng, gossip.is_relay, gossip.notify_zone)
 
     def _poll_parts(self) -> PollParts:
         return PollParts(
@@ -239,7 +241,7 @@
             hosts=self.hosts,
             rng=self._rng,
             in_force_s=lambda: self.settings.configuration_ms / 1000,
-            spread=self.gossip.spread,
+            spread=self.gossip.notify_all_zones,
         )
 
     async def _read_servers(self) -> bool:
@@ -280,7 +282,7 @@
 
     async def _note_registration(self) -> None:
         await self.registration.written.wait()
-        self.rates.registered(self.registration.anew is not False)
+        self.rates.registered(self.registration.is_first_registration is not False)
 
     def _own(self) -> HostRecord:
         return self.registration.record
@@ -306,7 +308,7 @@
         region = self._places.region(own.zone)
         nearby = {
             record.name: record
-            for record in self.hosts.staying()
+            for record in self.hosts.active_hosts()
             if self._places.region(record.zone) == region
             and not self.peers.is_dark(record.peer)
         }
--- a/src/rattanhollow/host/_watch_primaries.py
+++ b/src/rattanhollow/host/_watch_primaries.py
@@ -59,7 +59,7 @@
         leader = parts.directory.leader(service)
         if leader is not None:
             return parts.agents.serves_first(leader)
-        lit = [h for h in parts.hosts.staying() if not parts.peers.is_dark(h.peer)]
+        lit = [h for h in parts.hosts.active_hosts() if not parts.peers.is_dark(h.peer)]
         names = {record.name for record in lit} | {own_name}
         return ranked(service, names)[0] == own_name
 
@@ -166,7 +166,7 @@
     """Ask hosts of other zones; None where none of these answers."""
     own = parts.own()
     by_zone: dict[str, list[HostRecord]] = {}
-    for record in parts.hosts.staying():
+    for record in parts.hosts.active_hosts():
         lit = not parts.peers.is_dark(record.peer)
         if record.name != own.name and lit:
             by_zone.setdefault(record.zone, []).append(record)
--- a/src/rattanhollow/membership/__init__.py
+++ b/src/rattanhollow/membership/__init__.py
@@ -1,6 +1,6 @@
 """Hosts of the fleet: host records, failure detection and shared configuration."""
 
-from rattanhollow.membership._freshness import Freshness, Reach
+from rattanhollow.membership._freshness import Freshness, PeerAccess
 from rattanhollow.membership._gossip import Gossip
 from rattanhollow.membership._hosts import (
     HOST_KIND,
@@ -21,6 +21,6 @@
     "HostRecord",
     "HostReport",
     "NeighbourWatch",
-    "Reach",
+    "PeerAccess",
     "Registration",
 ]
--- a/src/rattanhollow/membership/_freshness.py
+++ b/src/rattanhollow/membership/_freshness.py
@@ -36,7 +36,7 @@
 QUERY_TIMEOUT_MS = 500
 
 
-class Reach(NamedTuple):
+class PeerAccess(NamedTuple):
     """The own record, the other hosts, and the connections to query them."""
 
     own: Callable[[], HostRecord]
@@ -48,21 +48,21 @@
 class Freshness:
     """Tracks when the configuration was last confirmed to be the newest."""
 
-    def __init__(self, follower: Follower, reach: Reach) -> None:
+    def __init__(self, follower: Follower, peer_access: PeerAccess) -> None:
         self._follower = follower
-        self._reach = reach
+        self._peer_access = peer_access
         self._confirmed_by_hosts_at_s = float("-inf")
 
     def is_fresh(self) -> bool:
         """Whether the configuration is recent enough to accept requests."""
         return time.monotonic() - self._last_confirmed_at_s() < STALE_AFTER_S
 
-    def answer(self) -> FreshnessAnswer:
+    def freshness_response(self) -> FreshnessAnswer:
         """Return this host's configuration version and the age of its store contact."""
         contact_age_ms = int((time.monotonic() - self._follower.heard_at_s) * 1000)
         return FreshnessAnswer(self._known_version(), contact_age_ms)
 
-    def configuration(self) -> ConfigurationAnswer:
+    def configuration_response(self) -> ConfigurationAnswer:
         """Return all configuration objects known from the store, for another host."""
         items = list(self._follower.items.values())
         return ConfigurationAnswer(msgspec.json.encode([item[1:] for item in items]))
@@ -92,7 +92,9 @@
 
         async def query(record: HostRecord) -> None:
             request = FreshnessQuestion()
-            result = await self._reach.peers.ask(record.peer, request, QUERY_TIMEOUT_MS)
+            result = await self._peer_access.peers.ask(
+                record.peer, request, QUERY_TIMEOUT_MS
+            )
             response: Message | None = result.ok()
             if isinstance(response, FreshnessAnswer):
                 responses[record.zone].append((record, response))
@@ -124,7 +126,7 @@
         received = [response for zone in responses.values() for _, response in zone]
         if any(response.heard_ms < recent_contact_ms for response in received):
             return True
-        own_zone = self._reach.own().zone
+        own_zone = self._peer_access.own().zone
         responding_zones = {*responses, own_zone}
         all_zones = {*zones, own_zone}
         is_isolated = not received and any(zones.values())
@@ -133,11 +135,11 @@
     def _sample_hosts(self) -> dict[str, list[HostRecord]]:
         """Choose a few random hosts of each zone, without this one."""
         zones: dict[str, list[HostRecord]] = defaultdict(list)
-        for record in self._reach.hosts.all():
-            if record.name != self._reach.own().name:
+        for record in self._peer_access.hosts.all():
+            if record.name != self._peer_access.own().name:
                 zones[record.zone].append(record)
         return {
-            zone: self._reach.rng.sample(
+            zone: self._peer_access.rng.sample(
                 records, min(HOSTS_QUERIED_PER_ZONE, len(records))
             )
             for zone, records in zones.items()
@@ -145,7 +147,9 @@
 
     async def _fetch_configuration(self, record: HostRecord) -> None:
         request = ConfigurationQuestion()
-        result = await self._reach.peers.ask(record.peer, request, QUERY_TIMEOUT_MS)
+        result = await self._peer_access.peers.ask(
+            record.peer, request, QUERY_TIMEOUT_MS
+        )
         response: Message | None = result.ok()
         if not isinstance(response, ConfigurationAnswer):
             return
--- a/src/rattanhollow/membership/_gossip.py
+++ b/src/rattanhollow/membership/_gossip.py
@@ -86,7 +86,7 @@
         rounds = RELAY_ROUNDS_PER_DEADLINE if self.is_relay() else ROUNDS_PER_DEADLINE
         return self._propagation_deadline_s / rounds
 
-    def pass_on(self, follower: Follower) -> None:
+    def notify_zone(self, follower: Follower) -> None:
         """If this host is a relay, notify its zone of changes it was not sent yet."""
         own = self._own()
         if self._nursery is None or not self.is_relay():
@@ -98,7 +98,7 @@
             if record.zone == own.zone and record.name != own.name:
                 self._nursery.start_soon(self._peers.tell, record.peer, notification)
 
-    def spread(self, follower: Follower) -> None:
+    def notify_all_zones(self, follower: Follower) -> None:
         """Notify this zone and all other relays of a change that no relay announced.
 
         The store may refuse the calls of all relays.
@@ -116,18 +116,18 @@
                 notification = CopyNews(copies, pass_on=True)
                 self._nursery.start_soon(self._peers.tell, record.peer, notification)
 
-    def take(self, notification: CopyNews) -> None:
+    def receive_copies(self, notification: CopyNews) -> None:
         """Apply copies that another host sent."""
         for copy in notification.copies:
             updated = self._apply_copy(copy, "")
             if updated is not None and notification.pass_on:
-                self.pass_on(updated)
+                self.notify_zone(updated)
             elif updated is not None:
                 # The sender notified the rest of the zone, too. A host that missed
                 # this detects the gap with the next change notification.
                 self._notified_versions.setdefault(copy.kind, updated.version)
 
-    def take_changes(self, notification: ChangeNews) -> None:
+    def receive_changes(self, notification: ChangeNews) -> None:
         """Apply changes that a relay sent, or compare at once after a missed one."""
         for change in notification.changes:
             follower = self._follower_if_older(change)
@@ -141,7 +141,7 @@
             ):
                 self._nursery.start_soon(self._compare_with_random_relay, change.kind)
 
-    def answer(self, request: CopyQuestion) -> CopyAnswer:
+    def comparison_response(self, request: CopyQuestion) -> CopyAnswer:
         """Return the changes or copies that are newer here than at the sender."""
         copies, changes = [], []
         for state in request.states:
@@ -161,7 +161,7 @@
     def _reachable_hosts(self) -> list[HostRecord]:
         """Return this host and the others that are not known to be unreachable."""
         own = self._own()
-        others = [h for h in self._hosts.staying() if h.name != own.name]
+        others = [h for h in self._hosts.active_hosts() if h.name != own.name]
         return [own, *(h for h in others if not self._peers.is_dark(h.peer))]
 
     def _partners(self) -> list[HostRecord]:
@@ -228,13 +228,13 @@
         for copy in response.copies:
             updated = self._apply_copy(copy, record.name)
             if updated is not None:
-                self.pass_on(updated)
+                self.notify_zone(updated)
         for change in response.changes:
             follower = self._follower_if_older(change)
             if follower is None:
                 continue
             if self._apply_changes(follower, change):
-                self.pass_on(follower)
+                self.notify_zone(follower)
             elif not full_kind:
                 await self._compare_with(record, full_kind=change.kind)
 
--- a/src/rattanhollow/membership/_hosts.py
+++ b/src/rattanhollow/membership/_hosts.py
@@ -86,7 +86,7 @@
         """The number of times that a record was added, changed or removed."""
         return self.follower.changes
 
-    def staying(self) -> list[HostRecord]:
+    def active_hosts(self) -> list[HostRecord]:
         """Return the hosts that are not leaving."""
         return [record for record in self._records.values() if not record.leaving]
 
@@ -94,14 +94,14 @@
         """Return the host with this name, if it is known."""
         return self._records.get(name)
 
-    def by_incarnation(self, incarnation: str) -> HostRecord | None:
+    def find_by_incarnation(self, incarnation: str) -> HostRecord | None:
         """Return the host with this incarnation, if it is known."""
         for record in self._records.values():
             if record.incarnation == incarnation:
                 return record
         return None
 
-    def knows_key(self, public_key: str) -> bool:
+    def has_public_key(self, public_key: str) -> bool:
         """Whether a CURVE key belongs to a host of the fleet."""
         return any(item.public_key == public_key for item in self._records.values())
 
@@ -120,9 +120,9 @@
 class Registration:
     """Keeps this host's record in the store, and with ``reports`` also its report.
 
-    ``written`` is set once the store has the record. ``anew`` is False if the store
-    still had the record of a previous start of this host, and None until that is
-    known.
+    ``written`` is set once the store has the record. ``is_first_registration`` is
+    False if the store still had the record of a previous start of this host, and
+    None until that is known.
     """
 
     def __init__(
@@ -139,15 +139,15 @@
         self._version = 0
         self._removed = False
         self.written = trio.Event()
-        self.anew: bool | None = None
+        self.is_first_registration: bool | None = None
         self._write_needed = trio.Event()
 
-    def set_version(self, configuration_version: int) -> None:
+    def set_configuration_version(self, configuration_version: int) -> None:
         """Schedule a report of the configuration version that is now in force."""
         self._version = configuration_version
         self._write_needed.set()
 
-    def record_lost(self) -> None:
+    def restore_record(self) -> None:
         """Schedule writing the record again after it was deleted by mistake."""
         self._write_needed.set()
 
@@ -188,16 +188,16 @@
 
     async def _write(self, kind: str, desired_spec: dict[str, Any]) -> bool:
         def change(spec: dict[str, Any] | None) -> Result[dict[str, Any] | None, Any]:
-            if self.anew is None:
+            if self.is_first_registration is None:
                 # An equal record is from a creation whose response was lost.
-                self.anew = spec is None or spec == desired_spec
+                self.is_first_registration = spec is None or spec == desired_spec
             return Ok(None if spec == desired_spec else desired_spec)
 
         name = self.record.name
-        if self.anew is None:
+        if self.is_first_registration is None:
             created = await self._store.put(kind, name, desired_spec, 0)
             if created.is_ok():
-                self.anew = True
+                self.is_first_registration = True
                 return True
         written = await update(self._store, kind, name, change, attempts=2)
         return written.is_ok()
@@ -223,7 +223,7 @@
         self._silent_s = settings.silent_after_ms / 1000
         self._silent_since_s: dict[str, float] = {}
 
-    def finds_silent(self, request: HostQuestion) -> bool:
+    def considers_silent(self, request: HostQuestion) -> bool:
         """Whether the host in ``request`` has been silent here for long enough."""
         silent_since_s = self._silent_since_s.get(request.incarnation)
         return (
@@ -256,7 +256,7 @@
             self._silent_since_s.pop(record.incarnation, None)
             return
         self._silent_since_s.setdefault(record.incarnation, time.monotonic())
-        if self.finds_silent(request) and await self._is_silent_for_others(
+        if self.considers_silent(request) and await self._is_silent_for_others(
             record, request
         ):
             await self._delete_record(record)
--- a/src/rattanhollow/proxy/_answer_peers.py
+++ b/src/rattanhollow/proxy/_answer_peers.py
@@ -40,11 +40,11 @@
         return _answer_suspicion(question, own, parts)
     if isinstance(question, HostQuestion):
         is_other = question.host != own.name
-        return HostAnswer(is_other and parts.neighbours.finds_silent(question))
+        return HostAnswer(is_other and parts.neighbours.considers_silent(question))
     if isinstance(question, FreshnessQuestion):
-        return parts.freshness.answer()
+        return parts.freshness.freshness_response()
     if isinstance(question, ConfigurationQuestion):
-        return parts.freshness.configuration()
+        return parts.freshness.configuration_response()
     if isinstance(question, ShareQuestion):
         return parts.rates.answer(question)
     if isinstance(question, CancelQuestion):
--- a/src/rattanhollow/proxy/_root.py
+++ b/src/rattanhollow/proxy/_root.py
@@ -31,7 +31,7 @@
     HostDirectory,
     HostRecord,
     NeighbourWatch,
-    Reach,
+    PeerAccess,
     Registration,
 )
 from rattanhollow.observe import Metrics, log_event, no_metrics, statsd_metrics
@@ -87,7 +87,7 @@
         self._new_configuration = trio.Event()
         keys = new_peer_keys()
         self.peers = Peers(
-            settings.host.address, keys, self.hosts.knows_key, self._answer_peer
+            settings.host.address, keys, self.hosts.has_public_key, self._answer_peer
         )
         record = HostRecord(
             name=settings.host.name,
@@ -117,7 +117,7 @@
         )
         self._listener = Listener(self.service, tls_context(settings.listen))
         self._configurations = Follower(CONFIGURATION_KIND, self._take_stored)
-        reach = Reach(self._own_record, self.hosts, self.peers, rng)
+        reach = PeerAccess(self._own_record, self.hosts, self.peers, rng)
         self.freshness = Freshness(self._configurations, reach)
         self._watches = GroupWatches(self.groups, self._watch_parts())
         self.rates = Rates(self._rate_parts())
@@ -223,7 +223,7 @@
             await self.groups.take_databases(configuration.databases)
             self._watches.changed()
             self._refresh_callers(configuration)
-            self.registration.set_version(configuration.version)
+            self.registration.set_configuration_version(configuration.version)
             log_event("configuration.in_force", version=configuration.version)
 
     def _refresh_callers(self, configuration: Configuration) -> None:
@@ -298,7 +298,7 @@
         self._watches.changed()
         own = self.registration.record
         if self.hosts.follower.listed.is_set() and self.hosts.find(own.name) != own:
-            self.registration.record_lost()
+            self.registration.restore_record()
 
     async def _cancel(self, wanted: Cancel) -> None:
         own = self.settings.host.name
--- a/src/rattanhollow/proxy/_watch_all.py
+++ b/src/rattanhollow/proxy/_watch_all.py
@@ -57,7 +57,7 @@
 
     async def _work_out(self, nursery: trio.Nursery) -> None:
         own = self._parts.own()
-        hosts = [h for h in self._parts.hosts.staying() if h.name != own.name]
+        hosts = [h for h in self._parts.hosts.active_hosts() if h.name != own.name]
         if not own.leaving:
             hosts.append(own)
         groups = {group.database.name: group for group in self._groups.all()}
--- a/src/rattanhollow/proxy/_watch_primary.py
+++ b/src/rattanhollow/proxy/_watch_primary.py
@@ -129,7 +129,7 @@
         return age_ms < 2 * self._parts.settings.step_timeout_ms
 
     def _zone_count(self) -> int:
-        zones = {record.zone for record in self._parts.hosts.staying()}
+        zones = {record.zone for record in self._parts.hosts.active_hosts()}
         return len(zones | {self._parts.own().zone})
 
     async def _change_members(self) -> None:
--- a/src/rattanhollow/rates/_rates.py
+++ b/src/rattanhollow/rates/_rates.py
@@ -181,7 +181,7 @@
         if self._leases[shard].is_held():
             self._take_grants(self.answer(question), asked_at_s)
             return
-        owner = self._parts.hosts.by_incarnation(self._leases[shard].seen_holder)
+        owner = self._parts.hosts.find_by_incarnation(self._leases[shard].seen_holder)
         if owner is None:
             return
         asked = await self._parts.peers.ask(owner.peer, question, ASK_TIMEOUT_MS)
@@ -230,7 +230,7 @@
         name = f"rates-{shard}"
 
         def reluctance_s() -> float:
-            names = [record.name for record in self._parts.hosts.staying()]
+            names = [record.name for record in self._parts.hosts.active_hosts()]
             own = self._parts.own().name
             order = ranked(name, {*names, own})
             return TURN_S * order.index(own)
--- a/src/rattanhollow/routing/_agents.py
+++ b/src/rattanhollow/routing/_agents.py
@@ -130,7 +130,7 @@
         return self._ranked[key]
 
     def _rank(self, server_id: str, zone: str, own: HostRecord) -> list[HostRecord]:
-        records = {h.name: h for h in self._parts.hosts.staying()}
+        records = {h.name: h for h in self._parts.hosts.active_hosts()}
         records.pop(own.name, None)
         if not own.leaving:
             records[own.name] = own
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -83,10 +83,10 @@
             return
         gossip = self.hosts[peer.name].gossip
         if isinstance(news, ChangeNews):
-            gossip.take_changes(news)
+            gossip.receive_changes(news)
         else:
             assert isinstance(news, CopyNews)
-            gossip.take(news)
+            gossip.receive_copies(news)
 
     async def ask(
         self, peer: PeerAddress, question: Message, timeout_ms: int
@@ -98,7 +98,7 @@
         if host is None:
             return Err(AskFailure("not started", sent=False))
         assert isinstance(question, CopyQuestion)
-        answer = host.gossip.answer(question)
+        answer = host.gossip.comparison_response(question)
         self.sent_bytes += len(encode(1, answer))
         return Ok(answer)
 
@@ -133,7 +133,7 @@
             hosts=self.directory,
             rng=self.rng,
             in_force_s=lambda: IN_FORCE_S,
-            spread=self.gossip.spread,
+            spread=self.gossip.notify_all_zones,
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.registration.run)
@@ -147,7 +147,9 @@
         if first_start:
             hosts = self.directory.follower
             await wait_for_relays(follower, hosts, gossip.is_relay)
-        await follow(self.store, follower, self.rng, gossip.is_relay, gossip.pass_on)
+        await follow(
+            self.store, follower, self.rng, gossip.is_relay, gossip.notify_zone
+        )
 
 
 def _ending_watches(table: ObjectTable) -> ObjectStore:
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -30,7 +30,7 @@
     for host in fleet.hosts.values():
         assert all(f.listed.is_set() and f.items for f in host.followers)
         assert host.directory.count == len(fleet.hosts)
-        assert host.registration.anew
+        assert host.registration.is_first_registration
     assert start <= 1.5 * len(fleet.hosts)
 
 
@@ -59,7 +59,10 @@
         host = MemoryHost("h0", fleet, 0)
         with trio.move_on_after(5):
             await host.registration.run()
-        assert host.registration.written.is_set() and host.registration.anew
+        assert (
+            host.registration.written.is_set()
+            and host.registration.is_first_registration
+        )
 
     run_jumping(main)
 
@@ -73,7 +76,7 @@
             host = MemoryHost("h0", fleet, seed)
             with trio.move_on_after(5):
                 await host.registration.run()
-            assert host.registration.anew is (seed == 1)
+            assert host.registration.is_first_registration is (seed == 1)
         entry = fleet.table.get("hosts", "h0")
         assert entry is not None and entry.spec["incarnation"] == "h0-2"
 
