Reword the membership tests

No assertion, number or seed changes.

test_hosts.py and test_freshness.py need the network and were only compiled, formatted and linted.

--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -1,6 +1,6 @@
-"""Hosts of a fleet that learn what the store holds, without a network.
+"""A fleet of hosts without a network, with a store in memory.
 
-They tell one another directly; the store is in memory, and time jumps.
+The hosts call one another directly, and time is simulated.
 """
 
 import random
@@ -41,18 +41,19 @@
 from rattanhollow_standins.store import ObjectTable, local_store
 
 ZONES = [f"{region}-{half}" for region in ("lothian", "tayside") for half in "abc"]
-IN_FORCE_S = 8.0
-STARTED_S = 8.0
-# A list that may lag costs a tenth of a call.
-LAGGING_COST = 0.1
-WAY_S = 0.005
-WATCH_WAIT_S = 15.0
+PROPAGATION_DEADLINE_S = 8.0
+START_DURATION_S = 8.0
+# The cost of a list that may lag, in calls of full price.
+LAGGING_LIST_COST = 0.1
+LINK_DELAY_S = 0.005
+WATCH_DURATION_S = 15.0
 
 
 class MemoryFleet:
-    """The hosts by name, the store, and what the hosts send one another.
+    """The hosts by name, the store, and the messages between the hosts.
 
-    ``deaf`` hosts get no news, as where a link has just been cut.
+    Hosts in ``unnotified`` receive no notifications, as if their connection had
+    just been cut.
     """
 
     def __init__(self, seed: int = 0) -> None:
@@ -60,54 +61,54 @@
         self.table = ObjectTable()
         self.hosts: dict[str, MemoryHost] = {}
         self.sent_bytes = 0
-        self.deaf: set[str] = set()
+        self.unnotified: set[str] = set()
         self.table.create("config", "main", {"version": 1})
         self.table.create("servers", "i-1", {})
 
     async def start(self, number: int, at_s: float, first_start: bool = True) -> None:
-        """Run a host, from ``at_s`` on."""
+        """Run a host after a delay of ``at_s``."""
         await trio.sleep(at_s)
         host = MemoryHost(f"h{number}", self, self.seed)
         self.hosts[host.record.name] = host
         await host.run(first_start)
 
     def is_dark(self, peer: PeerAddress) -> bool:
-        """Whether a host is known not to answer."""
+        """Whether a host is known not to respond."""
         return False
 
-    async def tell(self, peer: PeerAddress, news: Message) -> None:
-        """Bring news to a host."""
-        self.sent_bytes += len(encode(1, news))
-        await trio.sleep(WAY_S)
-        if peer.name in self.deaf or peer.name not in self.hosts:
+    async def tell(self, peer: PeerAddress, notification: Message) -> None:
+        """Deliver a notification to a host."""
+        self.sent_bytes += len(encode(1, notification))
+        await trio.sleep(LINK_DELAY_S)
+        if peer.name in self.unnotified or peer.name not in self.hosts:
             return
         gossip = self.hosts[peer.name].gossip
-        if isinstance(news, ChangeNews):
-            gossip.receive_changes(news)
+        if isinstance(notification, ChangeNews):
+            gossip.receive_changes(notification)
         else:
-            assert isinstance(news, CopyNews)
-            gossip.receive_copies(news)
+            assert isinstance(notification, CopyNews)
+            gossip.receive_copies(notification)
 
     async def ask(
-        self, peer: PeerAddress, question: Message, timeout_ms: int
+        self, peer: PeerAddress, request: Message, timeout_ms: int
     ) -> Result[Message, AskFailure]:
-        """Bring a question to a host, and its answer back."""
-        self.sent_bytes += len(encode(1, question))
-        await trio.sleep(WAY_S)
+        """Deliver a request to a host, and return its response."""
+        self.sent_bytes += len(encode(1, request))
+        await trio.sleep(LINK_DELAY_S)
         host = self.hosts.get(peer.name)
         if host is None:
             return Err(AskFailure("not started", sent=False))
-        assert isinstance(question, CopyQuestion)
-        answer = host.gossip.comparison_response(question)
-        self.sent_bytes += len(encode(1, answer))
-        return Ok(answer)
+        assert isinstance(request, CopyQuestion)
+        response = host.gossip.comparison_response(request)
+        self.sent_bytes += len(encode(1, response))
+        return Ok(response)
 
 
 class MemoryHost:
-    """What a host does with the store."""
+    """The parts of a host that use the store."""
 
     def __init__(self, name: str, fleet: MemoryFleet, seed: int) -> None:
-        self.store = _ending_watches(fleet.table)
+        self.store = _store_with_ending_watches(fleet.table)
         self.rng = random.Random(f"{seed} {name}")
         zone = ZONES[int(name[1:]) % len(ZONES)]
         record = HostRecord(name, "10.0.0.1", zone, 1, "", f"{name}-{seed}")
@@ -117,14 +118,19 @@
             Follower(kind, lambda stored, name: None) for kind in ("config", "servers")
         ]
         links: Any = fleet
-        followed = [*self.followers, self.directory.follower]
+        all_followers = [*self.followers, self.directory.follower]
         self.gossip = Gossip(
-            followed, lambda: record, self.directory, links, self.rng, IN_FORCE_S
+            all_followers,
+            lambda: record,
+            self.directory,
+            links,
+            self.rng,
+            PROPAGATION_DEADLINE_S,
         )
         self.record = record
 
     async def run(self, first_start: bool) -> None:
-        """Do it until cancelled."""
+        """Run these parts until cancelled."""
         polls = PollParts(
             store=self.store,
             configurations=self.followers[0],
@@ -132,7 +138,7 @@
             own=lambda: self.record,
             hosts=self.directory,
             rng=self.rng,
-            in_force_s=lambda: IN_FORCE_S,
+            in_force_s=lambda: PROPAGATION_DEADLINE_S,
             spread=self.gossip.notify_all_zones,
         )
         async with trio.open_nursery() as nursery:
@@ -152,14 +158,14 @@
         )
 
 
-def _ending_watches(table: ObjectTable) -> ObjectStore:
-    """Return a store whose watches end with the first changes, as the platform's."""
+def _store_with_ending_watches(table: ObjectTable) -> ObjectStore:
+    """Return a store whose watches end after the first changes, as the platform's."""
 
     async def watch(
         kind: str, version: int
     ) -> AsyncIterator[Result[Event, StoreFailure]]:
         table.count("watch")
-        with trio.move_on_after(WATCH_WAIT_S):
+        with trio.move_on_after(WATCH_DURATION_S):
             while not table.since(kind, version):
                 await table.wait_for_change()
         for change in table.since(kind, version) or []:
@@ -174,16 +180,16 @@
     return local_store(table)._replace(watch=watch)
 
 
-def cost_of(calls: Counter[str]) -> float:
-    """Return what calls to the store cost, in calls of full price."""
+def cost_of_calls(calls: Counter[str]) -> float:
+    """Return the cost of calls to the store, in calls of full price."""
     lagging = calls["list lagging"]
-    return calls.total() - lagging + LAGGING_COST * lagging
+    return calls.total() - lagging + LAGGING_LIST_COST * lagging
 
 
 def run_fleet(
     count: int, seed: int, idle_s: float, first_start: bool = True
 ) -> tuple[MemoryFleet, list[float]]:
-    """Start hosts, and return them with what start and idle time cost."""
+    """Run hosts; return them with the cost of the start and of the idle time."""
     fleet = MemoryFleet(seed)
     costs: list[float] = []
 
@@ -193,10 +199,10 @@
             for number in range(count):
                 at_s = rng.uniform(0.2, 1.1)
                 nursery.start_soon(fleet.start, number, at_s, first_start)
-            for wait_s in (STARTED_S, idle_s):
+            for wait_s in (START_DURATION_S, idle_s):
                 fleet.table.calls.clear()
                 await trio.sleep(wait_s)
-                costs.append(cost_of(fleet.table.calls))
+                costs.append(cost_of_calls(fleet.table.calls))
             nursery.cancel_scope.cancel()
 
     run_jumping(main, seed)
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -1,8 +1,7 @@
-"""One host of hundreds comes or goes, and all others hear of it.
+"""Notification of a large fleet when one host joins or leaves.
 
-What is told has to grow with the change, not with what was known before. No
-network: hosts tell one another directly, and the store is in memory; time that
-jumps.
+The bytes sent must grow with the change, not with the number of known objects. The
+hosts call one another directly, the store is in memory, and time is simulated.
 """
 
 import random
@@ -11,10 +10,10 @@
 import trio
 
 from jumping import run_jumping
-from memory_fleet import IN_FORCE_S, STARTED_S, MemoryFleet
+from memory_fleet import PROPAGATION_DEADLINE_S, START_DURATION_S, MemoryFleet
 
 HOSTS = 195
-# Of all hosts together, when one comes or goes.
+# Sent by all hosts together when one joins or leaves.
 LARGEST_CHANGE_BYTES = 100_000
 
 
@@ -22,17 +21,17 @@
     rng = random.Random(fleet.seed)
     for number in range(count):
         nursery.start_soon(fleet.start, number, rng.uniform(0.2, 1.1))
-    await trio.sleep(STARTED_S + IN_FORCE_S)
+    await trio.sleep(START_DURATION_S + PROPAGATION_DEADLINE_S)
 
 
-def _knowing(fleet: MemoryFleet, name: str) -> int:
-    """Return how many hosts know a host."""
+def _count_hosts_that_know(fleet: MemoryFleet, name: str) -> int:
+    """Return the number of hosts that know the host ``name``."""
     return sum(h.directory.find(name) is not None for h in fleet.hosts.values())
 
 
 @pytest.mark.parametrize("seed", range(3))
-def test_a_host_that_comes_or_goes_costs_the_fleet_little(seed: int) -> None:
-    """Comparisons of copies that are alike, during the same time, are left out."""
+def test_a_host_that_joins_or_leaves_sends_few_bytes(seed: int) -> None:
+    """The change sends few bytes, beyond those of an idle fleet in the same time."""
     fleet = MemoryFleet(seed)
 
     async def main() -> None:
@@ -43,14 +42,14 @@
             idle_bytes, fleet.sent_bytes = fleet.sent_bytes, 0
             fleet.table.create("hosts", "new", fleet.hosts["h0"].record._asdict())
             await trio.sleep(2.0)
-            assert _knowing(fleet, "new") == HOSTS
+            assert _count_hosts_that_know(fleet, "new") == HOSTS
             assert fleet.sent_bytes - idle_bytes <= LARGEST_CHANGE_BYTES
             fleet.sent_bytes = 0
             entry = fleet.table.get("hosts", "new")
             assert entry is not None
             fleet.table.delete("hosts", "new", entry.version)
             await trio.sleep(2.0)
-            assert _knowing(fleet, "new") == 0
+            assert _count_hosts_that_know(fleet, "new") == 0
             assert fleet.sent_bytes - idle_bytes <= LARGEST_CHANGE_BYTES
             nursery.cancel_scope.cancel()
 
@@ -58,15 +57,15 @@
 
 
 @pytest.mark.parametrize("seed", range(3))
-def test_a_host_that_missed_news_hears_all_of_it(seed: int) -> None:
-    """The next news shows that something is missing; then it asks for the whole."""
+def test_a_host_that_missed_notifications_catches_up(seed: int) -> None:
+    """The next notification reveals the gap, and the host fetches what it missed."""
     fleet = MemoryFleet(seed)
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
             await _start_all(fleet, nursery, 30)
             record = fleet.hosts["h0"].record._asdict()
-            fleet.deaf = set(fleet.hosts)
+            fleet.unnotified = set(fleet.hosts)
             for name in ("gone", "missed"):
                 fleet.table.create("hosts", name, record)
                 await trio.sleep(1.0)
@@ -74,31 +73,35 @@
             assert entry is not None
             fleet.table.delete("hosts", "gone", entry.version)
             await trio.sleep(1.0)
-            fleet.deaf = set()
+            fleet.unnotified = set()
             fleet.table.create("hosts", "heard", record)
             await trio.sleep(1.0)
-            assert _knowing(fleet, "heard") == _knowing(fleet, "missed") == 30
-            assert _knowing(fleet, "gone") == 0
+            assert (
+                _count_hosts_that_know(fleet, "heard")
+                == _count_hosts_that_know(fleet, "missed")
+                == 30
+            )
+            assert _count_hosts_that_know(fleet, "gone") == 0
             nursery.cancel_scope.cancel()
 
     run_jumping(main, seed)
 
 
-def test_changes_that_give_another_copy_are_not_taken() -> None:
-    """Whoever lost an object unseen asks for the whole, and has it again."""
+def test_changes_with_a_different_digest_are_not_applied() -> None:
+    """A host whose copy lacks an object unnoticed fetches the full copy."""
     fleet = MemoryFleet(0)
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
             await _start_all(fleet, nursery, 30)
             host = next(h for h in fleet.hosts.values() if not h.gossip.is_relay())
-            lost = next(n for n in fleet.hosts if n != host.record.name)
-            del host.directory.follower.items[lost]
+            lacking = next(n for n in fleet.hosts if n != host.record.name)
+            del host.directory.follower.items[lacking]
             record = host.record._asdict()
             fleet.table.create("hosts", "new", record)
             await trio.sleep(1.0)
             known = host.directory.follower.items
-            assert {"new", lost} <= known.keys()
+            assert {"new", lacking} <= known.keys()
             nursery.cancel_scope.cancel()
 
     run_jumping(main)
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -1,4 +1,4 @@
-"""Hosts that the store has lost: told by others, or silent."""
+"""Hosts disconnected from the store, with and without contact to other hosts."""
 
 from typing import Any
 
@@ -22,21 +22,21 @@
 """
 
 
-async def still_works(client: Client) -> bool:
-    """Whether a connection's key still gets answers."""
+async def accepts_statements(client: Client) -> bool:
+    """Whether statements on a connection, and so its key, still succeed."""
     try:
         return (await client.run("SELECT 1")).error is None
     except Exception:
         return False
 
 
-def lose_store(fleet: Fleet, number: int) -> None:
-    """Let a host lose the store."""
+def disconnect_from_store(fleet: Fleet, number: int) -> None:
+    """Disconnect a host from the store."""
     fleet.table.faults.cut_addresses = {fleet.addresses.proxy(number)}
 
 
-def lose_hosts(fleet: Fleet, number: int) -> None:
-    """Let a host lose all other hosts."""
+def disconnect_from_hosts(fleet: Fleet, number: int) -> None:
+    """Disconnect a host from all other hosts."""
 
     async def ask(*arguments: Any) -> Result[Any, str]:
         return Err("cut off")
@@ -45,49 +45,51 @@
 
 
 async def withdraw(fleet: Fleet) -> bool:
-    """Withdraw the key of an open connection; whether it works 10 s later."""
+    """Withdraw the key of an open connection; whether it still works after 10 s."""
     client = await connect(fleet.place(0))
     (await apply_note(fleet.store(), read_note("n2", NOTE), "ann")).unwrap()
     with trio.move_on_after(WITHDRAW_S):
-        while await still_works(client):
+        while await accepts_statements(client):
             await trio.sleep(0.2)
         return False
     return True
 
 
-async def told_by_others(fleet: Fleet) -> bool:
-    """Withdraw a key at a host that only other hosts can tell."""
-    lose_store(fleet, 0)
+async def withdraw_without_store(fleet: Fleet) -> bool:
+    """Withdraw a key that a host can learn of only from other hosts."""
+    disconnect_from_store(fleet, 0)
     works = await withdraw(fleet)
     assert fleet.proxies[0].configuration.version == 2
-    assert await still_works(await connect(fleet.place(0, key="new")))
+    assert await accepts_statements(await connect(fleet.place(0, key="new")))
     return works
 
 
-async def cut_off(fleet: Fleet) -> bool:
-    """Withdraw a key at a host that nobody can tell."""
-    lose_store(fleet, 0)
-    lose_hosts(fleet, 0)
+async def withdraw_when_isolated(fleet: Fleet) -> bool:
+    """Withdraw a key that a host has no way to learn of."""
+    disconnect_from_store(fleet, 0)
+    disconnect_from_hosts(fleet, 0)
     return await withdraw(fleet)
 
 
-def test_a_host_without_the_store_hears_from_others(with_fleet: Any) -> None:
-    """A withdrawn key stops at a host that the store has lost; other keys work."""
-    assert not with_fleet(told_by_others)
+def test_a_host_without_the_store_learns_from_other_hosts(with_fleet: Any) -> None:
+    """Without the store, a host refuses a withdrawn key and accepts the others."""
+    assert not with_fleet(withdraw_without_store)
 
 
-def test_a_host_without_anybody_stops(with_fleet: Any) -> None:
-    """A host that nobody can tell takes no requests after some seconds."""
-    assert not with_fleet(cut_off)
+def test_an_isolated_host_stops(with_fleet: Any) -> None:
+    """A host without store and other hosts stops accepting requests within 10 s."""
+    assert not with_fleet(withdraw_when_isolated)
 
 
-def test_a_host_without_anybody_goes_on_without_the_check(with_fleet: Any) -> None:
-    """With the check off, the withdrawn key goes on working there."""
-    assert with_fleet(cut_off, guards=ALL_GUARDS._replace(freshness=False))
+def test_an_isolated_host_goes_on_without_the_check(with_fleet: Any) -> None:
+    """With the check disabled, the withdrawn key still works on an isolated host."""
+    assert with_fleet(
+        withdraw_when_isolated, guards=ALL_GUARDS._replace(freshness=False)
+    )
 
 
-def test_an_outage_for_all_stops_nobody(with_fleet: Any) -> None:
-    """While no host hears the store, all go on."""
+def test_a_store_outage_stops_no_host(with_fleet: Any) -> None:
+    """While no host is connected to the store, all keep accepting requests."""
 
     async def scenario(fleet: Fleet) -> None:
         fleet.table.faults.down = True
@@ -95,7 +97,7 @@
         with trio.move_on_after(9):
             while True:
                 for client in clients:
-                    assert await still_works(client)
+                    assert await accepts_statements(client)
                 await trio.sleep(0.2)
 
     with_fleet(scenario)
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -1,4 +1,4 @@
-"""Hosts that come, go, die, and take turns watching."""
+"""Hosts that join, leave or die, and the assignment of watchers."""
 
 from typing import Any
 
@@ -9,7 +9,7 @@
 from rattanhollow_standins.client import connect
 from rattanhollow_standins.fleet import Fleet
 
-QUICK = {
+SHORT_INTERVALS = {
     "membership": {
         "ask_interval_ms": "100",
         "ask_timeout_ms": "200",
@@ -27,8 +27,8 @@
     ]
 
 
-def test_watchers_are_spread() -> None:
-    """Watchers are in as many zones as there are, and the work is shared."""
+def test_watchers_are_distributed_over_zones_and_hosts() -> None:
+    """Watchers are in all three zones, and hosts watch similar numbers of databases."""
     fleet = hosts(9)
     load = dict.fromkeys((host.name for host in fleet), 0)
     for number in range(90):
@@ -40,7 +40,7 @@
     assert max(load.values()) <= 2 * min(load.values())
 
 
-async def until_hosts(fleet: Fleet, count: int) -> None:
+async def wait_for_host_count(fleet: Fleet, count: int) -> None:
     """Wait until the store and every proxy know ``count`` hosts."""
     with trio.fail_after(20):
         while True:
@@ -50,48 +50,48 @@
             await trio.sleep(0.05)
 
 
-def test_a_dead_host_is_forgotten(with_fleet: Any) -> None:
-    """Neighbours delete the record of a dead host; one that lives stays."""
+def test_the_record_of_a_dead_host_is_deleted(with_fleet: Any) -> None:
+    """Neighbours delete the record of a dead host, and of no other."""
 
     async def scenario(fleet: Fleet) -> None:
-        await until_hosts(fleet, 4)
+        await wait_for_host_count(fleet, 4)
         fleet.kill_proxy(1)
-        await until_hosts(fleet, 3)
+        await wait_for_host_count(fleet, 3)
         await trio.sleep(1.5)
         assert len(fleet.table.items(HOST_KIND)) == 3
         await fleet.start_proxy(1)
-        await until_hosts(fleet, 4)
+        await wait_for_host_count(fleet, 4)
 
-    with_fleet(scenario, proxies=4, overrides=QUICK)
+    with_fleet(scenario, proxies=4, overrides=SHORT_INTERVALS)
 
 
-def test_a_deleted_record_of_a_living_host_comes_back(with_fleet: Any) -> None:
+def test_a_deleted_record_of_a_running_host_is_restored(with_fleet: Any) -> None:
     """A host whose record was deleted by mistake writes it again."""
 
     async def scenario(fleet: Fleet) -> None:
-        await until_hosts(fleet, 3)
+        await wait_for_host_count(fleet, 3)
         entry = fleet.table.get(HOST_KIND, "proxy-1")
         assert entry is not None
         fleet.table.delete(HOST_KIND, "proxy-1", entry.version)
         await trio.sleep(0.3)
-        await until_hosts(fleet, 3)
+        await wait_for_host_count(fleet, 3)
 
-    with_fleet(scenario, overrides=QUICK)
+    with_fleet(scenario, overrides=SHORT_INTERVALS)
 
 
-def test_replacing_every_host_cuts_no_request(with_fleet: Any) -> None:
-    """Every host is drained and started again under load; no request is cut."""
+def test_replacing_every_host_fails_no_request(with_fleet: Any) -> None:
+    """Every host is drained and restarted under load, and no request fails."""
 
     async def scenario(fleet: Fleet) -> None:
         await (await connect(fleet.place(0))).run("CREATE TABLE slots (number int)")
-        done = trio.Event()
-        cut: list[str] = []
-        answered = 0
+        all_replaced = trio.Event()
+        failed: list[str] = []
+        completed = 0
 
         async def caller(number: int) -> None:
-            nonlocal answered
+            nonlocal completed
             at = number % 3
-            while not done.is_set():
+            while not all_replaced.is_set():
                 if (
                     at not in fleet.proxies
                     or fleet.proxies[at].registration.record.leaving
@@ -104,8 +104,8 @@
                     sql = f"INSERT INTO slots VALUES ({number * 1000 + turn})"
                     result = await client.run(sql)
                     if result.error is not None:
-                        cut.append(result.error.message)
-                    answered += 1
+                        failed.append(result.error.message)
+                    completed += 1
                 await client.close()
 
         async with trio.open_nursery() as nursery:
@@ -117,8 +117,8 @@
                 while number in fleet.proxies:
                     await trio.sleep(0.02)
                 await fleet.start_proxy(number)
-            done.set()
-        assert cut == []
-        assert answered > 100
+            all_replaced.set()
+        assert failed == []
+        assert completed > 100
 
-    with_fleet(scenario, overrides=QUICK)
+    with_fleet(scenario, overrides=SHORT_INTERVALS)
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -1,8 +1,8 @@
-"""Hundreds of hosts that start at once, and then have nothing to do.
+"""Store calls of a large fleet that starts at once and is then idle.
 
-Each call to the platform's store has its price: over the whole fleet they should
-grow with availability zones and changes, not with hosts. No network: hosts tell one
-another directly, and the store is in memory; time that jumps.
+Each call to the platform's store has a price: the calls of the whole fleet should
+grow with availability zones and changes, not with hosts. The hosts call one another
+directly, the store is in memory, and time is simulated.
 """
 
 from typing import Any
@@ -12,8 +12,8 @@
 
 from jumping import run_jumping
 from memory_fleet import (
-    IN_FORCE_S,
-    WATCH_WAIT_S,
+    PROPAGATION_DEADLINE_S,
+    WATCH_DURATION_S,
     ZONES,
     MemoryFleet,
     MemoryHost,
@@ -22,10 +22,10 @@
 
 
 @pytest.mark.parametrize("seed", range(3))
-def test_a_host_of_a_new_fleet_costs_the_store_little_more_than_its_record(
+def test_a_host_of_a_new_fleet_needs_few_calls_besides_its_creation(
     seed: int,
 ) -> None:
-    """All hosts know everything; no more than half a call each beside creation."""
+    """All hosts know all objects, for at most half a call each besides creation."""
     fleet, (start, _) = run_fleet(195, seed, idle_s=0.1)
     for host in fleet.hosts.values():
         assert all(f.listed.is_set() and f.items for f in host.followers)
@@ -35,23 +35,23 @@
 
 
 def test_an_idle_fleet_calls_as_often_whatever_its_size() -> None:
-    """Two relays a zone renew three watches; two calls in the time are polls."""
-    renewed = 2 * 3 * 60 / WATCH_WAIT_S
-    polled = 2 * 60 / IN_FORCE_S
+    """Two relays per zone renew three watches; two calls per deadline are polls."""
+    renewed = 2 * 3 * 60 / WATCH_DURATION_S
+    polled = 2 * 60 / PROPAGATION_DEADLINE_S
     for count in (18, 195):
         _, (_, idle) = run_fleet(count, 0, idle_s=60.0)
         assert idle <= len(ZONES) * (renewed + polled)
 
 
 def test_a_host_that_joins_later_reads_the_configuration_itself() -> None:
-    """A relay's copy may lack that a key was withdrawn."""
+    """The cached copy of a relay may still have a key that was withdrawn."""
     fleet, _ = run_fleet(12, 0, idle_s=0.1, first_start=False)
     for host in fleet.hosts.values():
         assert host.followers[0].heard_at_s > 0
 
 
-def test_a_creation_without_an_answer_is_ones_own() -> None:
-    """Nobody has counted an earlier start of a host that found only itself."""
+def test_a_creation_without_a_response_is_a_first_registration() -> None:
+    """The record found is its own: no other host has counted a previous start."""
 
     async def main() -> None:
         fleet = MemoryFleet()
@@ -67,8 +67,8 @@
     run_jumping(main)
 
 
-def test_a_host_that_starts_again_knows_that_it_was_counted() -> None:
-    """Its record of an earlier start is replaced."""
+def test_a_host_that_starts_again_finds_its_previous_record() -> None:
+    """The record of its previous start is replaced."""
 
     async def main() -> None:
         fleet = MemoryFleet()
@@ -83,8 +83,8 @@
     run_jumping(main)
 
 
-def test_lists_that_lag_bring_nothing_back_behind_a_restart() -> None:
-    """A key that was withdrawn, or a server that left, is never in use again."""
+def test_lagging_lists_restore_nothing_after_a_restart() -> None:
+    """A withdrawn key, or a server that left, must not be in use again."""
 
     async def main() -> None:
         fleet = MemoryFleet()
