--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -30,8 +30,8 @@
 
 
 @pytest.mark.parametrize("seed", range(3))
-def test_a_host_that_joins_or_leaves_sends_few_bytes(seed: int) -> None:
-    """The change sends few bytes, beyond those of an idle fleet in the same time."""
+def test_a_host_that_joins_or_leaves_costs_few_bytes(seed: int) -> None:
+    """Hosts send few bytes beyond those that an idle fleet sends in the same time."""
     fleet = MemoryFleet(seed)
 
     async def main() -> None:
