--- a/src/rattanhollow/routing/_agents.py
+++ b/src/rattanhollow/routing/_agents.py
@@ -144,7 +144,7 @@
     def _rank_hosts(
         self, server_id: str, zone: str, own: HostRecord
     ) -> list[HostRecord]:
-        records = {h.name: h for h in self._dependencies.hosts.staying()}
+        records = {h.name: h for h in self._dependencies.hosts.active_hosts()}
         records.pop(own.name, None)
         if not own.leaving:
             records[own.name] = own
