--- a/src/rattanhollow/host/_answer_peers.py
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -38,7 +38,7 @@
 ) -> Message | None:
     """Return the answer of host ``own``, None where it has none."""
     if isinstance(question, Work):
-        return await parts.serving.work(question)
+        return await parts.serving.run_work(question)
     if isinstance(question, ProofQuestion):
         return await parts.serving.prove(question.server)
     if isinstance(question, FloorQuestion):
@@ -57,7 +57,7 @@
         return None
     if isinstance(question, ReachQuestion):
         served = parts.serving.serve(question.server)
-        reaches = served is not None and await served.reaches()
+        reaches = served is not None and await served.check_reachable()
         return ReachAnswer(reaches, own.zone)
     if isinstance(question, LeaderNews):
         parts.directory.saw_leader(question.service, question.server)
--- a/src/rattanhollow/host/_ends.py
+++ b/src/rattanhollow/host/_ends.py
@@ -7,7 +7,7 @@
 from result import Result
 
 from rattanhollow.configuration import RouteTable
-from rattanhollow.serving import BackendEnd, BackendServer
+from rattanhollow.serving import BackendAdapter, BackendServer
 from rattanhollow.session import CallerConnection
 from rattanhollow.store import ObjectStore, Stored
 
@@ -20,7 +20,7 @@
     """
 
     caller: Callable[[trio.SocketStream], CallerConnection]
-    backend: BackendEnd
+    backend: BackendAdapter
     store: ObjectStore
     promote: Callable[[str, str, str, int], Awaitable[Result[int, str]]]
     read_routes: Callable[[dict[str, Any]], Result[RouteTable, str]]
--- a/src/rattanhollow/host/_watch_primaries.py
+++ b/src/rattanhollow/host/_watch_primaries.py
@@ -16,7 +16,7 @@
     BackendServer,
     Command,
     Reply,
-    Served,
+    ServedBackend,
     ServerStatus,
     Serving,
 )
@@ -63,7 +63,7 @@
         names = {record.name for record in lit} | {own_name}
         return ranked(service, names)[0] == own_name
 
-    def served(server: BackendServer) -> Served | None:
+    def served(server: BackendServer) -> ServedBackend | None:
         return parts.serving.serve(server.id)
 
     def suspicion_s(server: BackendServer) -> float:
@@ -100,9 +100,9 @@
 
     def behind() -> list[tuple[BackendServer, float]]:
         return [
-            (found.server, found.behind_s)
+            (found.server, found.lagging_s)
             for found in parts.serving.served()
-            if found.behind_s > 0 and parts.agents.serves_first(found.server)
+            if found.lagging_s > 0 and parts.agents.serves_first(found.server)
         ]
 
     # The guardian is told of claims by the very parts that it is built from.
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -11,7 +11,7 @@
     TokenGrant,
     TokenWant,
 )
-from rattanhollow.serving import Done, ProofAnswer, ProofQuestion, Work
+from rattanhollow.serving import ProofAnswer, ProofQuestion, Work, WorkResult
 
 PROTOCOL_VERSION = 2
 LARGEST_MESSAGE_BYTES = 2 << 20
@@ -270,7 +270,7 @@
     | ShareQuestion
     | ShareAnswer
     | Work
-    | Done
+    | WorkResult
     | ProofQuestion
     | ProofAnswer
     | PoolQuestion
@@ -304,7 +304,7 @@
     "shares?": ShareQuestion,
     "shares": ShareAnswer,
     "work?": Work,
-    "work": Done,
+    "work": WorkResult,
     "proof?": ProofQuestion,
     "proof": ProofAnswer,
     "pool?": PoolQuestion,
--- a/src/rattanhollow/platform/_backend.py
+++ b/src/rattanhollow/platform/_backend.py
@@ -10,12 +10,12 @@
 from rattanhollow.platform import _words as words
 from rattanhollow.platform._lines import LineReader, LineTooLong, line
 from rattanhollow.serving import (
-    BackendEnd,
+    BackendAdapter,
     BackendServer,
     Command,
     CommandKind,
     Connection,
-    Lost,
+    ExchangeFailure,
     OpenFailure,
     Reply,
     ServerStatus,
@@ -70,7 +70,7 @@
         return not poll.poll(0)
 
     def abort(self) -> None:
-        """Close at once; a task that waits gets `Lost`."""
+        """Close at once; a task that waits gets `ExchangeFailure`."""
         if not self._closed:
             self._closed = True
             self._stream.socket.close()
@@ -85,21 +85,23 @@
         await self._send(line(*fields))
         return await self._read_line()
 
-    async def run(self, command: Command) -> Result[Reply, Lost]:
+    async def run(self, command: Command) -> Result[Reply, ExchangeFailure]:
         """Run one command."""
         replies = await self.run_all([command])
         return replies.map(lambda items: items[0])
 
-    async def run_all(self, commands: list[Command]) -> Result[list[Reply], Lost]:
+    async def run_all(
+        self, commands: list[Command]
+    ) -> Result[list[Reply], ExchangeFailure]:
         """Run commands that need not wait for one another's replies."""
         if self._closed:
-            return Err(Lost("the connection was closed", sent=False))
+            return Err(ExchangeFailure("the connection was closed", sent=False))
         try:
             await self._send(b"".join(encode_command(item) for item in commands))
             return Ok([await self._read_reply() for _ in commands])
         except _Broken as error:
             self.abort()
-            return Err(Lost(str(error)))
+            return Err(ExchangeFailure(str(error)))
         except trio.Cancelled:
             self.abort()
             raise
@@ -202,8 +204,8 @@
     ),
     CommandKind.FORGET_SESSION: lambda command: words.RESET,
     CommandKind.STATUS: lambda command: words.STATUS,
-    CommandKind.HOLD: lambda command: f"{words.SUSPEND} {command.term}",
-    CommandKind.LET_GO: lambda command: words.RESUME,
+    CommandKind.SUSPEND_RECEIVING: lambda command: f"{words.SUSPEND} {command.term}",
+    CommandKind.RESUME_RECEIVING: lambda command: words.RESUME,
     CommandKind.STEP_DOWN: lambda command: f"{words.STEPDOWN} {command.term}",
 }
 
@@ -231,7 +233,7 @@
     )
 
 
-def line_backend(local_address: str) -> BackendEnd:
+def line_backend(local_address: str) -> BackendAdapter:
     """Return the backend server's end; connections leave from ``local_address``."""
 
     async def open_connection(
@@ -261,4 +263,4 @@
         code = rest.partition(" ")[0]
         return Err(_OPEN_FAILURES.get(code, OpenFailure.UNREACHABLE))
 
-    return BackendEnd(open_connection, parse_status)
+    return BackendAdapter(open_connection, parse_status)
--- a/src/rattanhollow/routing/_agents.py
+++ b/src/rattanhollow/routing/_agents.py
@@ -10,13 +10,13 @@
 from rattanhollow.routing._places import Places
 from rattanhollow.serving import (
     BackendServer,
-    Done,
-    Fate,
-    Obstacle,
+    Blocker,
     ProofAnswer,
     ProofQuestion,
     Serving,
     Work,
+    WorkOutcome,
+    WorkResult,
     not_run,
     unknown,
 )
@@ -41,7 +41,7 @@
 class Ran(NamedTuple):
     """The answer to work, the host that gave it, and the transaction it named."""
 
-    done: Done
+    done: WorkResult
     host: str
     transaction: str
 
@@ -59,28 +59,28 @@
         detail = "no host is left to serve it"
         for record in itertools.islice(self.hosts_for(server), HOSTS_TRIED):
             done = await self.run_at(record.name, work)
-            not_served = done.obstacle in (Obstacle.NOT_SERVED, Obstacle.HOST_LOST)
-            if done.fate is not Fate.NOT_RUN or not not_served:
+            not_served = done.blocker in (Blocker.NOT_SERVED, Blocker.HOST_LOST)
+            if done.outcome is not WorkOutcome.NOT_RUN or not not_served:
                 return Ran(done, record.name, work.transaction)
             detail = f"{record.name}: {done.detail}"
-        return Ran(not_run(Obstacle.NOT_SERVED, detail), "", work.transaction)
+        return Ran(not_run(Blocker.NOT_SERVED, detail), "", work.transaction)
 
-    async def run_at(self, host: str, work: Work) -> Done:
+    async def run_at(self, host: str, work: Work) -> WorkResult:
         """Run work through one host."""
         if host == self._parts.own().name:
-            return await self._parts.serving.work(work)
+            return await self._parts.serving.run_work(work)
         record = self._parts.hosts.find(host)
         if record is None:
-            return not_run(Obstacle.HOST_LOST, f"{host} is gone")
+            return not_run(Blocker.HOST_LOST, f"{host} is gone")
         asked = await self._parts.peers.ask(record.peer, work, work.budget_ms + WAY_MS)
         answer = asked.ok()
-        if isinstance(answer, Done):
+        if isinstance(answer, WorkResult):
             return answer
         failure = asked.err()
         if failure is not None and not failure.sent:
-            return not_run(Obstacle.HOST_LOST, failure.reason)
+            return not_run(Blocker.HOST_LOST, failure.reason)
         reason = failure.reason if failure is not None else "an unexpected answer"
-        return unknown(Obstacle.HOST_LOST, reason)
+        return unknown(Blocker.HOST_LOST, reason)
 
     async def prove(self, server: BackendServer) -> ProofAnswer:
         """Return a log position that ``server`` proves as the primary."""
--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -16,12 +16,12 @@
 from rattanhollow.routing._places import Places
 from rattanhollow.serving import (
     BackendServer,
-    Done,
-    Fate,
-    Obstacle,
+    Blocker,
     Scope,
     Work,
     WorkKind,
+    WorkOutcome,
+    WorkResult,
 )
 from rattanhollow.statements import Answer, Completed, Reason, Refused
 
@@ -126,7 +126,7 @@
         await read.done.wait()
         assert read.ran is not None
         ended.append((read.ran, at))
-        if read.ran.done.fate is Fate.DONE or len(ended) == len(pending):
+        if read.ran.done.outcome is WorkOutcome.DONE or len(ended) == len(pending):
             ready.set()
 
     async with trio.open_nursery() as nursery:
@@ -135,7 +135,7 @@
         await ready.wait()
         nursery.cancel_scope.cancel()
     # Both may have ended by now: the one that succeeded counts.
-    done = [pair for pair in ended if pair[0].done.fate is Fate.DONE]
+    done = [pair for pair in ended if pair[0].done.outcome is WorkOutcome.DONE]
     return done[0] if done else ended[-1]
 
 
@@ -179,7 +179,7 @@
         )
         done = await self._parts.agents.run_at(placement.host, work)
         self._learn(placement.server, done, asked_at_s)
-        if done.fate is Fate.DONE:
+        if done.outcome is WorkOutcome.DONE:
             committed = done.position if work.kind is WorkKind.COMMIT else None
             return Outcome(_completed(done), placement, committed, done.open)
         return Outcome(_refusal_within(work, done))
@@ -203,7 +203,7 @@
             demand.work.kind is WorkKind.EXECUTE and not demand.work.shape_writes
         )
         passed_over: set[str] = set()
-        last: Done | None = None
+        last: WorkResult | None = None
         failures = 0
         while True:
             server = self._primary(demand.route.service, passed_over)
@@ -216,7 +216,7 @@
                 continue
             ran = await self._attempt(demand, server, scope, None, budget_ms)
             done = last = ran.done
-            if done.fate is Fate.DONE:
+            if done.outcome is WorkOutcome.DONE:
                 committed = done.position if scope is Scope.ALONE else None
                 placement = Placement(server, ran.host, ran.transaction)
                 return Outcome(_completed(done), placement, committed, done.open)
@@ -229,7 +229,7 @@
                 if failures <= FAILURES_REPEATED:
                     continue
             if _may_repeat(done, reads or scope is Scope.BEGIN):
-                if done.obstacle is Obstacle.OVERLOADED:
+                if done.blocker is Blocker.OVERLOADED:
                     return Outcome(_given_up(done))
                 await self._parts.directory.wait_for_change(RETRY_PAUSE_S)
                 continue
@@ -242,7 +242,7 @@
             detail = "no primary proved how far its log reaches"
             return Outcome(Refused(Reason.BUSY, detail))
         passed_over: set[str] = set()
-        last: Done | None = None
+        last: WorkResult | None = None
         while True:
             budget_ms = self._budget_ms(demand)
             if budget_ms < LEAST_ATTEMPT_MS:
@@ -258,7 +258,7 @@
                 demand, server, other, scope, floor, budget_ms
             )
             done = last = ran.done
-            if done.fate is Fate.DONE:
+            if done.outcome is WorkOutcome.DONE:
                 leader = self._parts.directory.leader(server.service)
                 leads = leader is not None and leader.id == server.id
                 self._parts.meter.count(kinds.READS, "primary" if leads else "replica")
@@ -345,9 +345,9 @@
         ran = await self._parts.agents.run(server, work)
         self._learn(server, ran.done, asked_at_s)
         done = ran.done
-        reason = done.reason.name if done.reason else done.obstacle.name
-        self._parts.meter.count(kinds.ATTEMPTS, done.fate.name, reason)
-        if ran.done.fate is not Fate.DONE:
+        reason = done.reason.name if done.reason else done.blocker.name
+        self._parts.meter.count(kinds.ATTEMPTS, done.outcome.name, reason)
+        if ran.done.outcome is not WorkOutcome.DONE:
             log_event(
                 "attempt.failed",
                 request=work.request_id,
@@ -355,9 +355,9 @@
                 server=server.id,
                 host=ran.host,
                 scope=scope.value,
-                fate=ran.done.fate.value,
+                fate=ran.done.outcome.value,
                 reason=ran.done.reason.name if ran.done.reason else "",
-                obstacle=ran.done.obstacle.value,
+                obstacle=ran.done.blocker.value,
                 detail=ran.done.detail,
                 floor=floor,
                 budget_ms=budget_ms,
@@ -365,12 +365,14 @@
             )
         return ran
 
-    def _learn(self, server: BackendServer, done: Done, asked_at_s: float) -> None:
+    def _learn(
+        self, server: BackendServer, done: WorkResult, asked_at_s: float
+    ) -> None:
         if done.led and done.position is not None:
             self._parts.floors.saw(server.service, asked_at_s, done.position)
             self._parts.directory.saw_leader(server.service, server.id)
         wait_ms = float(done.wait_ms)
-        if done.reason is Reason.FAILED or done.obstacle is Obstacle.FAILING:
+        if done.reason is Reason.FAILED or done.blocker is Blocker.FAILING:
             wait_ms += FAILING_COSTS_MS
         self._wait_ms[server.id] = (self._parts.clock(), wait_ms)
 
@@ -447,43 +449,43 @@
         return int((demand.deadline_s - self._parts.clock()) * 1000)
 
 
-def _completed(done: Done) -> Completed:
+def _completed(done: WorkResult) -> Completed:
     return Completed(done.rows, done.proof)
 
 
-def _may_repeat(done: Done, repeatable: bool) -> bool:
+def _may_repeat(done: WorkResult, repeatable: bool) -> bool:
     """Whether another attempt can't make the statement run twice."""
-    if done.fate is Fate.NOT_RUN:
+    if done.outcome is WorkOutcome.NOT_RUN:
         return True
-    if done.fate is Fate.REFUSED:
+    if done.outcome is WorkOutcome.REFUSED:
         return done.reason in _NOT_RUN
     return repeatable
 
 
-def _given_up(last: Done | None) -> Refused:
+def _given_up(last: WorkResult | None) -> Refused:
     detail = last.detail if last is not None else "no backend server"
     retry_after_ms = last.retry_after_ms if last is not None else 0
     return Refused(Reason.BUSY, detail, retry_after_ms)
 
 
-def _refusal(done: Done, reads: bool) -> Refused:
+def _refusal(done: WorkResult, reads: bool) -> Refused:
     """Return what a caller is told of a statement outside a transaction."""
-    if done.fate is Fate.REFUSED and done.reason is not None:
+    if done.outcome is WorkOutcome.REFUSED and done.reason is not None:
         if done.reason in _PASSED_ON:
             return Refused(done.reason, done.detail)
         return Refused(Reason.BUSY, done.detail)
-    if done.fate is Fate.NOT_RUN or reads:
+    if done.outcome is WorkOutcome.NOT_RUN or reads:
         return Refused(Reason.BUSY, done.detail, done.retry_after_ms)
     return Refused(Reason.IN_DOUBT, done.detail)
 
 
-def _refusal_within(work: Work, done: Done) -> Refused:
+def _refusal_within(work: Work, done: WorkResult) -> Refused:
     """Return what a caller is told of a statement in its transaction."""
     commits = work.kind is WorkKind.COMMIT
-    if done.fate is Fate.REFUSED and done.reason is not None:
+    if done.outcome is WorkOutcome.REFUSED and done.reason is not None:
         if done.reason in _NOT_RUN or done.reason is Reason.ABORTED:
             return Refused(Reason.ABORTED, done.detail)
         return Refused(_PASSED_ON.get(done.reason, Reason.IN_DOUBT), done.detail)
-    if done.fate is Fate.UNKNOWN and commits:
+    if done.outcome is WorkOutcome.UNKNOWN and commits:
         return Refused(Reason.IN_DOUBT, done.detail)
     return Refused(Reason.ABORTED, done.detail)
--- a/src/rattanhollow/serving/__init__.py
+++ b/src/rattanhollow/serving/__init__.py
@@ -1,49 +1,49 @@
 """Serving backend servers: their connections, slots and queues."""
 
-from rattanhollow.serving._end import (
-    BackendEnd,
+from rattanhollow.serving._backend_protocol import (
+    BackendAdapter,
     BackendServer,
     Command,
     CommandKind,
     Connection,
-    Lost,
+    ExchangeFailure,
     OpenFailure,
     Reply,
     ServerStatus,
 )
 from rattanhollow.serving._fair_queue import FairQueue
-from rattanhollow.serving._served import Served, ServingParts
+from rattanhollow.serving._served_backend import ServedBackend, ServingParts
 from rattanhollow.serving._serving import Serving
 from rattanhollow.serving._work import (
-    Done,
-    Fate,
-    Obstacle,
+    Blocker,
     ProofAnswer,
     ProofQuestion,
     Scope,
     Work,
     WorkKind,
+    WorkOutcome,
+    WorkResult,
     not_run,
     unknown,
 )
 
 __all__ = [
-    "BackendEnd",
+    "BackendAdapter",
     "BackendServer",
     "Command",
     "CommandKind",
     "Connection",
-    "Done",
+    "WorkResult",
     "FairQueue",
-    "Fate",
-    "Lost",
-    "Obstacle",
+    "WorkOutcome",
+    "ExchangeFailure",
+    "Blocker",
     "OpenFailure",
     "ProofAnswer",
     "ProofQuestion",
     "Reply",
     "Scope",
-    "Served",
+    "ServedBackend",
     "ServerStatus",
     "Serving",
     "ServingParts",
--- a/src/rattanhollow/serving/_end.py
+++ b/src/rattanhollow/serving/_backend_protocol.py
@@ -62,8 +62,8 @@
     PREPARE_WRITE = "prepare write"
     FORGET_SESSION = "forget session"
     STATUS = "status"
-    HOLD = "hold"
-    LET_GO = "let go"
+    SUSPEND_RECEIVING = "hold"
+    RESUME_RECEIVING = "let go"
     STEP_DOWN = "step down"
 
 
@@ -96,7 +96,7 @@
     position: Position | None
 
 
-class Lost(NamedTuple):
+class ExchangeFailure(NamedTuple):
     """An exchange that didn't end; ``sent`` whether any byte may have left."""
 
     reason: str
@@ -115,13 +115,15 @@
 class Connection(Protocol):
     """A connection to one backend server, for one organisation.
 
-    Used by one task at a time. After a `Lost` it must be closed.
+    Used by one task at a time. After a `ExchangeFailure` it must be closed.
     """
 
-    async def run(self, command: Command) -> Result[Reply, Lost]:
+    async def run(self, command: Command) -> Result[Reply, ExchangeFailure]:
         """Run one command."""
 
-    async def run_all(self, commands: list[Command]) -> Result[list[Reply], Lost]:
+    async def run_all(
+        self, commands: list[Command]
+    ) -> Result[list[Reply], ExchangeFailure]:
         """Run commands that need not wait for one another's replies."""
 
     @property
@@ -129,13 +131,13 @@
         """Whether it is open, with nothing to read."""
 
     def abort(self) -> None:
-        """Close at once; a task that waits gets `Lost`."""
+        """Close at once; a task that waits gets `ExchangeFailure`."""
 
 
 Open = Callable[[BackendServer, str], Awaitable[Result[Connection, OpenFailure]]]
 
 
-class BackendEnd(NamedTuple):
+class BackendAdapter(NamedTuple):
     """How backend servers are reached.
 
     ``open(server, organisation)``; the caller bounds its time.
--- a/src/rattanhollow/serving/_connections.py
+++ b/src/rattanhollow/serving/_connections.py
@@ -4,7 +4,7 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-from rattanhollow.serving._end import Connection
+from rattanhollow.serving._backend_protocol import Connection
 
 
 class ServerConnection:
--- a/src/rattanhollow/serving/_served.py
+++ b/src/rattanhollow/serving/_served_backend.py
@@ -8,30 +8,30 @@
 
 from rattanhollow.coordination import Position
 from rattanhollow.observe import Meter, kinds, log_event
-from rattanhollow.serving._connections import (
-    ConnectionPool,
-    PoolCounts,
-    ServerConnection,
-)
-from rattanhollow.serving._end import (
-    BackendEnd,
+from rattanhollow.serving._backend_protocol import (
+    BackendAdapter,
     BackendServer,
     Command,
     CommandKind,
-    Lost,
+    ExchangeFailure,
     OpenFailure,
     Reply,
 )
+from rattanhollow.serving._connections import (
+    ConnectionPool,
+    PoolCounts,
+    ServerConnection,
+)
 from rattanhollow.serving._health import Health
 from rattanhollow.serving._slots import LOWEST_PRIORITY, SlotQueue
 from rattanhollow.serving._work import (
-    Done,
-    Fate,
-    Obstacle,
+    Blocker,
     ProofAnswer,
     Scope,
     Work,
     WorkKind,
+    WorkOutcome,
+    WorkResult,
     not_run,
     unknown,
 )
@@ -74,7 +74,7 @@
 class ServingParts(NamedTuple):
     """What serving needs of the rest of the host; ``clock`` gives seconds."""
 
-    end: BackendEnd
+    end: BackendAdapter
     nursery: trio.Nursery
     clock: Callable[[], float]
     meter: Meter
@@ -110,12 +110,12 @@
 class _Stop(Exception):
     """Work that ends before the server replied to it."""
 
-    def __init__(self, done: Done) -> None:
+    def __init__(self, done: WorkResult) -> None:
         super().__init__(done.detail)
         self.done = done
 
 
-class Served:
+class ServedBackend:
     """Runs work at one backend server.
 
     ``reachable`` while it answers. ``switching`` while it is being replaced as
@@ -158,24 +158,24 @@
         """How long new work of the lowest priority would wait now."""
         return int(self._slots.wait_ms(LOWEST_PRIORITY))
 
-    async def run(self, work: Work) -> Done:
+    async def run(self, work: Work) -> WorkResult:
         """Run one piece of work."""
         if work.kind is WorkKind.ROLLBACK:
             return self._roll_back(work.transaction)
         if not self.reachable or self._closed:
-            return not_run(Obstacle.NOT_SERVED, f"{self.server.id} is unreachable")
+            return not_run(Blocker.NOT_SERVED, f"{self.server.id} is unreachable")
         if self.switching and _must_lead(work):
-            return not_run(Obstacle.SWITCHING, "the primary is being replaced")
+            return not_run(Blocker.SWITCHING, "the primary is being replaced")
         if self._surely_lacks(work):
             detail = f"{self.server.id} was behind just now"
-            return Done(Fate.REFUSED, reason=Reason.BEHIND, detail=detail)
+            return WorkResult(WorkOutcome.REFUSED, reason=Reason.BEHIND, detail=detail)
         if work.movable and self._health.turns_away(self._parts.clock()):
-            return not_run(Obstacle.FAILING, f"{self.server.id} fails its work")
+            return not_run(Blocker.FAILING, f"{self.server.id} fails its work")
         transaction = None
         if work.scope is Scope.WITHIN:
             transaction = self._transactions.get(work.transaction)
             if transaction is None or transaction.running:
-                return not_run(Obstacle.NO_TRANSACTION, "it is not open here")
+                return not_run(Blocker.NO_TRANSACTION, "it is not open here")
             transaction.running = True
         try:
             done = await self._run(work, transaction)
@@ -187,15 +187,15 @@
                 transaction.used_at_s = self._parts.clock()
         self._note_health(done)
         # A log that is behind is a matter of milliseconds, and of most reads.
-        if done.fate is not Fate.DONE and done.reason is not Reason.BEHIND:
+        if done.outcome is not WorkOutcome.DONE and done.reason is not Reason.BEHIND:
             log_event(
                 "work.failed",
                 request=work.request_id,
                 server=self.server.id,
                 scope=work.scope.value,
-                fate=done.fate.value,
+                fate=done.outcome.value,
                 reason=done.reason.name if done.reason else "",
-                obstacle=done.obstacle.value,
+                obstacle=done.blocker.value,
                 detail=done.detail,
                 busy=self._slots.busy,
                 waiting=self._slots.waiting,
@@ -217,7 +217,7 @@
         return self._health.failing_part(self._parts.clock())
 
     @property
-    def behind_s(self) -> float:
+    def lagging_s(self) -> float:
         """For how long the server lacked every position that was asked of it."""
         if self._behind_since_s is None:
             return 0.0
@@ -243,7 +243,7 @@
         self._give_back(connection)
         return answered.unwrap()[0]
 
-    async def reaches(self) -> bool:
+    async def check_reachable(self) -> bool:
         """Find out whether the server answers now."""
         return await self._answers()
 
@@ -301,7 +301,7 @@
         self._pool.close_all()
         self._transactions.clear()
 
-    async def _run(self, work: Work, transaction: _Transaction | None) -> Done:
+    async def _run(self, work: Work, transaction: _Transaction | None) -> WorkResult:
         deadline_s = self._parts.clock() + work.budget_ms / 1000
         while True:
             came_s = self._parts.clock()
@@ -336,9 +336,9 @@
         floor, at_s = self._lacked
         return work.floor >= floor and self._parts.clock() - at_s < LACKED_FOR_S
 
-    def _note_health(self, done: Done) -> None:
-        failed = done.reason is Reason.FAILED or done.obstacle is Obstacle.LOST
-        if failed or done.fate is Fate.DONE:
+    def _note_health(self, done: WorkResult) -> None:
+        failed = done.reason is Reason.FAILED or done.blocker is Blocker.LOST
+        if failed or done.outcome is WorkOutcome.DONE:
             self._health.note(failed, self._parts.clock())
 
     async def _take_slot(self, work: Work, deadline_s: float) -> None:
@@ -346,7 +346,7 @@
             return
         wait_ms = self._slots.wait_ms(work.priority)
         if self._parts.clock() + wait_ms / 1000 > deadline_s:
-            raise _Stop(not_run(Obstacle.OVERLOADED, "the queue", int(wait_ms)))
+            raise _Stop(not_run(Blocker.OVERLOADED, "the queue", int(wait_ms)))
         ticket = _Ticket()
         self._slots.wait(ticket, work.organisation, work.priority)
         try:
@@ -357,12 +357,12 @@
             raise
         if not ticket.turn.is_set():
             self._leave_queue(ticket, work)
-            raise _Stop(not_run(Obstacle.OVERLOADED, "the queue", int(wait_ms)))
+            raise _Stop(not_run(Blocker.OVERLOADED, "the queue", int(wait_ms)))
         if not ticket.granted:
-            raise _Stop(not_run(Obstacle.NOT_SERVED, "it became unreachable"))
+            raise _Stop(not_run(Blocker.NOT_SERVED, "it became unreachable"))
         if self._remaining_s(deadline_s) < self._slots.cost_ms / 1000:
             self._free_slot(None)
-            raise _Stop(not_run(Obstacle.OVERLOADED, "the queue", int(wait_ms)))
+            raise _Stop(not_run(Blocker.OVERLOADED, "the queue", int(wait_ms)))
 
     def _leave_queue(self, ticket: _Ticket, work: Work) -> None:
         if ticket.granted:
@@ -394,7 +394,7 @@
                     f"no connection is free: idle={counts.idle} lent={counts.lent}"
                     f" opening={counts.opening}"
                 )
-                raise _Stop(not_run(Obstacle.OVERLOADED, detail))
+                raise _Stop(not_run(Blocker.OVERLOADED, detail))
             await trio.sleep(CONNECTION_WAIT_S)
 
     async def _connection(self, work: Work) -> ServerConnection:
@@ -434,7 +434,7 @@
         self._parts.meter.count(kinds.CONNECTIONS_OPENED, self.server.id, outcome)
         if connection is not None and self._closed:
             self._pool.close(connection)
-            raise _Stop(not_run(Obstacle.NOT_SERVED, f"{self.server.id} was given up"))
+            raise _Stop(not_run(Blocker.NOT_SERVED, f"{self.server.id} was given up"))
         if connection is not None:
             self._heard_at_s = self._parts.clock()
             return connection
@@ -443,16 +443,18 @@
         if failure is OpenFailure.TOO_MANY:
             self._pool.limit_for_now(self._parts.clock() + TOO_MANY_PAUSE_S)
         overloaded = failure in (OpenFailure.TOO_MANY, OpenFailure.BUSY)
-        obstacle = Obstacle.OVERLOADED if overloaded else Obstacle.NOT_SERVED
+        obstacle = Blocker.OVERLOADED if overloaded else Blocker.NOT_SERVED
         raise _Stop(not_run(obstacle, failure.value))
 
     async def _exchange(
         self, connection: ServerConnection, commands: list[Command], timeout_s: float
-    ) -> Result[list[Reply], Lost]:
+    ) -> Result[list[Reply], ExchangeFailure]:
         """Run commands; after an ``Err`` the connection is gone."""
         self._exchanges[connection] = self._parts.clock()
         self._due.set()
-        answered: Result[list[Reply], Lost] = Err(Lost("no answer in time"))
+        answered: Result[list[Reply], ExchangeFailure] = Err(
+            ExchangeFailure("no answer in time")
+        )
         try:
             with trio.move_on_after(timeout_s):
                 answered = await connection.link.run_all(commands)
@@ -487,13 +489,13 @@
             if prepared.is_err():
                 detail = f"before the statement: {prepared.unwrap_err().reason}"
                 self._forget(work)
-                raise _Stop(not_run(Obstacle.LOST, detail))
+                raise _Stop(not_run(Blocker.LOST, detail))
             replies = prepared.unwrap()
             begun = replies.pop() if work.scope in _BEGINNING else None
             if any(reply.reason is not None for reply in replies):
                 self._pool.close(connection)
                 self._forget(work)
-                raise _Stop(not_run(Obstacle.LOST, "the session's state was refused"))
+                raise _Stop(not_run(Blocker.LOST, "the session's state was refused"))
             connection.values = plan.values
             connection.prepared = plan.prepared
             if begun is not None and begun.reason is not None:
@@ -502,7 +504,7 @@
         if not remaining_s:
             self._forget(work)
             self._finish(connection)
-            raise _Stop(not_run(Obstacle.OVERLOADED, "no time was left for it"))
+            raise _Stop(not_run(Blocker.OVERLOADED, "no time was left for it"))
         command = _statement_command(connection, work)
         if work.kind is WorkKind.COMMIT or _writes(work):
             self._commits[connection] = self._parts.clock()
@@ -514,8 +516,8 @@
             self._forget(work)
             lost = answered.unwrap_err()
             if not lost.sent:
-                raise _Stop(not_run(Obstacle.LOST, lost.reason))
-            raise _Stop(unknown(Obstacle.LOST, lost.reason))
+                raise _Stop(not_run(Blocker.LOST, lost.reason))
+            raise _Stop(unknown(Blocker.LOST, lost.reason))
         return answered.unwrap()[0]
 
     def _settle(
@@ -524,7 +526,7 @@
         connection: ServerConnection,
         transaction: _Transaction | None,
         reply: Reply,
-    ) -> Done:
+    ) -> WorkResult:
         """Decide what becomes of connection and transaction, and answer."""
         success = reply.reason is None
         if reply.reason is Reason.BEHIND:
@@ -556,8 +558,8 @@
                 self._finish(connection)
         if reply.reason is Reason.NO_STATEMENT:
             connection.prepared.clear()
-        return Done(
-            Fate.DONE if success else Fate.REFUSED,
+        return WorkResult(
+            WorkOutcome.DONE if success else WorkOutcome.REFUSED,
             rows=reply.rows,
             proof=reply.proof,
             reason=reply.reason,
@@ -581,16 +583,16 @@
         """Forget the transaction whose connection was lost."""
         self._transactions.pop(work.transaction, None)
 
-    def _roll_back(self, name: str) -> Done:
+    def _roll_back(self, name: str) -> WorkResult:
         transaction = self._transactions.pop(name, None)
         if transaction is None:
-            return Done(Fate.DONE)
+            return WorkResult(WorkOutcome.DONE)
         if transaction.running:
             # Its statement may wait for a slot that it won't get in time.
             self._pool.close(transaction.connection)
         else:
             self._finish(transaction.connection)
-        return Done(Fate.DONE)
+        return WorkResult(WorkOutcome.DONE)
 
     def _finish(self, connection: ServerConnection) -> None:
         """Roll back what is open on a connection, in the background."""
@@ -637,7 +639,7 @@
         try:
             connection = await self._open(NOBODY, OPEN_TIMEOUT_S)
         except _Stop as stop:
-            return stop.done.obstacle is Obstacle.OVERLOADED
+            return stop.done.blocker is Blocker.OVERLOADED
         self._give_back(connection)
         return True
 
--- a/src/rattanhollow/serving/_serving.py
+++ b/src/rattanhollow/serving/_serving.py
@@ -5,13 +5,13 @@
 import trio
 
 from rattanhollow.observe import Meter
-from rattanhollow.serving._end import BackendEnd, BackendServer
-from rattanhollow.serving._served import Served, ServingParts
+from rattanhollow.serving._backend_protocol import BackendAdapter, BackendServer
+from rattanhollow.serving._served_backend import ServedBackend, ServingParts
 from rattanhollow.serving._work import (
-    Done,
-    Obstacle,
+    Blocker,
     ProofAnswer,
     Work,
+    WorkResult,
     not_run,
 )
 
@@ -36,7 +36,7 @@
 
     def __init__(
         self,
-        end: BackendEnd,
+        end: BackendAdapter,
         is_first: Callable[[BackendServer], bool],
         find: Callable[[str], BackendServer | None],
         connections: Callable[[str], int],
@@ -51,7 +51,7 @@
         self._idle_ms = idle_ms
         self._clock = clock
         self._meter = meter
-        self._served: dict[str, Served] = {}
+        self._served: dict[str, ServedBackend] = {}
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -71,11 +71,11 @@
         """Whether nothing runs, waits or is open at any server."""
         return all(served.idle for served in self._served.values())
 
-    def served(self) -> list[Served]:
+    def served(self) -> list[ServedBackend]:
         """Return the servers served now."""
         return list(self._served.values())
 
-    def find(self, server_id: str) -> Served | None:
+    def find(self, server_id: str) -> ServedBackend | None:
         """Return a server that is served now."""
         return self._served.get(server_id)
 
@@ -90,11 +90,11 @@
             else:
                 served.server = known
 
-    async def work(self, work: Work) -> Done:
+    async def run_work(self, work: Work) -> WorkResult:
         """Run work at the backend server that it names."""
         served = self.serve(work.server)
         if served is None:
-            return not_run(Obstacle.NOT_SERVED, f"no server {work.server} is known")
+            return not_run(Blocker.NOT_SERVED, f"no server {work.server} is known")
         return await served.run(work)
 
     async def prove(self, server_id: str) -> ProofAnswer:
@@ -104,7 +104,7 @@
             return ProofAnswer(None, f"no server {server_id} is known")
         return await served.prove()
 
-    def serve(self, server_id: str) -> Served | None:
+    def serve(self, server_id: str) -> ServedBackend | None:
         """Return a server, served from now on if it is known."""
         served = self._served.get(server_id)
         known = self._find(server_id)
@@ -115,7 +115,7 @@
         if known is None or self._nursery is None:
             return None
         parts = ServingParts(self._end, self._nursery, self._clock, self._meter)
-        served = Served(known, self._connections(known.service), parts)
+        served = ServedBackend(known, self._connections(known.service), parts)
         self._served[server_id] = served
         self._nursery.start_soon(served.watch)
         return served
--- a/src/rattanhollow/serving/_work.py
+++ b/src/rattanhollow/serving/_work.py
@@ -60,7 +60,7 @@
     movable: bool = False
 
 
-class Fate(enum.Enum):
+class WorkOutcome(enum.Enum):
     """What became of a piece of work.
 
     ``DONE``: the server succeeded. ``REFUSED``: the server refused it, for a
@@ -74,7 +74,7 @@
     UNKNOWN = "unknown"
 
 
-class Obstacle(enum.Enum):
+class Blocker(enum.Enum):
     """Why work was not run, or its fate is unknown.
 
     ``FAILING``: the server fails most of its work, and another one can do it.
@@ -95,7 +95,7 @@
     HOST_LOST = "host lost"
 
 
-class Done(NamedTuple):
+class WorkResult(NamedTuple):
     """The answer to a `Work`.
 
     ``position`` is the end of the server's log behind the work, ``led`` whether
@@ -104,12 +104,12 @@
     ``retry_after_ms`` when a refused one may come back.
     """
 
-    fate: Fate
+    outcome: WorkOutcome
     rows: tuple[str, ...] = ()
     proof: str = ""
     reason: Reason | None = None
     detail: str = ""
-    obstacle: Obstacle = Obstacle.NONE
+    blocker: Blocker = Blocker.NONE
     position: Position | None = None
     led: bool = False
     open: bool = False
@@ -117,16 +117,19 @@
     retry_after_ms: int = 0
 
 
-def not_run(obstacle: Obstacle, detail: str, retry_after_ms: int = 0) -> Done:
+def not_run(blocker: Blocker, detail: str, retry_after_ms: int = 0) -> WorkResult:
     """Return the answer to work of which no byte reached the server."""
-    return Done(
-        Fate.NOT_RUN, obstacle=obstacle, detail=detail, retry_after_ms=retry_after_ms
+    return WorkResult(
+        WorkOutcome.NOT_RUN,
+        blocker=blocker,
+        detail=detail,
+        retry_after_ms=retry_after_ms,
     )
 
 
-def unknown(obstacle: Obstacle, detail: str) -> Done:
+def unknown(blocker: Blocker, detail: str) -> WorkResult:
     """Return the answer to work that may have run."""
-    return Done(Fate.UNKNOWN, obstacle=obstacle, detail=detail)
+    return WorkResult(WorkOutcome.UNKNOWN, blocker=blocker, detail=detail)
 
 
 class ProofQuestion(NamedTuple):
--- a/src/rattanhollow/succession/_replace.py
+++ b/src/rattanhollow/succession/_replace.py
@@ -155,7 +155,7 @@
     if task.old_leader is not None:
         leads = await parts.orders.give(task.old_leader, CommandKind.STATUS)
     if leads is not None and leads.leads:
-        await parts.orders.give(server, CommandKind.LET_GO)
+        await parts.orders.give(server, CommandKind.RESUME_RECEIVING)
     ended = await advance(parts.store, task.service, record._replace(phase=Phase.ENDED))
     return ended.map_err(str)
 
@@ -252,7 +252,7 @@
 async def _hold(
     servers: list[BackendServer], term: int, parts: ReplaceParts
 ) -> list[Member]:
-    statuses = await parts.orders.give_all(servers, CommandKind.HOLD, term)
+    statuses = await parts.orders.give_all(servers, CommandKind.SUSPEND_RECEIVING, term)
     return [
         Member(server, status, status is not None and parts.covers(server, status))
         for server in servers
@@ -267,7 +267,7 @@
     if record.phase is Phase.CHOSEN:
         return
     servers = [member.server for member in replicas]
-    await parts.orders.give_all(servers, CommandKind.LET_GO)
+    await parts.orders.give_all(servers, CommandKind.RESUME_RECEIVING)
     await advance(parts.store, task.service, record._replace(phase=Phase.ENDED))
 
 
--- a/src/rattanhollow_standins/platform/_memory.py
+++ b/src/rattanhollow_standins/platform/_memory.py
@@ -5,11 +5,11 @@
 
 from rattanhollow.platform import encode_command, parse_lines, parse_status
 from rattanhollow.serving import (
-    BackendEnd,
+    BackendAdapter,
     BackendServer,
     Command,
     Connection,
-    Lost,
+    ExchangeFailure,
     OpenFailure,
     Reply,
 )
@@ -43,14 +43,16 @@
         if self._scope is not None:
             self._scope.cancel()
 
-    async def run(self, command: Command) -> Result[Reply, Lost]:
+    async def run(self, command: Command) -> Result[Reply, ExchangeFailure]:
         """Run one command."""
         return (await self.run_all([command])).map(lambda replies: replies[0])
 
-    async def run_all(self, commands: list[Command]) -> Result[list[Reply], Lost]:
+    async def run_all(
+        self, commands: list[Command]
+    ) -> Result[list[Reply], ExchangeFailure]:
         """Run commands, one after another."""
         if self._closed:
-            return Err(Lost("closed", sent=False))
+            return Err(ExchangeFailure("closed", sent=False))
         replies: list[Reply] = []
         try:
             with trio.CancelScope() as self._scope:
@@ -62,7 +64,7 @@
             self.abort()
             raise
         if len(replies) < len(commands):
-            return Err(Lost("closed while waiting"))
+            return Err(ExchangeFailure("closed while waiting"))
         return Ok(replies)
 
     async def _answer(self, command: Command) -> Reply:
@@ -77,7 +79,7 @@
 
 def memory_end(
     groups: list[ServiceGroup], opened: list[MemoryConnection] | None = None
-) -> BackendEnd:
+) -> BackendAdapter:
     """Return the backend servers' end; ``opened`` collects the connections."""
     by_name = {group.name: group for group in groups}
 
@@ -104,4 +106,4 @@
             opened.append(connection)
         return Ok(connection)
 
-    return BackendEnd(open_connection, parse_status)
+    return BackendAdapter(open_connection, parse_status)
--- a/tests/test_connection_counts.py
+++ b/tests/test_connection_counts.py
@@ -12,7 +12,7 @@
 import pytest
 import trio
 
-from rattanhollow.serving import Fate, Scope, WorkKind
+from rattanhollow.serving import Scope, WorkKind, WorkOutcome
 from test_serving import Stage, on_stage, work
 
 
@@ -55,7 +55,7 @@
         await trio.sleep(5)
         assert stage.primary.reachable
         _assert_all_counted(stage)
-        assert (await stage.primary.run(work())).fate is Fate.DONE
+        assert (await stage.primary.run(work())).outcome is WorkOutcome.DONE
 
     on_stage(scenario)
 
--- a/tests/test_connection_reuse.py
+++ b/tests/test_connection_reuse.py
@@ -10,7 +10,7 @@
 import pytest
 import trio
 
-from rattanhollow.serving import Fate
+from rattanhollow.serving import WorkOutcome
 from rattanhollow.serving._serving import EXPIRE_INTERVAL_S, KEPT_IDLE_S
 from test_serving import Stage, on_stage, work
 
@@ -42,7 +42,7 @@
             while trio.current_time() < until_s:
                 await trio.sleep(rng.expovariate(ARRIVALS_PER_S))
                 item = work(organisation=f"o{rng.randrange(ORGANISATIONS)}")
-                served += (await stage.primary.run(item)).fate is Fate.DONE
+                served += (await stage.primary.run(item)).outcome is WorkOutcome.DONE
             return served
 
         async with trio.open_nursery() as nursery:
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -131,7 +131,10 @@
     assert encode_command(read) == b"QUERY 5c0e SINCE 3.1207 READ 1a4\r\n"
     execute = Command(CommandKind.EXECUTE, "1a4 x", "p1", "5c0e")
     assert encode_command(execute) == b"QUERY 5c0e EXECUTE p1 1a4 x\r\n"
-    assert encode_command(Command(CommandKind.HOLD, term=4)) == b"QUERY - SUSPEND 4\r\n"
+    assert (
+        encode_command(Command(CommandKind.SUSPEND_RECEIVING, term=4))
+        == b"QUERY - SUSPEND 4\r\n"
+    )
 
 
 def test_replies_are_decoded() -> None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -25,13 +25,13 @@
     ServerDirectory,
 )
 from rattanhollow.serving import (
-    Done,
-    Fate,
-    Obstacle,
+    Blocker,
     ProofAnswer,
     Scope,
     Work,
     WorkKind,
+    WorkOutcome,
+    WorkResult,
     not_run,
     unknown,
 )
@@ -139,7 +139,7 @@
     assert directory.replica_lost_at_s(SERVICE) == 7.0
 
 
-Script = Callable[[str, Work], Awaitable[Done]]
+Script = Callable[[str, Work], Awaitable[WorkResult]]
 
 
 class Bench:
@@ -169,7 +169,7 @@
         self.tried.append((server.id, work))
         return Ran(await self.script(server.id, work), "host-1", work.transaction)
 
-    async def run_at(self, host: str, work: Work) -> Done:
+    async def run_at(self, host: str, work: Work) -> WorkResult:
         """Stand in for one host that serves."""
         self.tried.append((work.server, work))
         return await self.script(work.server, work)
@@ -212,14 +212,14 @@
     run_jumping(main, seed)
 
 
-async def done(server: str, work: Work) -> Done:
+async def done(server: str, work: Work) -> WorkResult:
     """Succeed everywhere."""
-    return Done(Fate.DONE, position=Position(1, 60), led=server == "i-0")
+    return WorkResult(WorkOutcome.DONE, position=Position(1, 60), led=server == "i-0")
 
 
-def refused(reason: Reason) -> Done:
+def refused(reason: Reason) -> WorkResult:
     """Return a refusal of the server."""
-    return Done(Fate.REFUSED, reason=reason, detail=reason.name)
+    return WorkResult(WorkOutcome.REFUSED, reason=reason, detail=reason.name)
 
 
 def reason_of(outcome: Outcome) -> Reason:
@@ -231,7 +231,7 @@
 def test_a_read_that_a_server_fails_is_asked_elsewhere() -> None:
     """A server that fails what it is given costs a read one more question."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         if server == "i-1":
             return refused(Reason.FAILED)
         return await done(server, work)
@@ -249,7 +249,7 @@
 def test_a_replica_that_is_behind_is_left_for_a_while() -> None:
     """While it lags reads begin elsewhere; what it alone lacks says nothing."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         if server == "i-1":
             return refused(Reason.BEHIND)
         return await done(server, work)
@@ -271,7 +271,7 @@
 def test_a_read_that_stays_unanswered_is_asked_elsewhere() -> None:
     """A server, or its serving host, that has gone silent costs part of the time."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         if server == "i-1":
             await trio.sleep(5)
         return await done(server, work)
@@ -291,7 +291,7 @@
 def test_a_slow_answer_that_succeeds_is_delivered() -> None:
     """The other server may fail: the first answer still counts."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         if server == "i-1":
             await trio.sleep(0.5)
             return await done(server, work)
@@ -309,7 +309,7 @@
 def test_of_two_answers_at_once_the_success_is_delivered() -> None:
     """A failure that comes in the same moment doesn't hide it."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         at_s = 1.2 - trio.current_time()
         await trio.sleep(at_s)
         return refused(Reason.BUSY) if server == "i-2" else await done(server, work)
@@ -327,7 +327,7 @@
 def test_few_reads_are_asked_twice() -> None:
     """Where all servers are slow, a flood of reads is not doubled."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         await trio.sleep(0.4)
         return await done(server, work)
 
@@ -343,7 +343,7 @@
 def test_the_last_server_s_failure_is_passed_on() -> None:
     """Where all fail, the caller hears of it at once."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         return refused(Reason.FAILED)
 
     async def scenario(bench: Bench) -> None:
@@ -358,7 +358,7 @@
     """A primary that fails part of its work answers the next time, or not."""
     failures = 0
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         nonlocal failures
         failures += 1
         return refused(Reason.FAILED) if failures <= 2 else await done(server, work)
@@ -375,7 +375,7 @@
 def test_a_write_that_failed_is_not_repeated(kind: WorkKind) -> None:
     """It ran: the caller decides what becomes of it."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         return refused(Reason.FAILED)
 
     async def scenario(bench: Bench) -> None:
@@ -441,16 +441,16 @@
     [
         refused(Reason.BEHIND),
         refused(Reason.BUSY),
-        not_run(Obstacle.NOT_SERVED, "x"),
-        not_run(Obstacle.OVERLOADED, "x"),
-        unknown(Obstacle.LOST, "x"),
-        unknown(Obstacle.HOST_LOST, "x"),
+        not_run(Blocker.NOT_SERVED, "x"),
+        not_run(Blocker.OVERLOADED, "x"),
+        unknown(Blocker.LOST, "x"),
+        unknown(Blocker.HOST_LOST, "x"),
     ],
 )
-def test_a_read_that_fails_is_asked_elsewhere(failure: Done) -> None:
+def test_a_read_that_fails_is_asked_elsewhere(failure: WorkResult) -> None:
     """Whatever became of it: a read may run twice."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         return failure if server == "i-1" else await done(server, work)
 
     async def scenario(bench: Bench) -> None:
@@ -464,17 +464,19 @@
 @pytest.mark.parametrize(
     ("failure", "told"),
     [
-        (unknown(Obstacle.LOST, "x"), Reason.IN_DOUBT),
-        (unknown(Obstacle.HOST_LOST, "x"), Reason.IN_DOUBT),
+        (unknown(Blocker.LOST, "x"), Reason.IN_DOUBT),
+        (unknown(Blocker.HOST_LOST, "x"), Reason.IN_DOUBT),
         (refused(Reason.IN_DOUBT), Reason.IN_DOUBT),
         (refused(Reason.TIMED_OUT), Reason.TIMED_OUT),
         (refused(Reason.FAILED), Reason.FAILED),
     ],
 )
-def test_a_write_that_may_have_run_is_not_repeated(failure: Done, told: Reason) -> None:
+def test_a_write_that_may_have_run_is_not_repeated(
+    failure: WorkResult, told: Reason
+) -> None:
     """It runs once, and nobody is told that nothing of it is kept."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         return failure
 
     async def scenario(bench: Bench) -> None:
@@ -488,10 +490,10 @@
 def test_a_write_that_did_not_run_goes_to_the_new_primary() -> None:
     """A refusal for want of leadership moves it on; its position is kept."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         if server == "i-0":
             return refused(Reason.NOT_LEADER)
-        return Done(Fate.DONE, position=Position(2, 61), led=True)
+        return WorkResult(WorkOutcome.DONE, position=Position(2, 61), led=True)
 
     async def scenario(bench: Bench) -> None:
         outcome = await bench.router.write(demand(WorkKind.WRITE))
@@ -506,8 +508,8 @@
 def test_a_write_waits_for_a_primary_within_its_time() -> None:
     """While the primary is replaced the statement waits, then says it did not run."""
 
-    async def script(server: str, work: Work) -> Done:
-        return not_run(Obstacle.SWITCHING, "x")
+    async def script(server: str, work: Work) -> WorkResult:
+        return not_run(Blocker.SWITCHING, "x")
 
     async def scenario(bench: Bench) -> None:
         outcome = await bench.router.write(demand(WorkKind.WRITE))
@@ -520,8 +522,8 @@
 def test_an_overloaded_primary_refuses_at_once() -> None:
     """Nothing is held that can't be served, and the time to come back is told."""
 
-    async def script(server: str, work: Work) -> Done:
-        return not_run(Obstacle.OVERLOADED, "x", retry_after_ms=400)
+    async def script(server: str, work: Work) -> WorkResult:
+        return not_run(Blocker.OVERLOADED, "x", retry_after_ms=400)
 
     async def scenario(bench: Bench) -> None:
         outcome = await bench.router.write(demand(WorkKind.WRITE))
@@ -536,12 +538,14 @@
 def test_each_attempt_opens_a_transaction_of_its_own() -> None:
     """What an attempt of unknown fate left open is never taken for another."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         if len(names) < 2:
             names.append(work.transaction)
-            return unknown(Obstacle.HOST_LOST, "x")
+            return unknown(Blocker.HOST_LOST, "x")
         names.append(work.transaction)
-        return Done(Fate.DONE, position=Position(1, 60), led=True, open=True)
+        return WorkResult(
+            WorkOutcome.DONE, position=Position(1, 60), led=True, open=True
+        )
 
     names: list[str] = []
 
@@ -557,24 +561,24 @@
 @pytest.mark.parametrize(
     ("kind", "failure", "told"),
     [
-        (WorkKind.READ, unknown(Obstacle.LOST, "x"), Reason.ABORTED),
-        (WorkKind.WRITE, unknown(Obstacle.HOST_LOST, "x"), Reason.ABORTED),
-        (WorkKind.COMMIT, unknown(Obstacle.LOST, "x"), Reason.IN_DOUBT),
-        (WorkKind.COMMIT, unknown(Obstacle.HOST_LOST, "x"), Reason.IN_DOUBT),
-        (WorkKind.COMMIT, not_run(Obstacle.SWITCHING, "x"), Reason.ABORTED),
+        (WorkKind.READ, unknown(Blocker.LOST, "x"), Reason.ABORTED),
+        (WorkKind.WRITE, unknown(Blocker.HOST_LOST, "x"), Reason.ABORTED),
+        (WorkKind.COMMIT, unknown(Blocker.LOST, "x"), Reason.IN_DOUBT),
+        (WorkKind.COMMIT, unknown(Blocker.HOST_LOST, "x"), Reason.IN_DOUBT),
+        (WorkKind.COMMIT, not_run(Blocker.SWITCHING, "x"), Reason.ABORTED),
         (WorkKind.COMMIT, refused(Reason.NOT_LEADER), Reason.ABORTED),
         (WorkKind.COMMIT, refused(Reason.IN_DOUBT), Reason.IN_DOUBT),
     ],
 )
 def test_what_a_lost_transaction_is_told(
-    kind: WorkKind, failure: Done, told: Reason
+    kind: WorkKind, failure: WorkResult, told: Reason
 ) -> None:
     """Only a commit that may have been made is in doubt."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         return opened if work.scope is Scope.BEGIN else failure
 
-    opened = Done(Fate.DONE, position=Position(1, 60), led=True, open=True)
+    opened = WorkResult(WorkOutcome.DONE, position=Position(1, 60), led=True, open=True)
 
     async def scenario(bench: Bench) -> None:
         begun = await bench.router.begin(demand(WorkKind.WRITE), read_only=False)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -14,14 +14,14 @@
 from rattanhollow.observe import Meter
 from rattanhollow.serving import (
     BackendServer,
-    Done,
-    Fate,
-    Obstacle,
+    Blocker,
     Scope,
-    Served,
+    ServedBackend,
     ServingParts,
     Work,
     WorkKind,
+    WorkOutcome,
+    WorkResult,
 )
 from rattanhollow.serving._connections import ConnectionPool, ServerConnection
 from rattanhollow.serving._slots import SlotQueue
@@ -48,7 +48,7 @@
         self.primary = self.serve(0, connections)
         self._nursery = nursery
 
-    def serve(self, number: int, connections: int = 8) -> Served:
+    def serve(self, number: int, connections: int = 8) -> ServedBackend:
         """Serve one of the databases."""
         database = self.databases[number]
         server = BackendServer(
@@ -63,7 +63,7 @@
             cold_ms=0,
             born_ms=1,
         )
-        served = Served(server, connections + 2, self.parts)
+        served = ServedBackend(server, connections + 2, self.parts)
         self.parts.nursery.start_soon(served.watch)
         return served
 
@@ -103,7 +103,7 @@
 
     async def scenario(stage: Stage) -> None:
         stage.databases[0].work_s = 0.02
-        answers: list[Done] = []
+        answers: list[WorkResult] = []
 
         async def one(number: int) -> None:
             item = work(organisation=f"o{number % 4}", budget_ms=5_000)
@@ -112,7 +112,7 @@
         async with trio.open_nursery() as nursery:
             for number in range(40):
                 nursery.start_soon(one, number)
-        assert all(answer.fate is Fate.DONE for answer in answers)
+        assert all(answer.outcome is WorkOutcome.DONE for answer in answers)
         assert stage.databases[0].most_at_once == 3
 
     on_stage(scenario)
@@ -125,7 +125,7 @@
         stage.databases[0].max_connections = 4
         for number in range(30):
             item = work(organisation=f"o{number % 10}")
-            assert (await stage.primary.run(item)).fate is Fate.DONE
+            assert (await stage.primary.run(item)).outcome is WorkOutcome.DONE
         assert stage.databases[0].connections <= 4
 
     on_stage(scenario, connections=4)
@@ -145,7 +145,7 @@
             values=(("v1", "theirs"),),
         )
         assert (await replica.run(begin)).reason is Reason.BEHIND
-        assert (await replica.run(work(server="i-1"))).fate is Fate.DONE
+        assert (await replica.run(work(server="i-1"))).outcome is WorkOutcome.DONE
         assert stage.databases[1].runs[-1].values == {}
 
     on_stage(scenario)
@@ -157,7 +157,7 @@
     async def scenario(stage: Stage) -> None:
         for writes in (False, True, False, True):
             item = work(WorkKind.EXECUTE, text="a 1", shape="q1", shape_writes=writes)
-            assert (await stage.primary.run(item)).fate is Fate.DONE
+            assert (await stage.primary.run(item)).outcome is WorkOutcome.DONE
         kinds = [text.split(" ")[0] for text in stage.runs()]
         assert kinds == ["READ", "WRITE", "READ", "WRITE"]
         assert len(stage.opened[0].session.prepared) == 2
@@ -172,15 +172,15 @@
         run = stage.primary.run
         begin = work(WorkKind.WRITE, scope=Scope.BEGIN, transaction="t")
         assert (await run(begin)).open
-        assert (await run(work())).fate is Fate.DONE
+        assert (await run(work())).outcome is WorkOutcome.DONE
         within = partial(work, scope=Scope.WITHIN, transaction="t")
         assert (await run(within(WorkKind.READ))).open
         done = await run(within(WorkKind.COMMIT))
-        assert done.fate is Fate.DONE and done.led and not done.open
+        assert done.outcome is WorkOutcome.DONE and done.led and not done.open
         inside = [r.in_transaction for r in stage.databases[0].runs]
         assert inside == [True, False, True, True]
         gone = await run(within(WorkKind.READ))
-        assert gone.obstacle is Obstacle.NO_TRANSACTION
+        assert gone.blocker is Blocker.NO_TRANSACTION
 
     on_stage(scenario)
 
@@ -209,8 +209,8 @@
         assert (await stage.primary.run(work(scope=Scope.PROVEN))).led
         stage.group.promote_now(stage.databases[1])
         done = await stage.primary.run(work(scope=Scope.PROVEN))
-        assert done.fate is Fate.REFUSED and done.reason is Reason.NOT_LEADER
-        assert (await stage.primary.run(work())).fate is Fate.DONE
+        assert done.outcome is WorkOutcome.REFUSED and done.reason is Reason.NOT_LEADER
+        assert (await stage.primary.run(work())).outcome is WorkOutcome.DONE
         answer = await stage.primary.prove()
         assert answer.position is None and answer.denied
 
@@ -223,7 +223,7 @@
     async def scenario(stage: Stage) -> None:
         stage.databases[0].lose_answers = 1
         done = await stage.primary.run(work(WorkKind.WRITE, budget_ms=300))
-        assert done.fate is Fate.UNKNOWN
+        assert done.outcome is WorkOutcome.UNKNOWN
         assert len(stage.group.acknowledged) == 1
 
     on_stage(scenario)
@@ -235,7 +235,7 @@
     async def scenario(stage: Stage) -> None:
         stage.databases[0].open_s = 0.2
         done = await stage.primary.run(work(WorkKind.WRITE, budget_ms=100))
-        assert done.fate is Fate.NOT_RUN
+        assert done.outcome is WorkOutcome.NOT_RUN
         await trio.sleep(1)
         assert not stage.runs()
 
@@ -249,13 +249,16 @@
         await stage.primary.run(work())
         stage.databases[0].dark = True
         done = await stage.primary.run(work(WorkKind.WRITE, budget_ms=5_000))
-        assert done.fate is Fate.UNKNOWN and not stage.primary.reachable
+        assert done.outcome is WorkOutcome.UNKNOWN and not stage.primary.reachable
         refused = await stage.primary.run(work())
-        assert (refused.fate, refused.obstacle) == (Fate.NOT_RUN, Obstacle.NOT_SERVED)
+        assert (refused.outcome, refused.blocker) == (
+            WorkOutcome.NOT_RUN,
+            Blocker.NOT_SERVED,
+        )
         stage.databases[0].dark = False
         await trio.sleep(1.5)
         assert stage.primary.reachable
-        assert (await stage.primary.run(work())).fate is Fate.DONE
+        assert (await stage.primary.run(work())).outcome is WorkOutcome.DONE
 
     on_stage(scenario)
 
@@ -267,7 +270,7 @@
         await stage.primary.run(work())
         stage.opened[0].silent = True
         await trio.sleep(2)
-        assert (await stage.primary.run(work())).fate is Fate.DONE
+        assert (await stage.primary.run(work())).outcome is WorkOutcome.DONE
         assert stage.primary.reachable
 
     on_stage(scenario)
@@ -278,14 +281,14 @@
 
     async def scenario(stage: Stage) -> None:
         stage.databases[0].work_s = 0.1
-        refused: list[tuple[float, Done]] = []
+        refused: list[tuple[float, WorkResult]] = []
         served = 0
 
         async def one() -> None:
             nonlocal served
             came_s = trio.current_time()
             done = await stage.primary.run(work(budget_ms=500))
-            if done.fate is Fate.DONE:
+            if done.outcome is WorkOutcome.DONE:
                 served += 1
             else:
                 refused.append((trio.current_time() - came_s, done))
@@ -297,7 +300,7 @@
                 nursery.start_soon(one)
         assert served >= 12
         assert any(took_s == 0 and done.retry_after_ms for took_s, done in refused)
-        assert all(done.obstacle is Obstacle.OVERLOADED for _, done in refused)
+        assert all(done.blocker is Blocker.OVERLOADED for _, done in refused)
 
     on_stage(scenario)
 
@@ -312,8 +315,13 @@
             work(WorkKind.WRITE, scope=Scope.BEGIN, transaction="t"),
         ):
             done = await stage.primary.run(item)
-            assert (done.fate, done.obstacle) == (Fate.NOT_RUN, Obstacle.SWITCHING)
-        assert (await stage.primary.run(work(scope=Scope.PROVEN))).fate is Fate.DONE
+            assert (done.outcome, done.blocker) == (
+                WorkOutcome.NOT_RUN,
+                Blocker.SWITCHING,
+            )
+        assert (
+            await stage.primary.run(work(scope=Scope.PROVEN))
+        ).outcome is WorkOutcome.DONE
 
     on_stage(scenario)
 
@@ -329,7 +337,7 @@
         assert stage.databases[0].connections == 1
         stage.primary.trim(0.5)
         assert stage.databases[0].connections == 0
-        assert (await stage.primary.run(work())).fate is Fate.DONE
+        assert (await stage.primary.run(work())).outcome is WorkOutcome.DONE
 
     on_stage(scenario)
 
@@ -374,7 +382,7 @@
         behind = work(server="i-1", floor=floor, movable=True)
         for _ in range(100):
             done = await replica.run(behind)
-            assert (done.fate, done.reason) == (Fate.REFUSED, Reason.BEHIND)
+            assert (done.outcome, done.reason) == (WorkOutcome.REFUSED, Reason.BEHIND)
             await trio.sleep(0.01)
         metered = stage.parts.meter.exposition()
         assert b"rattanhollow_server_ms_count" in metered
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -22,7 +22,7 @@
     BackendServer,
     Command,
     Reply,
-    Served,
+    ServedBackend,
     ServerStatus,
     ServingParts,
 )
@@ -80,7 +80,7 @@
         self.store: ObjectStore = local_store(self.table)
         self.nursery = nursery
         self.known = list(self.databases)
-        self._served: dict[str, Served] = {}
+        self._served: dict[str, ServedBackend] = {}
         self._claims = itertools.count(1)
         self.claims_seen: list[str] = []
 
@@ -140,7 +140,7 @@
         if served is None:
             end = memory_end([self.group])
             parts = ServingParts(end, self.nursery, trio.current_time, Meter())
-            served = self._served[target.id] = Served(target, 8, parts)
+            served = self._served[target.id] = ServedBackend(target, 8, parts)
         return await served.command(command, timeout_s)
 
     async def _promote(
