--- a/src/rattanhollow/serving/__init__.py
+++ b/src/rattanhollow/serving/__init__.py
@@ -1,4 +1,4 @@
-"""Serving backend servers: their connections, slots and queues."""
+"""Serves backend servers: manages their connections, slots and queues."""
 
 from rattanhollow.serving._backend_protocol import (
     BackendAdapter,
@@ -30,14 +30,12 @@
 __all__ = [
     "BackendAdapter",
     "BackendServer",
+    "Blocker",
     "Command",
     "CommandKind",
     "Connection",
-    "WorkResult",
-    "FairQueue",
-    "WorkOutcome",
     "ExchangeFailure",
-    "Blocker",
+    "FairQueue",
     "OpenFailure",
     "ProofAnswer",
     "ProofQuestion",
@@ -49,6 +47,8 @@
     "ServingParts",
     "Work",
     "WorkKind",
+    "WorkOutcome",
+    "WorkResult",
     "not_run",
     "unknown",
 ]
--- a/src/rattanhollow/serving/_backend_protocol.py
+++ b/src/rattanhollow/serving/_backend_protocol.py
@@ -1,4 +1,4 @@
-"""What serving needs of a backend server's protocol."""
+"""The interface to a backend server's protocol that serving relies on."""
 
 import enum
 from collections.abc import Awaitable, Callable
@@ -13,7 +13,7 @@
 class BackendServer(NamedTuple):
     """One backend server, as it describes itself in the store.
 
-    ``leads`` is its own opinion. ``born_ms`` differs each time it starts, also
+    ``leads`` is the server's own claim. ``born_ms`` changes with each start, even
     under the same ``id``. ``cold_ms`` is how long it stays slow after a start.
     ``version`` is the store's version of the description.
     """
@@ -32,9 +32,9 @@
 
 
 class ServerStatus(NamedTuple):
-    """What a backend server says of its own log.
+    """A backend server's report on its own log.
 
-    ``term`` is the newest it knows, ``received`` how far its log reaches,
+    ``term`` is the newest term that it knows, ``received`` the end of its log, and
     ``held_term`` the term at which it stopped receiving, 0 if it did not.
     """
 
@@ -48,7 +48,7 @@
 
 
 class CommandKind(enum.Enum):
-    """What a command makes a backend server do."""
+    """The kinds of commands to a backend server."""
 
     BEGIN = "begin"
     BEGIN_READ_ONLY = "begin read only"
@@ -68,10 +68,10 @@
 
 
 class Command(NamedTuple):
-    """One command; ``text`` and ``name`` mean what its kind needs.
+    """One command; the meaning of ``text`` and ``name`` depends on its kind.
 
-    ``request_id`` is the caller's, empty for a command of the proxy's own.
-    ``floor`` makes the server refuse where its log lacks that position.
+    ``request_id`` is the caller's, or empty for a command of the proxy itself. With a
+    ``floor``, the server refuses the command if its log lacks that position.
     """
 
     kind: CommandKind
@@ -83,9 +83,9 @@
 
 
 class Reply(NamedTuple):
-    """A whole answer of a backend server.
+    """A complete reply of a backend server.
 
-    ``reason`` is None for a success. ``position`` is the end of its log.
+    ``reason`` is None on success. ``position`` is the end of its log.
     """
 
     rows: tuple[str, ...]
@@ -97,7 +97,10 @@
 
 
 class ExchangeFailure(NamedTuple):
-    """An exchange that didn't end; ``sent`` whether any byte may have left."""
+    """An exchange that was not completed.
+
+    ``sent`` is whether any byte may have been sent.
+    """
 
     reason: str
     sent: bool = True
@@ -115,7 +118,7 @@
 class Connection(Protocol):
     """A connection to one backend server, for one organisation.
 
-    Used by one task at a time. After a `ExchangeFailure` it must be closed.
+    Used by one task at a time. After an `ExchangeFailure` it must be closed.
     """
 
     async def run(self, command: Command) -> Result[Reply, ExchangeFailure]:
@@ -124,25 +127,27 @@
     async def run_all(
         self, commands: list[Command]
     ) -> Result[list[Reply], ExchangeFailure]:
-        """Run commands that need not wait for one another's replies."""
+        """Run commands without waiting for each reply before sending the next."""
 
     @property
     def quiet(self) -> bool:
-        """Whether it is open, with nothing to read."""
+        """Whether the connection is open and has no unread data."""
 
     def abort(self) -> None:
-        """Close at once; a task that waits gets `ExchangeFailure`."""
+        """Close at once; a waiting task receives an `ExchangeFailure`."""
 
 
-Open = Callable[[BackendServer, str], Awaitable[Result[Connection, OpenFailure]]]
+OpenConnection = Callable[
+    [BackendServer, str], Awaitable[Result[Connection, OpenFailure]]
+]
 
 
 class BackendAdapter(NamedTuple):
-    """How backend servers are reached.
+    """Opens connections to backend servers and parses their status.
 
-    ``open(server, organisation)``; the caller bounds its time.
-    ``status(reply)`` reads the answer to a STATUS command.
+    ``open(server, organisation)`` has no timeout of its own; callers set one.
+    ``status(reply)`` parses the reply to a STATUS command, None if it is malformed.
     """
 
-    open: Open
+    open: OpenConnection
     status: Callable[[Reply], ServerStatus | None]
--- a/src/rattanhollow/serving/_connections.py
+++ b/src/rattanhollow/serving/_connections.py
@@ -1,4 +1,4 @@
-"""The connections of one backend server, each for one organisation."""
+"""The pool of connections to one backend server, each for one organisation."""
 
 import itertools
 from collections import OrderedDict
@@ -8,10 +8,10 @@
 
 
 class ServerConnection:
-    """A connection, and what was left on it.
+    """A connection and the session state that is set on it.
 
-    ``values`` are the session values in force there, ``prepared`` the names of
-    the statements prepared there, by shape and whether they write.
+    ``values`` are the session values in force on the connection. ``prepared`` holds
+    the names of its prepared statements, by whether they write and by shape.
     """
 
     def __init__(self, link: Connection, organisation: str) -> None:
@@ -23,12 +23,12 @@
         self._names = itertools.count(1)
 
     def new_name(self) -> str:
-        """Return a name for a prepared statement that is not used here."""
+        """Return a prepared statement name that is unused on this connection."""
         return f"p{next(self._names)}"
 
 
 class PoolCounts(NamedTuple):
-    """Connections that are ``idle``, ``lent`` to work, and just being opened."""
+    """Numbers of connections that are idle, lent to work, and being opened."""
 
     idle: int
     lent: int
@@ -36,92 +36,92 @@
 
 
 class ConnectionPool:
-    """At most ``limit`` connections; the one idle for longest makes room.
+    """Holds at most ``limit`` connections and evicts the longest idle one.
 
-    Each connection is idle, or lent to work that gives it back or has it closed.
+    Each connection is either idle or lent to work, which returns or closes it.
     """
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
-        self._limited_until_s = float("-inf")
+        self._opening_paused_until_s = float("-inf")
         self._idle: OrderedDict[ServerConnection, None] = OrderedDict()
         self._lent: set[ServerConnection] = set()
         self._opening = 0
 
     @property
     def counts(self) -> PoolCounts:
-        """How many connections there are."""
+        """The number of connections in each state."""
         return PoolCounts(len(self._idle), len(self._lent), self._opening)
 
-    def take(
+    def lend_best_match(
         self, organisation: str, values: dict[str, str]
     ) -> ServerConnection | None:
-        """Lend an idle connection of the organisation, the best fit first."""
+        """Lend the organisation's idle connection that needs the fewest commands."""
         best, best_score = None, 0
         for connection in self._idle:
             if connection.organisation != organisation:
                 continue
-            score = _fit(connection.values, values)
+            score = _match_score(connection.values, values)
             if score >= best_score:
                 best, best_score = connection, score
         return self._lend(best) if best is not None else None
 
-    def take_any(self) -> ServerConnection | None:
-        """Lend the idle connection that was used last, whosever it is."""
+    def lend_most_recent(self) -> ServerConnection | None:
+        """Lend the most recently used idle connection of any organisation."""
         if not self._idle:
             return None
         return self._lend(next(reversed(self._idle)))
 
-    def give_back(self, connection: ServerConnection, now_s: float) -> None:
-        """Keep a connection that is idle; one that was closed meanwhile is gone."""
+    def return_idle(self, connection: ServerConnection, now_s: float) -> None:
+        """Return a lent connection as idle; no effect if it has been closed."""
         if connection not in self._lent:
             return
         self._lent.remove(connection)
         connection.idle_since_s = now_s
         self._idle[connection] = None
 
-    def lends(self, connection: ServerConnection) -> bool:
-        """Whether a connection is lent, and not closed meanwhile."""
+    def is_lent(self, connection: ServerConnection) -> bool:
+        """Whether a connection is lent and has not been closed since."""
         return connection in self._lent
 
-    def can_lend(self, now_s: float) -> bool:
-        """Whether a connection is idle, or another one may be opened."""
-        full = sum(self.counts) >= self._limit or now_s < self._limited_until_s
+    def can_provide(self, now_s: float) -> bool:
+        """Whether a connection is idle or another one may be opened."""
+        full = sum(self.counts) >= self._limit or now_s < self._opening_paused_until_s
         return not full or bool(self._idle)
 
-    def limit_for_now(self, until_s: float) -> None:
-        """Open no more connections for a while: the server has no room."""
-        self._limited_until_s = until_s
+    def pause_opening(self, until_s: float) -> None:
+        """Open no connections until a time, as the server is at its limit."""
+        self._opening_paused_until_s = until_s
 
-    def begin_opening(self) -> None:
+    def reserve_opening(self) -> None:
         """Count a connection that is about to be opened.
 
-        Closes the one idle for longest where there is no room for another.
+        Closes the longest idle connection if the pool is full.
         """
         if sum(self.counts) >= self._limit and self._idle:
             self.close(next(iter(self._idle)))
         self._opening += 1
 
-    def end_opening(self, opened: ServerConnection | None) -> None:
-        """Lend the connection that was opened, if it was."""
+    def finish_opening(self, opened: ServerConnection | None) -> None:
+        """End a reserved opening and lend the connection if it was opened."""
         self._opening -= 1
         if opened is not None:
             self._lent.add(opened)
 
     def close(self, connection: ServerConnection) -> None:
-        """Close a connection at once, wherever it is; no harm if it was."""
+        """Close an idle or lent connection at once; may be called repeatedly."""
         self._lent.discard(connection)
         self._idle.pop(connection, None)
         connection.link.abort()
 
     def close_idle_since(self, before_s: float) -> None:
-        """Close the connections that have been idle since before a time."""
+        """Close the connections that became idle at ``before_s`` or before."""
         for connection in list(self._idle):
             if connection.idle_since_s <= before_s:
                 self.close(connection)
 
     def close_all(self) -> None:
-        """Close all connections, also those that work still uses."""
+        """Close all connections, including those lent to work."""
         for connection in [*self._idle, *self._lent]:
             self.close(connection)
 
@@ -131,10 +131,10 @@
         return connection
 
 
-def _fit(held: dict[str, str], wanted: dict[str, str]) -> int:
-    """How few commands bring a connection's values to the wanted ones."""
-    if held == wanted:
+def _match_score(current: dict[str, str], wanted: dict[str, str]) -> int:
+    """Score a connection's values; higher needs fewer commands to match ``wanted``."""
+    if current == wanted:
         return 3
-    if held.keys() <= wanted.keys():
+    if current.keys() <= wanted.keys():
         return 2
     return 1
--- a/src/rattanhollow/serving/_fair_queue.py
+++ b/src/rattanhollow/serving/_fair_queue.py
@@ -1,4 +1,4 @@
-"""A queue that serves organisations in turn, and each one's items in order."""
+"""A round-robin queue over organisations, first in first out within each."""
 
 from collections import OrderedDict, deque
 from typing import Generic, TypeVar
@@ -7,7 +7,7 @@
 
 
 class FairQueue(Generic[T]):
-    """One item of each organisation a round, however many any of them has."""
+    """Returns one item per organisation and round, whatever their queue lengths."""
 
     def __init__(self) -> None:
         self._queues: OrderedDict[str, deque[T]] = OrderedDict()
@@ -17,12 +17,12 @@
         return self._length
 
     def add(self, organisation: str, item: T) -> None:
-        """Add an item behind those of its organisation."""
+        """Append an item to the queue of its organisation."""
         self._queues.setdefault(organisation, deque()).append(item)
         self._length += 1
 
     def pop(self) -> T:
-        """Take the first item of the organisation whose turn it is.
+        """Remove and return the first item of the organisation whose turn it is.
 
         Raises:
             IndexError: the queue is empty.
@@ -38,7 +38,7 @@
         return item
 
     def remove(self, organisation: str, item: T) -> None:
-        """Take out an item that no longer waits.
+        """Remove an item from the queue.
 
         Raises:
             ValueError: it is not in the queue.
--- a/src/rattanhollow/serving/_health.py
+++ b/src/rattanhollow/serving/_health.py
@@ -1,58 +1,59 @@
-"""Whether a backend server fails most of what it is given.
+"""Detects backend servers that respond but fail much of their work.
 
-Answers quickly and says that it is well, but fails: only the outcomes show it.
-No network and no clock: times come with the calls.
+Such a server responds quickly and passes health checks, so only the outcomes of its
+work reveal the fault. Does no I/O and reads no clock: callers pass the times.
 """
 
 from collections import deque
 
-# What is older says little: such faults come and go within seconds.
+# Older outcomes are disregarded: such faults appear and disappear within seconds.
 WINDOW_S = 2.0
-# A part of failures that single bad statements don't reach, out of so many.
-FAILING_PART = 0.3
-LEAST_OUTCOMES = 5
-# How often a failing server is given work that could go elsewhere.
+# The failure ratio from which a server counts as failing, and the number of outcomes
+# required for it: a few bad statements alone do not reach it.
+FAILING_RATIO = 0.3
+MIN_OUTCOMES = 5
+# How often a failing server still receives work that another server could do.
 PROBE_INTERVAL_S = 0.25
 
 
 class Health:
-    """The outcomes of the last work at one server."""
+    """The recent outcomes of work at one server."""
 
     def __init__(self) -> None:
         self._outcomes: deque[tuple[float, bool]] = deque()
         self._failures = 0
-        self._probed_at_s = float("-inf")
+        self._last_probe_at_s = float("-inf")
 
-    def note(self, failed: bool, now_s: float) -> None:
-        """Note how a piece of work ended that the server ran."""
+    def record_outcome(self, failed: bool, now_s: float) -> None:
+        """Record whether a unit of work that the server ran failed."""
         self._outcomes.append((now_s, failed))
         self._failures += failed
-        self._forget(now_s)
+        self._drop_old_outcomes(now_s)
 
     def is_failing(self, now_s: float) -> bool:
-        """Whether the server fails a good part of its work."""
-        self._forget(now_s)
+        """Whether the failure ratio reaches `FAILING_RATIO`."""
+        self._drop_old_outcomes(now_s)
         count = len(self._outcomes)
-        return count >= LEAST_OUTCOMES and self._failures >= FAILING_PART * count
+        return count >= MIN_OUTCOMES and self._failures >= FAILING_RATIO * count
 
-    def turns_away(self, now_s: float) -> bool:
-        """Whether work that another server can do should go there.
+    def should_divert(self, now_s: float) -> bool:
+        """Whether work that another server can do should go to that server.
 
-        Now and then it is let through, to find out whether the server is well.
+        Once per `PROBE_INTERVAL_S` the work is admitted, as a probe for recovery.
         """
         if not self.is_failing(now_s):
             return False
-        if now_s - self._probed_at_s < PROBE_INTERVAL_S:
+        if now_s - self._last_probe_at_s < PROBE_INTERVAL_S:
             return True
-        self._probed_at_s = now_s
+        self._last_probe_at_s = now_s
         return False
 
-    def failing_part(self, now_s: float) -> float:
-        """Return the part of the last work that failed, 0 where too little is known."""
-        self._forget(now_s)
+    def failure_ratio(self, now_s: float) -> float:
+        """Return the fraction of recent work that failed, 0 below `MIN_OUTCOMES`."""
+        self._drop_old_outcomes(now_s)
         count = len(self._outcomes)
-        return self._failures / count if count >= LEAST_OUTCOMES else 0.0
+        return self._failures / count if count >= MIN_OUTCOMES else 0.0
 
-    def _forget(self, now_s: float) -> None:
+    def _drop_old_outcomes(self, now_s: float) -> None:
         while self._outcomes and now_s - self._outcomes[0][0] > WINDOW_S:
             self._failures -= self._outcomes.popleft()[1]
--- a/src/rattanhollow/serving/_served_backend.py
+++ b/src/rattanhollow/serving/_served_backend.py
@@ -1,4 +1,4 @@
-"""One backend server that this host serves to the fleet."""
+"""Runs work at one backend server on behalf of all hosts of the fleet."""
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -37,33 +37,34 @@
 )
 from rattanhollow.statements import Reason, SessionState
 
-# A connection idle for longer may have gone silent: it is tried before use.
+# A connection idle for longer than this may be dead without notice, so it is
+# probed before use.
 PROBE_AFTER_IDLE_S = 1.0
 PROBE_TIMEOUT_S = 0.25
-# A new connection waits for a slot of the server and occupies it for tens of ms.
+# Opening a connection waits for a slot of the server and then occupies it for tens
+# of milliseconds.
 OPEN_TIMEOUT_S = 0.8
-# Work that waits for a connection looks again this often.
-CONNECTION_WAIT_S = 0.02
-# A server that says nothing for this long while work is due is looked at.
+CONNECTION_POLL_INTERVAL_S = 0.02
+# A server that sends nothing for this long while an exchange is pending is probed.
 SILENT_AFTER_S = 0.4
-LOOK_INTERVAL_S = 0.1
-RETRY_UNREACHABLE_S = 0.25
-# Other hosts may hold connections for a while: those that served it before.
-TOO_MANY_PAUSE_S = 1.0
-# Connections left to hosts that look at the server without serving it.
-CONNECTIONS_SPARED = 2
-# How long what a log lacked is taken as lacking: replicas that are behind are so
-# for seconds, and each question occupies one of their slots.
-LACKED_FOR_S = 0.1
-# Whom a backend server is told of where no organisation's work is done.
-NOBODY = "-"
-
-_BEGINNING = {
+SILENCE_CHECK_INTERVAL_S = 0.1
+UNREACHABLE_PROBE_INTERVAL_S = 0.25
+# Hosts that served the server previously may hold connections for a while longer.
+CONNECTION_LIMIT_PAUSE_S = 1.0
+# Connections left for hosts that check the server without serving it.
+RESERVED_CONNECTIONS = 2
+# How long a position that the log lacked is assumed to be missing still: replicas
+# lag for seconds at a time, and each attempt occupies one of their slots.
+LAG_RETRY_INTERVAL_S = 0.1
+# The organisation sent to a backend server for commands of the proxy itself.
+NO_ORGANISATION = "-"
+
+_BEGIN_COMMANDS = {
     Scope.PROVEN: CommandKind.BEGIN,
     Scope.BEGIN: CommandKind.BEGIN,
     Scope.BEGIN_READ_ONLY: CommandKind.BEGIN_READ_ONLY,
 }
-_KINDS = {
+_STATEMENT_COMMANDS = {
     WorkKind.READ: CommandKind.READ,
     WorkKind.WRITE: CommandKind.WRITE,
     WorkKind.EXECUTE: CommandKind.EXECUTE,
@@ -72,24 +73,28 @@
 
 
 class ServingParts(NamedTuple):
-    """What serving needs of the rest of the host; ``clock`` gives seconds."""
+    """Dependencies of serving; ``clock()`` returns seconds."""
 
-    end: BackendAdapter
+    backend: BackendAdapter
     nursery: trio.Nursery
     clock: Callable[[], float]
     meter: Meter
 
 
-class _Ticket:
-    """A task that waits for a slot; ``granted`` once it has one."""
+class _SlotRequest:
+    """A task that waits for a slot.
+
+    ``granted`` is set once it has one. ``resumed`` is also set without a slot where
+    the server became unreachable.
+    """
 
     def __init__(self) -> None:
-        self.turn = trio.Event()
+        self.resumed = trio.Event()
         self.granted = False
 
 
 class _Transaction:
-    """A caller's open transaction, on a connection of its own."""
+    """A caller's open transaction, which has a connection to itself."""
 
     def __init__(self, connection: ServerConnection, read_only: bool) -> None:
         self.connection = connection
@@ -100,26 +105,27 @@
 
 
 class _SessionPlan(NamedTuple):
-    """Commands that bring a connection into a session's state, and that state."""
+    """Commands that set a session's state on a connection, and the resulting state."""
 
     commands: list[Command]
     values: dict[str, str]
     prepared: dict[tuple[bool, str], str]
 
 
-class _Stop(Exception):
-    """Work that ends before the server replied to it."""
+class _WorkStopped(Exception):
+    """Ends work that has no reply of the server; carries its result."""
 
-    def __init__(self, done: WorkResult) -> None:
-        super().__init__(done.detail)
-        self.done = done
+    def __init__(self, result: WorkResult) -> None:
+        super().__init__(result.detail)
+        self.result = result
 
 
 class ServedBackend:
     """Runs work at one backend server.
 
-    ``reachable`` while it answers. ``switching`` while it is being replaced as
-    the primary: nothing is begun that could not be acknowledged any more.
+    ``reachable`` is set while the server responds. ``switching`` is set while it is
+    being replaced as the primary: no work is started that it could no longer
+    acknowledge.
     """
 
     def __init__(
@@ -129,140 +135,152 @@
         self.reachable = True
         self.switching = False
         self._unreachable_since_s = 0.0
-        self._behind_since_s: float | None = None
-        self._lacked: tuple[Position, float] | None = None
+        self._lagging_since_s: float | None = None
+        self._missing_position: tuple[Position, float] | None = None
         self._parts = parts
-        self._pool = ConnectionPool(max(1, connections - CONNECTIONS_SPARED))
-        self._slots: SlotQueue[_Ticket] = SlotQueue(server.slots)
+        self._pool = ConnectionPool(max(1, connections - RESERVED_CONNECTIONS))
+        self._slots: SlotQueue[_SlotRequest] = SlotQueue(server.slots)
         self._health = Health()
         self._transactions: dict[str, _Transaction] = {}
-        self._exchanges: dict[ServerConnection, float] = {}
-        self._commits: dict[ServerConnection, float] = {}
-        self._due = trio.Event()
-        self._heard_at_s = parts.clock()
-        self._scope = trio.CancelScope()
+        self._exchanges_started_at_s: dict[ServerConnection, float] = {}
+        self._writes_started_at_s: dict[ServerConnection, float] = {}
+        self._exchange_started = trio.Event()
+        self._last_reply_at_s = parts.clock()
+        self._watch_scope = trio.CancelScope()
         self._closed = False
 
     @property
     def idle(self) -> bool:
-        """Whether nothing runs, waits or is open here."""
-        return not (self._transactions or self._exchanges or self._slots.waiting)
+        """Whether no work runs or waits and no transaction is open."""
+        return not (
+            self._transactions or self._exchanges_started_at_s or self._slots.waiting
+        )
 
     @property
     def counts(self) -> PoolCounts:
-        """How many connections the pool counts, and as what."""
+        """The number of pooled connections in each state."""
         return self._pool.counts
 
     @property
     def wait_ms(self) -> int:
-        """How long new work of the lowest priority would wait now."""
+        """The estimated wait of new work of the lowest priority."""
         return int(self._slots.wait_ms(LOWEST_PRIORITY))
 
     async def run(self, work: Work) -> WorkResult:
-        """Run one piece of work."""
+        """Run one unit of work and return its result."""
         if work.kind is WorkKind.ROLLBACK:
             return self._roll_back(work.transaction)
         if not self.reachable or self._closed:
             return not_run(Blocker.NOT_SERVED, f"{self.server.id} is unreachable")
-        if self.switching and _must_lead(work):
+        if self.switching and _requires_leader(work):
             return not_run(Blocker.SWITCHING, "the primary is being replaced")
-        if self._surely_lacks(work):
-            detail = f"{self.server.id} was behind just now"
+        if self._recently_lacked_floor(work):
+            detail = (
+                f"{self.server.id} lacked the required log position at the last check"
+            )
             return WorkResult(WorkOutcome.REFUSED, reason=Reason.BEHIND, detail=detail)
-        if work.movable and self._health.turns_away(self._parts.clock()):
-            return not_run(Blocker.FAILING, f"{self.server.id} fails its work")
+        if work.movable and self._health.should_divert(self._parts.clock()):
+            return not_run(Blocker.FAILING, f"{self.server.id} fails too many requests")
         transaction = None
         if work.scope is Scope.WITHIN:
             transaction = self._transactions.get(work.transaction)
             if transaction is None or transaction.running:
-                return not_run(Blocker.NO_TRANSACTION, "it is not open here")
+                return not_run(
+                    Blocker.NO_TRANSACTION, "the transaction is not open at this host"
+                )
             transaction.running = True
         try:
-            done = await self._run(work, transaction)
-        except _Stop as stop:
-            done = stop.done
+            result = await self._run(work, transaction)
+        except _WorkStopped as stopped:
+            result = stopped.result
         finally:
             if transaction is not None:
                 transaction.running = False
                 transaction.used_at_s = self._parts.clock()
-        self._note_health(done)
-        # A log that is behind is a matter of milliseconds, and of most reads.
-        if done.outcome is not WorkOutcome.DONE and done.reason is not Reason.BEHIND:
+        self._record_health(result)
+        # Reads refused because the log lags are too common to log: the lag lasts
+        # milliseconds and affects most reads.
+        if (
+            result.outcome is not WorkOutcome.DONE
+            and result.reason is not Reason.BEHIND
+        ):
             log_event(
                 "work.failed",
                 request=work.request_id,
                 server=self.server.id,
                 scope=work.scope.value,
-                fate=done.outcome.value,
-                reason=done.reason.name if done.reason else "",
-                obstacle=done.blocker.value,
-                detail=done.detail,
+                fate=result.outcome.value,
+                reason=result.reason.name if result.reason else "",
+                obstacle=result.blocker.value,
+                detail=result.detail,
                 busy=self._slots.busy,
                 waiting=self._slots.waiting,
                 transactions=len(self._transactions),
                 budget_ms=work.budget_ms,
             )
-        return done._replace(wait_ms=self.wait_ms)
+        return result._replace(wait_ms=self.wait_ms)
 
     @property
     def unreachable_s(self) -> float:
-        """For how long the server hasn't answered, 0 while it does."""
+        """Seconds since the server became unreachable, 0 while it is reachable."""
         if self.reachable:
             return 0.0
         return self._parts.clock() - self._unreachable_since_s
 
     @property
-    def failing_part(self) -> float:
-        """The part of the last work that the server failed."""
-        return self._health.failing_part(self._parts.clock())
+    def failure_ratio(self) -> float:
+        """The fraction of recent work that the server failed."""
+        return self._health.failure_ratio(self._parts.clock())
 
     @property
     def lagging_s(self) -> float:
-        """For how long the server lacked every position that was asked of it."""
-        if self._behind_since_s is None:
+        """Seconds for which the server has lacked every position required of it."""
+        if self._lagging_since_s is None:
             return 0.0
-        return self._parts.clock() - self._behind_since_s
+        return self._parts.clock() - self._lagging_since_s
 
     @property
     def stuck_s(self) -> float:
-        """For how long the oldest commit under way has not been answered."""
-        began_s = min(self._commits.values(), default=None)
-        return 0.0 if began_s is None else self._parts.clock() - began_s
+        """Seconds since the oldest pending write or commit was sent, 0 if none is."""
+        started_at_s = min(self._writes_started_at_s.values(), default=None)
+        return 0.0 if started_at_s is None else self._parts.clock() - started_at_s
 
     async def command(self, command: Command, timeout_s: float) -> Reply | None:
-        """Run a command that is nobody's work; None where no answer came."""
-        connection = self._pool.take_any()
+        """Run a command of the proxy itself; None if no reply arrived."""
+        connection = self._pool.lend_most_recent()
         if connection is None:
             try:
-                connection = await self._open(NOBODY, timeout_s)
-            except _Stop:
+                connection = await self._open_connection(NO_ORGANISATION, timeout_s)
+            except _WorkStopped:
                 return None
-        answered = await self._exchange(connection, [command], timeout_s)
-        if answered.is_err():
+        exchanged = await self._exchange(connection, [command], timeout_s)
+        if exchanged.is_err():
             return None
-        self._give_back(connection)
-        return answered.unwrap()[0]
+        self._return_connection(connection)
+        return exchanged.unwrap()[0]
 
     async def check_reachable(self) -> bool:
-        """Find out whether the server answers now."""
-        return await self._answers()
+        """Probe the server and return whether it responds."""
+        return await self._probe_server()
 
     async def prove(self) -> ProofAnswer:
-        """Return the log's end, proven by a plain transaction that began."""
+        """Return the end of the log, proven by beginning a read-write transaction."""
         if not self.reachable or self._closed:
             return ProofAnswer(None, f"{self.server.id} is unreachable")
-        connection = self._pool.take_any()
+        connection = self._pool.lend_most_recent()
         if connection is None:
             try:
-                connection = await self._open(NOBODY, OPEN_TIMEOUT_S)
-            except _Stop as stop:
-                return ProofAnswer(None, stop.done.detail)
+                connection = await self._open_connection(
+                    NO_ORGANISATION, OPEN_TIMEOUT_S
+                )
+            except _WorkStopped as stopped:
+                return ProofAnswer(None, stopped.result.detail)
         begun = await self._exchange(
             connection, [Command(CommandKind.BEGIN)], PROBE_TIMEOUT_S
         )
         if begun.is_err():
             return ProofAnswer(None, begun.unwrap_err().reason)
-        self._finish(connection)
+        self._start_rollback(connection)
         reply = begun.unwrap()[0]
         if reply.reason is not None:
             denied = reply.reason is Reason.NOT_LEADER
@@ -270,23 +288,25 @@
         return ProofAnswer(reply.position)
 
     async def watch(self) -> None:
-        """Notice that the server has gone silent, and that it is back."""
-        with self._scope:
+        """Detect when the server stops responding and when it responds again."""
+        with self._watch_scope:
             while True:
-                if self.reachable and not self._exchanges:
-                    self._due = trio.Event()
-                    await self._due.wait()
+                if self.reachable and not self._exchanges_started_at_s:
+                    self._exchange_started = trio.Event()
+                    await self._exchange_started.wait()
                 await trio.sleep(
-                    LOOK_INTERVAL_S if self.reachable else RETRY_UNREACHABLE_S
+                    SILENCE_CHECK_INTERVAL_S
+                    if self.reachable
+                    else UNREACHABLE_PROBE_INTERVAL_S
                 )
-                await self._look()
+                await self._check_silence()
 
     def trim(self, idle_s: float) -> None:
-        """Close connections that were idle for longer: others may need the room."""
+        """Close connections idle for longer than ``idle_s`` to make room for others."""
         self._pool.close_idle_since(self._parts.clock() - idle_s)
 
     def expire(self, idle_s: float) -> None:
-        """Roll back transactions that were idle for longer."""
+        """Roll back transactions idle for longer than ``idle_s``."""
         now_s = self._parts.clock()
         for name, transaction in list(self._transactions.items()):
             idle = not transaction.running
@@ -295,119 +315,142 @@
                 self._roll_back(name)
 
     def close(self) -> None:
-        """Give all connections up; what runs ends as lost."""
+        """Close all connections; exchanges under way fail."""
         self._closed = True
-        self._scope.cancel()
+        self._watch_scope.cancel()
         self._pool.close_all()
         self._transactions.clear()
 
     async def _run(self, work: Work, transaction: _Transaction | None) -> WorkResult:
         deadline_s = self._parts.clock() + work.budget_ms / 1000
         while True:
-            came_s = self._parts.clock()
+            queued_at_s = self._parts.clock()
             estimate_ms = self._slots.wait_ms(work.priority)
             await self._take_slot(work, deadline_s)
-            waited_ms = (self._parts.clock() - came_s) * 1000
+            waited_ms = (self._parts.clock() - queued_at_s) * 1000
             self._parts.meter.time(kinds.QUEUE_WAIT_MS, waited_ms, self.server.id)
             self._parts.meter.time(kinds.QUEUE_ESTIMATE_MS, estimate_ms, self.server.id)
-            if transaction is not None or self._can_lend():
+            if transaction is not None or self._connection_available():
                 break
             self._free_slot(None)
             await self._wait_for_connection(deadline_s)
-        began_s = self._parts.clock()
+        started_at_s = self._parts.clock()
         replied = False
         try:
             if transaction is not None:
                 connection = transaction.connection
             else:
-                connection = await self._connection(work)
+                connection = await self._lend_connection(work)
             reply = await self._run_on(connection, work, transaction, deadline_s)
             replied = True
         finally:
-            cost_ms = (self._parts.clock() - began_s) * 1000
+            cost_ms = (self._parts.clock() - started_at_s) * 1000
             self._free_slot(cost_ms if replied else None)
             self._parts.meter.time(kinds.SERVER_MS, cost_ms, self.server.id)
         return self._settle(work, connection, transaction, reply)
 
-    def _surely_lacks(self, work: Work) -> bool:
-        """Whether the server's log lacked no more than work needs, just now."""
-        if self._lacked is None or work.floor is None or not work.movable:
+    def _recently_lacked_floor(self, work: Work) -> bool:
+        """Whether the log recently lacked a position that the work requires."""
+        if self._missing_position is None or work.floor is None or not work.movable:
             return False
-        floor, at_s = self._lacked
-        return work.floor >= floor and self._parts.clock() - at_s < LACKED_FOR_S
+        floor, at_s = self._missing_position
+        return work.floor >= floor and self._parts.clock() - at_s < LAG_RETRY_INTERVAL_S
 
-    def _note_health(self, done: WorkResult) -> None:
-        failed = done.reason is Reason.FAILED or done.blocker is Blocker.LOST
-        if failed or done.outcome is WorkOutcome.DONE:
-            self._health.note(failed, self._parts.clock())
+    def _record_health(self, result: WorkResult) -> None:
+        failed = result.reason is Reason.FAILED or result.blocker is Blocker.LOST
+        if failed or result.outcome is WorkOutcome.DONE:
+            self._health.record_outcome(failed, self._parts.clock())
 
     async def _take_slot(self, work: Work, deadline_s: float) -> None:
-        if self._slots.take():
+        if self._slots.try_acquire():
             return
         wait_ms = self._slots.wait_ms(work.priority)
         if self._parts.clock() + wait_ms / 1000 > deadline_s:
-            raise _Stop(not_run(Blocker.OVERLOADED, "the queue", int(wait_ms)))
-        ticket = _Ticket()
-        self._slots.wait(ticket, work.organisation, work.priority)
+            raise _WorkStopped(
+                not_run(
+                    Blocker.OVERLOADED, "the queue for slots is too long", int(wait_ms)
+                )
+            )
+        slot_request = _SlotRequest()
+        self._slots.enqueue(slot_request, work.organisation, work.priority)
         try:
-            with trio.move_on_at(self._at(deadline_s)):
-                await ticket.turn.wait()
+            with trio.move_on_at(self._trio_deadline(deadline_s)):
+                await slot_request.resumed.wait()
         except trio.Cancelled:
-            self._leave_queue(ticket, work)
+            self._leave_queue(slot_request, work)
             raise
-        if not ticket.turn.is_set():
-            self._leave_queue(ticket, work)
-            raise _Stop(not_run(Blocker.OVERLOADED, "the queue", int(wait_ms)))
-        if not ticket.granted:
-            raise _Stop(not_run(Blocker.NOT_SERVED, "it became unreachable"))
+        if not slot_request.resumed.is_set():
+            self._leave_queue(slot_request, work)
+            raise _WorkStopped(
+                not_run(
+                    Blocker.OVERLOADED,
+                    "no slot was free before the deadline",
+                    int(wait_ms),
+                )
+            )
+        if not slot_request.granted:
+            raise _WorkStopped(
+                not_run(
+                    Blocker.NOT_SERVED,
+                    "the server became unreachable while the work was queued",
+                )
+            )
         if self._remaining_s(deadline_s) < self._slots.cost_ms / 1000:
             self._free_slot(None)
-            raise _Stop(not_run(Blocker.OVERLOADED, "the queue", int(wait_ms)))
+            raise _WorkStopped(
+                not_run(
+                    Blocker.OVERLOADED, "the queue left too little time", int(wait_ms)
+                )
+            )
 
-    def _leave_queue(self, ticket: _Ticket, work: Work) -> None:
-        if ticket.granted:
+    def _leave_queue(self, slot_request: _SlotRequest, work: Work) -> None:
+        if slot_request.granted:
             self._free_slot(None)
-        elif not ticket.turn.is_set():
-            self._slots.give_up(ticket, work.organisation, work.priority)
+        elif not slot_request.resumed.is_set():
+            self._slots.cancel_wait(slot_request, work.organisation, work.priority)
 
     def _free_slot(self, cost_ms: float | None) -> None:
         self._slots.release(cost_ms)
-        ticket = self._slots.next()
-        if ticket is not None:
-            ticket.granted = True
-            ticket.turn.set()
+        slot_request = self._slots.acquire_next()
+        if slot_request is not None:
+            slot_request.granted = True
+            slot_request.resumed.set()
 
-    def _at(self, deadline_s: float) -> float:
+    def _trio_deadline(self, deadline_s: float) -> float:
         return trio.current_time() + self._remaining_s(deadline_s)
 
     def _remaining_s(self, deadline_s: float) -> float:
         return max(0.0, deadline_s - self._parts.clock())
 
-    def _can_lend(self) -> bool:
-        return self._pool.can_lend(self._parts.clock())
+    def _connection_available(self) -> bool:
+        return self._pool.can_provide(self._parts.clock())
 
     async def _wait_for_connection(self, deadline_s: float) -> None:
-        while not self._can_lend():
+        while not self._connection_available():
             if self._parts.clock() >= deadline_s:
                 counts = self._pool.counts
                 detail = (
                     f"no connection is free: idle={counts.idle} lent={counts.lent}"
                     f" opening={counts.opening}"
                 )
-                raise _Stop(not_run(Blocker.OVERLOADED, detail))
-            await trio.sleep(CONNECTION_WAIT_S)
+                raise _WorkStopped(not_run(Blocker.OVERLOADED, detail))
+            await trio.sleep(CONNECTION_POLL_INTERVAL_S)
 
-    async def _connection(self, work: Work) -> ServerConnection:
-        """Return a connection of the organisation; opens one if need be."""
+    async def _lend_connection(self, work: Work) -> ServerConnection:
+        """Lend a connection of the organisation, opening one if necessary."""
         while True:
-            connection = self._pool.take(work.organisation, dict(work.values))
+            connection = self._pool.lend_best_match(
+                work.organisation, dict(work.values)
+            )
             if connection is None:
-                return await self._open(work.organisation or NOBODY, OPEN_TIMEOUT_S)
-            if await self._is_sound(connection):
+                return await self._open_connection(
+                    work.organisation or NO_ORGANISATION, OPEN_TIMEOUT_S
+                )
+            if await self._is_usable(connection):
                 return connection
 
-    async def _is_sound(self, connection: ServerConnection) -> bool:
-        """Whether an idle connection still works; one that doesn't is dropped."""
+    async def _is_usable(self, connection: ServerConnection) -> bool:
+        """Whether an idle connection still works; closes it otherwise."""
         if not connection.link.quiet:
             self._pool.close(connection)
             return False
@@ -417,54 +460,61 @@
         probe = [Command(CommandKind.BEGIN_READ_ONLY), Command(CommandKind.ROLLBACK)]
         return (await self._exchange(connection, probe, PROBE_TIMEOUT_S)).is_ok()
 
-    async def _open(self, organisation: str, timeout_s: float) -> ServerConnection:
-        self._pool.begin_opening()
+    async def _open_connection(
+        self, organisation: str, timeout_s: float
+    ) -> ServerConnection:
+        self._pool.reserve_opening()
         opened = None
         connection = None
         try:
             with trio.move_on_after(timeout_s):
-                opened = await self._parts.end.open(self.server, organisation)
+                opened = await self._parts.backend.open(self.server, organisation)
             if opened is not None and opened.is_ok():
                 connection = ServerConnection(opened.unwrap(), organisation)
         finally:
-            self._pool.end_opening(connection)
+            self._pool.finish_opening(connection)
         outcome = "no answer"
         if opened is not None:
             outcome = "opened" if opened.is_ok() else opened.unwrap_err().value
         self._parts.meter.count(kinds.CONNECTIONS_OPENED, self.server.id, outcome)
         if connection is not None and self._closed:
             self._pool.close(connection)
-            raise _Stop(not_run(Blocker.NOT_SERVED, f"{self.server.id} was given up"))
+            raise _WorkStopped(
+                not_run(
+                    Blocker.NOT_SERVED,
+                    f"{self.server.id} is no longer served by this host",
+                )
+            )
         if connection is not None:
-            self._heard_at_s = self._parts.clock()
+            self._last_reply_at_s = self._parts.clock()
             return connection
         failure = OpenFailure.UNREACHABLE if opened is None else opened.unwrap_err()
         log_event("server.not_opened", server=self.server.id, reason=failure.value)
         if failure is OpenFailure.TOO_MANY:
-            self._pool.limit_for_now(self._parts.clock() + TOO_MANY_PAUSE_S)
+            self._pool.pause_opening(self._parts.clock() + CONNECTION_LIMIT_PAUSE_S)
         overloaded = failure in (OpenFailure.TOO_MANY, OpenFailure.BUSY)
         obstacle = Blocker.OVERLOADED if overloaded else Blocker.NOT_SERVED
-        raise _Stop(not_run(obstacle, failure.value))
+        raise _WorkStopped(not_run(obstacle, failure.value))
 
     async def _exchange(
         self, connection: ServerConnection, commands: list[Command], timeout_s: float
     ) -> Result[list[Reply], ExchangeFailure]:
-        """Run commands; after an ``Err`` the connection is gone."""
-        self._exchanges[connection] = self._parts.clock()
-        self._due.set()
-        answered: Result[list[Reply], ExchangeFailure] = Err(
-            ExchangeFailure("no answer in time")
+        """Run commands; on an ``Err`` the connection has been closed."""
+        self._exchanges_started_at_s[connection] = self._parts.clock()
+        self._exchange_started.set()
+        exchanged: Result[list[Reply], ExchangeFailure] = Err(
+            ExchangeFailure("no response in time")
         )
         try:
             with trio.move_on_after(timeout_s):
-                answered = await connection.link.run_all(commands)
+                exchanged = await connection.link.run_all(commands)
         finally:
-            del self._exchanges[connection]
-            if answered.is_err():
+            del self._exchanges_started_at_s[connection]
+            if exchanged.is_err():
                 self._pool.close(connection)
-        if answered.is_ok():
-            self._heard_at_s = self._parts.clock()
-        return answered
+        if exchanged.is_ok():
+            self._last_reply_at_s = self._parts.clock()
+        return exchanged
 
     async def _run_on(
         self,
@@ -473,52 +523,64 @@
         transaction: _Transaction | None,
         deadline_s: float,
     ) -> Reply:
-        """Bring the connection into the session's state and run the statement.
+        """Set the session's state on the connection and run the statement.
 
-        A reply to BEGIN that refuses stands for the reply to the statement.
+        If BEGIN is refused, its reply is returned as the statement's reply.
         """
         plan = _plan_session(connection, work)
         commands = plan.commands
-        if work.scope in _BEGINNING:
+        if work.scope in _BEGIN_COMMANDS:
             read_only = work.scope is Scope.BEGIN_READ_ONLY
             floor = work.floor if read_only else None
-            commands.append(Command(_BEGINNING[work.scope], floor=floor))
+            commands.append(Command(_BEGIN_COMMANDS[work.scope], floor=floor))
         if commands:
             remaining_s = self._remaining_s(deadline_s)
             prepared = await self._exchange(connection, commands, remaining_s)
             if prepared.is_err():
-                detail = f"before the statement: {prepared.unwrap_err().reason}"
-                self._forget(work)
-                raise _Stop(not_run(Blocker.LOST, detail))
+                detail = (
+                    f"before the statement was sent: {prepared.unwrap_err().reason}"
+                )
+                self._drop_transaction(work)
+                raise _WorkStopped(not_run(Blocker.LOST, detail))
             replies = prepared.unwrap()
-            begun = replies.pop() if work.scope in _BEGINNING else None
+            begun = replies.pop() if work.scope in _BEGIN_COMMANDS else None
             if any(reply.reason is not None for reply in replies):
                 self._pool.close(connection)
-                self._forget(work)
-                raise _Stop(not_run(Blocker.LOST, "the session's state was refused"))
+                self._drop_transaction(work)
+                raise _WorkStopped(
+                    not_run(
+                        Blocker.LOST,
+                        "the server refused to set the session's state",
+                    )
+                )
             connection.values = plan.values
             connection.prepared = plan.prepared
             if begun is not None and begun.reason is not None:
                 return begun
         remaining_s = self._remaining_s(deadline_s)
         if not remaining_s:
-            self._forget(work)
-            self._finish(connection)
-            raise _Stop(not_run(Blocker.OVERLOADED, "no time was left for it"))
+            self._drop_transaction(work)
+            self._start_rollback(connection)
+            raise _WorkStopped(
+                not_run(
+                    Blocker.OVERLOADED,
+                    "the deadline passed before the statement could be sent",
+                )
+            )
         command = _statement_command(connection, work)
         if work.kind is WorkKind.COMMIT or _writes(work):
-            self._commits[connection] = self._parts.clock()
+            self._writes_started_at_s[connection] = self._parts.clock()
         try:
-            answered = await self._exchange(connection, [command], remaining_s)
+            exchanged = await self._exchange(connection, [command], remaining_s)
         finally:
-            self._commits.pop(connection, None)
-        if answered.is_err():
-            self._forget(work)
-            lost = answered.unwrap_err()
-            if not lost.sent:
-                raise _Stop(not_run(Blocker.LOST, lost.reason))
-            raise _Stop(unknown(Blocker.LOST, lost.reason))
-        return answered.unwrap()[0]
+            self._writes_started_at_s.pop(connection, None)
+        if exchanged.is_err():
+            self._drop_transaction(work)
+            failure = exchanged.unwrap_err()
+            if not failure.sent:
+                raise _WorkStopped(not_run(Blocker.LOST, failure.reason))
+            raise _WorkStopped(unknown(Blocker.LOST, failure.reason))
+        return exchanged.unwrap()[0]
 
     def _settle(
         self,
@@ -527,15 +589,15 @@
         transaction: _Transaction | None,
         reply: Reply,
     ) -> WorkResult:
-        """Decide what becomes of connection and transaction, and answer."""
+        """Release or keep connection and transaction, and build the result."""
         success = reply.reason is None
         if reply.reason is Reason.BEHIND:
             if work.floor is not None:
-                self._lacked = (work.floor, self._parts.clock())
-            if self._behind_since_s is None:
-                self._behind_since_s = self._parts.clock()
+                self._missing_position = (work.floor, self._parts.clock())
+            if self._lagging_since_s is None:
+                self._lagging_since_s = self._parts.clock()
         elif success and work.floor is not None:
-            self._behind_since_s = None
+            self._lagging_since_s = None
         writes = _writes(work)
         still_open = False
         if work.scope in (Scope.ALONE, Scope.PROVEN):
@@ -546,16 +608,17 @@
                 transaction = _Transaction(connection, read_only)
             transaction.wrote = transaction.wrote or (success and writes)
             still_open = success and reply.state is SessionState.OPEN
-            # A commit that wrote nothing is accepted by a deposed primary too.
+            # A deposed primary also accepts a commit that wrote nothing, so such a
+            # commit is no proof of leading.
             proves = work.kind is not WorkKind.COMMIT or transaction.wrote
             led = success and proves and not transaction.read_only
         if work.scope in (Scope.BEGIN, Scope.BEGIN_READ_ONLY, Scope.WITHIN):
-            self._keep(work.transaction, transaction, still_open)
+            self._update_transaction(work.transaction, transaction, still_open)
         if not still_open:
             if reply.state is SessionState.IDLE:
-                self._give_back(connection)
+                self._return_connection(connection)
             else:
-                self._finish(connection)
+                self._start_rollback(connection)
         if reply.reason is Reason.NO_STATEMENT:
             connection.prepared.clear()
         return WorkResult(
@@ -569,18 +632,18 @@
             open=still_open,
         )
 
-    def _keep(
+    def _update_transaction(
         self, name: str, transaction: _Transaction | None, still_open: bool
     ) -> None:
         kept = transaction if still_open else None
-        if kept is not None and self._pool.lends(kept.connection):
+        if kept is not None and self._pool.is_lent(kept.connection):
             kept.used_at_s = self._parts.clock()
             self._transactions[name] = kept
         else:
             self._transactions.pop(name, None)
 
-    def _forget(self, work: Work) -> None:
-        """Forget the transaction whose connection was lost."""
+    def _drop_transaction(self, work: Work) -> None:
+        """Remove the transaction whose connection was closed."""
         self._transactions.pop(work.transaction, None)
 
     def _roll_back(self, name: str) -> WorkResult:
@@ -588,89 +651,90 @@
         if transaction is None:
             return WorkResult(WorkOutcome.DONE)
         if transaction.running:
-            # Its statement may wait for a slot that it won't get in time.
+            # Its statement may still be queued for a slot that it won't get in time,
+            # so the connection is closed instead of waiting for the statement.
             self._pool.close(transaction.connection)
         else:
-            self._finish(transaction.connection)
+            self._start_rollback(transaction.connection)
         return WorkResult(WorkOutcome.DONE)
 
-    def _finish(self, connection: ServerConnection) -> None:
-        """Roll back what is open on a connection, in the background."""
-        self._parts.nursery.start_soon(self._end_transaction, connection)
+    def _start_rollback(self, connection: ServerConnection) -> None:
+        """Roll back a connection's transaction in the background."""
+        self._parts.nursery.start_soon(self._roll_back_connection, connection)
 
-    async def _end_transaction(self, connection: ServerConnection) -> None:
+    async def _roll_back_connection(self, connection: ServerConnection) -> None:
         rollback = [Command(CommandKind.ROLLBACK)]
         ended = await self._exchange(connection, rollback, OPEN_TIMEOUT_S)
         if ended.is_err():
             return
         if ended.unwrap()[0].state is SessionState.IDLE:
-            self._give_back(connection)
+            self._return_connection(connection)
         else:
             self._pool.close(connection)
 
-    def _give_back(self, connection: ServerConnection) -> None:
-        self._pool.give_back(connection, self._parts.clock())
+    def _return_connection(self, connection: ServerConnection) -> None:
+        self._pool.return_idle(connection, self._parts.clock())
 
-    async def _look(self) -> None:
-        """Find out whether a server that says nothing still answers."""
+    async def _check_silence(self) -> None:
+        """Probe a silent or unreachable server and update ``reachable``."""
         now_s = self._parts.clock()
         if self.reachable:
-            oldest_s = min(self._exchanges.values(), default=now_s)
-            if now_s - max(oldest_s, self._heard_at_s) < SILENT_AFTER_S:
+            oldest_s = min(self._exchanges_started_at_s.values(), default=now_s)
+            if now_s - max(oldest_s, self._last_reply_at_s) < SILENT_AFTER_S:
                 return
-        answers = await self._answers()
-        if answers and not self.reachable:
+        responds = await self._probe_server()
+        if responds and not self.reachable:
             self.reachable = True
             log_event("server.back", server=self.server.id)
-        elif not answers and self.reachable:
-            self._lose()
+        elif not responds and self.reachable:
+            self._mark_unreachable()
 
-    async def _answers(self) -> bool:
-        connection = self._pool.take_any()
+    async def _probe_server(self) -> bool:
+        connection = self._pool.lend_most_recent()
         if connection is not None:
             probe = [
                 Command(CommandKind.BEGIN_READ_ONLY),
                 Command(CommandKind.ROLLBACK),
             ]
-            answered = await self._exchange(connection, probe, PROBE_TIMEOUT_S)
-            if answered.is_ok():
-                self._give_back(connection)
+            exchanged = await self._exchange(connection, probe, PROBE_TIMEOUT_S)
+            if exchanged.is_ok():
+                self._return_connection(connection)
                 return True
         try:
-            connection = await self._open(NOBODY, OPEN_TIMEOUT_S)
-        except _Stop as stop:
-            return stop.done.blocker is Blocker.OVERLOADED
-        self._give_back(connection)
+            connection = await self._open_connection(NO_ORGANISATION, OPEN_TIMEOUT_S)
+        except _WorkStopped as stopped:
+            return stopped.result.blocker is Blocker.OVERLOADED
+        self._return_connection(connection)
         return True
 
-    def _lose(self) -> None:
-        """Give up on a server that doesn't answer, until it does again."""
+    def _mark_unreachable(self) -> None:
+        """Stop using a server that does not respond, until a probe succeeds."""
         self.reachable = False
         self._unreachable_since_s = self._parts.clock()
         log_event(
             "server.unreachable",
             server=self.server.id,
-            exchanges=len(self._exchanges),
+            exchanges=len(self._exchanges_started_at_s),
             transactions=len(self._transactions),
         )
         self._pool.close_all()
         self._transactions.clear()
-        for ticket in self._slots.drain():
-            ticket.turn.set()
+        for slot_request in self._slots.drain():
+            slot_request.resumed.set()
 
 
 def _plan_session(connection: ServerConnection, work: Work) -> _SessionPlan:
-    """Return what brings a connection into the session's state."""
+    """Return the commands that set the session's state on a connection."""
     values = dict(work.values)
-    held, prepared = connection.values, dict(connection.prepared)
+    current, prepared = connection.values, dict(connection.prepared)
     commands = []
-    if not held.keys() <= values.keys():
+    if not current.keys() <= values.keys():
         commands.append(Command(CommandKind.FORGET_SESSION))
-        held, prepared = {}, {}
+        current, prepared = {}, {}
     commands += [
         Command(CommandKind.SET, text=value, name=name)
         for name, value in values.items()
-        if held.get(name) != value
+        if current.get(name) != value
     ]
     key = (work.shape_writes, work.shape)
     if work.kind is WorkKind.EXECUTE and key not in prepared:
@@ -688,11 +752,13 @@
         name = connection.prepared[(work.shape_writes, work.shape)]
     if work.scope is Scope.ALONE and not _writes(work):
         floor = work.floor
-    return Command(_KINDS[work.kind], work.text, name, work.request_id, floor)
+    return Command(
+        _STATEMENT_COMMANDS[work.kind], work.text, name, work.request_id, floor
+    )
 
 
-def _must_lead(work: Work) -> bool:
-    """Whether work is lost where the server stops leading before it ends."""
+def _requires_leader(work: Work) -> bool:
+    """Whether work fails if the server stops leading before the work ends."""
     if work.scope is Scope.BEGIN or work.kind is WorkKind.COMMIT:
         return True
     return work.scope is Scope.ALONE and _writes(work)
--- a/src/rattanhollow/serving/_serving.py
+++ b/src/rattanhollow/serving/_serving.py
@@ -1,4 +1,4 @@
-"""All backend servers that this host serves to the fleet."""
+"""Serves backend servers on behalf of all hosts of the fleet."""
 
 from collections.abc import Callable
 
@@ -16,27 +16,28 @@
 )
 
 EXPIRE_INTERVAL_S = 0.5
-# A host that serves no server has nothing to look after.
+# The longer interval while no server is served.
 IDLE_INTERVAL_S = 2.0
-# How long idle connections are kept at a server that falls to this host: operators
-# let servers close them after 60 s, and the one idle for longest makes room before.
-KEPT_IDLE_S = 50.0
-# The same at a server that it served for a while in place of another host.
-LEFT_IDLE_S = 1.0
+# How long idle connections are kept at a server whose first serving host is this one.
+# It is below the 60 s after which operators have servers close them; a full pool
+# closes the longest idle one sooner.
+CONNECTION_IDLE_TIMEOUT_S = 50.0
+# The same at a server that this host served temporarily in place of another.
+TEMPORARY_CONNECTION_IDLE_TIMEOUT_S = 1.0
 
 
 class Serving:
-    """Serves a backend server from the first work for it that arrives.
+    """Serves each backend server from the first work for it that arrives.
 
-    ``is_first(server)`` tells whether the server falls to this host,
-    ``find(id)`` gives a server as the store describes it, ``connections(service)``
-    how many connections each of its servers takes, ``idle_ms()`` how long a
-    transaction may stay idle.
+    ``is_first(server)`` returns whether this host is the server's first choice of
+    serving host, ``find(id)`` the server as described in the store,
+    ``connections(service)`` the connection limit of each server of the service, and
+    ``idle_ms()`` how long a transaction may stay idle.
     """
 
     def __init__(
         self,
-        end: BackendAdapter,
+        backend: BackendAdapter,
         is_first: Callable[[BackendServer], bool],
         find: Callable[[str], BackendServer | None],
         connections: Callable[[str], int],
@@ -44,10 +45,10 @@
         clock: Callable[[], float],
         meter: Meter,
     ) -> None:
-        self._end = end
+        self._backend = backend
         self._is_first = is_first
-        self._find = find
-        self._connections = connections
+        self._find_server = find
+        self._connection_limit = connections
         self._idle_ms = idle_ms
         self._clock = clock
         self._meter = meter
@@ -64,61 +65,70 @@
                 for served in self._served.values():
                     served.expire(self._idle_ms() / 1000)
                     first = self._is_first(served.server)
-                    served.trim(KEPT_IDLE_S if first else LEFT_IDLE_S)
+                    served.trim(
+                        CONNECTION_IDLE_TIMEOUT_S
+                        if first
+                        else TEMPORARY_CONNECTION_IDLE_TIMEOUT_S
+                    )
 
     @property
     def idle(self) -> bool:
-        """Whether nothing runs, waits or is open at any server."""
+        """Whether no work runs or waits and no transaction is open at any server."""
         return all(served.idle for served in self._served.values())
 
     def served(self) -> list[ServedBackend]:
-        """Return the servers served now."""
+        """Return the backend servers that are being served."""
         return list(self._served.values())
 
     def find(self, server_id: str) -> ServedBackend | None:
-        """Return a server that is served now."""
+        """Return a backend server if it is being served."""
         return self._served.get(server_id)
 
     def refresh(self) -> None:
-        """Give up servers that are gone, or that started anew."""
+        """Stop serving servers that were removed or have restarted."""
         for server_id, served in list(self._served.items()):
-            known = self._find(server_id)
+            known = self._find_server(server_id)
             if known is None and not served.idle:
                 continue
             if known is None or known.born_ms != served.server.born_ms:
-                self._give_up(server_id)
+                self._stop_serving(server_id)
             else:
                 served.server = known
 
     async def run_work(self, work: Work) -> WorkResult:
-        """Run work at the backend server that it names."""
+        """Run work at the backend server named in it."""
         served = self.serve(work.server)
         if served is None:
-            return not_run(Blocker.NOT_SERVED, f"no server {work.server} is known")
+            return not_run(
+                Blocker.NOT_SERVED,
+                f"backend server {work.server} is not known to this host",
+            )
         return await served.run(work)
 
     async def prove(self, server_id: str) -> ProofAnswer:
-        """Return a log position that a primary has proven."""
+        """Return a log position that the server proves as the primary."""
         served = self.serve(server_id)
         if served is None:
-            return ProofAnswer(None, f"no server {server_id} is known")
+            return ProofAnswer(
+                None, f"backend server {server_id} is not known to this host"
+            )
         return await served.prove()
 
     def serve(self, server_id: str) -> ServedBackend | None:
-        """Return a server, served from now on if it is known."""
+        """Return a server, starting to serve it if it is known."""
         served = self._served.get(server_id)
-        known = self._find(server_id)
+        known = self._find_server(server_id)
         if served is not None:
             if known is None or known.born_ms == served.server.born_ms:
                 return served
-            self._give_up(server_id)
+            self._stop_serving(server_id)
         if known is None or self._nursery is None:
             return None
-        parts = ServingParts(self._end, self._nursery, self._clock, self._meter)
-        served = ServedBackend(known, self._connections(known.service), parts)
+        parts = ServingParts(self._backend, self._nursery, self._clock, self._meter)
+        served = ServedBackend(known, self._connection_limit(known.service), parts)
         self._served[server_id] = served
         self._nursery.start_soon(served.watch)
         return served
 
-    def _give_up(self, server_id: str) -> None:
+    def _stop_serving(self, server_id: str) -> None:
         self._served.pop(server_id).close()
--- a/src/rattanhollow/serving/_slots.py
+++ b/src/rattanhollow/serving/_slots.py
@@ -1,6 +1,6 @@
-"""The slots of one backend server, and who waits for them.
+"""The slots of one backend server and the queue for them.
 
-No network and no clock: times come with the calls.
+Does no I/O and reads no clock: callers pass the times.
 """
 
 from typing import Generic, TypeVar
@@ -9,55 +9,56 @@
 
 T = TypeVar("T")
 
-# Of the statements measured so far; a new server is taken for an average one.
-FIRST_COST_MS = 25.0
+# The assumed mean time per statement until statements have been measured.
+INITIAL_COST_MS = 25.0
 COST_SMOOTHING = 0.05
 LOWEST_PRIORITY = 1_000_000
 
 
 class SlotQueue(Generic[T]):
-    """At most ``slots`` pieces of work at a time.
+    """Admits at most ``slots`` units of work at a time.
 
-    Those that wait go by priority, then by organisation in turn, then in order.
+    Waiting work is admitted by priority, then round-robin by organisation, then in
+    order of arrival. ``cost_ms`` is the moving average of the time per statement.
     """
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
         self.busy = 0
-        self.cost_ms = FIRST_COST_MS
-        self._measured = 1
+        self.cost_ms = INITIAL_COST_MS
+        self._sample_count = 1
         self._waiting: dict[int, FairQueue[T]] = {}
 
     @property
     def waiting(self) -> int:
-        """How much work waits."""
+        """The number of units of work that enqueue."""
         return sum(len(queue) for queue in self._waiting.values())
 
-    def take(self) -> bool:
-        """Take a slot that is free and that nobody waits for."""
+    def try_acquire(self) -> bool:
+        """Take a slot if one is free and no work waits for it."""
         if self.busy >= self.slots or self.waiting:
             return False
         self.busy += 1
         return True
 
-    def wait(self, item: T, organisation: str, priority: int) -> None:
-        """Add work that waits for a slot."""
+    def enqueue(self, item: T, organisation: str, priority: int) -> None:
+        """Queue work for a slot."""
         self._waiting.setdefault(priority, FairQueue()).add(organisation, item)
 
-    def give_up(self, item: T, organisation: str, priority: int) -> None:
-        """Take out work that no longer waits."""
+    def cancel_wait(self, item: T, organisation: str, priority: int) -> None:
+        """Remove work from the queue."""
         self._waiting[priority].remove(organisation, item)
 
     def release(self, cost_ms: float | None = None) -> None:
-        """Free a slot; ``cost_ms`` is how long the server worked, if it did."""
+        """Free a slot; ``cost_ms`` is the server's time for the work, if it ran."""
         self.busy -= 1
         if cost_ms is not None:
-            self._measured += 1
-            weight = max(COST_SMOOTHING, 1 / self._measured)
+            self._sample_count += 1
+            weight = max(COST_SMOOTHING, 1 / self._sample_count)
             self.cost_ms += weight * (cost_ms - self.cost_ms)
 
-    def next(self) -> T | None:
-        """Take a free slot for the work whose turn it is, and return that."""
+    def acquire_next(self) -> T | None:
+        """Take a free slot for the next waiting work and return that work."""
         if self.busy >= self.slots:
             return None
         for priority in sorted(self._waiting):
@@ -67,7 +68,7 @@
         return None
 
     def drain(self) -> list[T]:
-        """Take out all work that waits."""
+        """Remove and return all waiting work."""
         waiting = []
         for queue in self._waiting.values():
             while queue:
@@ -75,7 +76,7 @@
         return waiting
 
     def wait_ms(self, priority: int) -> float:
-        """Return how long new work of ``priority`` would wait, as far as is known."""
+        """Return the estimated wait of new work of ``priority``."""
         if self.busy < self.slots:
             return 0.0
         ahead = sum(
--- a/src/rattanhollow/serving/_work.py
+++ b/src/rattanhollow/serving/_work.py
@@ -1,4 +1,4 @@
-"""What a host asks of the host that serves a backend server, and the answer."""
+"""Requests to the serving host of a backend server, and their results."""
 
 import enum
 from typing import NamedTuple
@@ -8,7 +8,7 @@
 
 
 class WorkKind(enum.Enum):
-    """What is to be run."""
+    """The kind of a statement."""
 
     READ = "read"
     WRITE = "write"
@@ -18,11 +18,11 @@
 
 
 class Scope(enum.Enum):
-    """The transaction that a piece of work runs in.
+    """The transaction in which work runs.
 
-    ``ALONE``: none. ``PROVEN``: one of its own, in which the server proves that
-    it leads. ``BEGIN``, ``BEGIN_READ_ONLY``: it opens the caller's transaction.
-    ``WITHIN``: the caller's transaction is open.
+    ``ALONE``: none. ``PROVEN``: its own transaction, in which the server proves that
+    it leads. ``BEGIN``, ``BEGIN_READ_ONLY``: the work opens the caller's transaction.
+    ``WITHIN``: the caller's open transaction.
     """
 
     ALONE = "alone"
@@ -35,12 +35,12 @@
 class Work(NamedTuple):
     """One statement for one backend server.
 
-    ``text`` is handed on unchanged; of a prepared statement it is the arguments
-    and ``shape`` what was prepared. ``values`` are the session's, all of them.
-    ``transaction`` identifies the caller's transaction over the fleet. After
-    ``budget_ms`` nobody waits for the answer any more. ``target_ms`` is the
-    latency that the caller expects. ``movable`` work can be done by another
-    server.
+    ``text`` is passed on unchanged; for a prepared statement it holds the arguments,
+    and ``shape`` is the prepared text. ``values`` are all values of the session.
+    ``transaction`` identifies the caller's transaction throughout the fleet. After
+    ``budget_ms`` the caller no longer waits for the result. ``target_ms`` is the
+    latency that the caller expects. ``movable`` work can run at another server
+    instead.
     """
 
     server: str
@@ -61,10 +61,10 @@
 
 
 class WorkOutcome(enum.Enum):
-    """What became of a piece of work.
+    """How work ended.
 
-    ``DONE``: the server succeeded. ``REFUSED``: the server refused it, for a
-    reason. ``NOT_RUN``: no byte of it reached the server. ``UNKNOWN``: it may
+    ``DONE``: the server ran it successfully. ``REFUSED``: the server refused it and
+    gave a reason. ``NOT_RUN``: no byte of it reached the server. ``UNKNOWN``: it may
     have run; a transaction that was not being committed is rolled back.
     """
 
@@ -75,14 +75,14 @@
 
 
 class Blocker(enum.Enum):
-    """Why work was not run, or its fate is unknown.
+    """Why work was not run, or why its outcome is unknown.
 
-    ``FAILING``: the server fails most of its work, and another one can do it.
-    ``NOT_SERVED``: this host can't reach the server or knows none of that
+    ``NOT_SERVED``: this host cannot reach the server or knows none of that
     identifier. ``OVERLOADED``: the queue is too long. ``NO_TRANSACTION``: the
-    transaction is not open here any more. ``SWITCHING``: the primary is being
-    replaced. ``LOST``: the exchange with the
-    server broke off. ``HOST_LOST``: the serving host can't be reached.
+    transaction is no longer open at this host. ``SWITCHING``: the primary is being
+    replaced. ``FAILING``: the server fails much of its work, and another server can
+    run it. ``LOST``: the exchange with the server was interrupted. ``HOST_LOST``: the
+    serving host cannot be reached.
     """
 
     NONE = "none"
@@ -96,12 +96,12 @@
 
 
 class WorkResult(NamedTuple):
-    """The answer to a `Work`.
+    """The result of a `Work`.
 
-    ``position`` is the end of the server's log behind the work, ``led`` whether
-    the server proved that it led when it ran. ``open`` whether the caller's
-    transaction is still open. ``wait_ms`` is how long new work would wait now,
-    ``retry_after_ms`` when a refused one may come back.
+    ``position`` is the end of the server's log after the work, ``led`` whether the
+    server proved that it led when it ran the work, ``open`` whether the caller's
+    transaction is still open. ``wait_ms`` is the estimated wait of new work, and
+    ``retry_after_ms`` the delay after which refused work may be sent again.
     """
 
     outcome: WorkOutcome
@@ -118,7 +118,7 @@
 
 
 def not_run(blocker: Blocker, detail: str, retry_after_ms: int = 0) -> WorkResult:
-    """Return the answer to work of which no byte reached the server."""
+    """Return the result of work of which no byte reached the server."""
     return WorkResult(
         WorkOutcome.NOT_RUN,
         blocker=blocker,
@@ -128,20 +128,21 @@
 
 
 def unknown(blocker: Blocker, detail: str) -> WorkResult:
-    """Return the answer to work that may have run."""
+    """Return the result of work that may have run."""
     return WorkResult(WorkOutcome.UNKNOWN, blocker=blocker, detail=detail)
 
 
 class ProofQuestion(NamedTuple):
-    """Asks for a log position that a primary has proven."""
+    """Requests a log position that the server proves as the primary."""
 
     server: str
 
 
 class ProofAnswer(NamedTuple):
-    """``position`` was proven behind the question; None: no proof.
+    """The response to a `ProofQuestion`.
 
-    ``denied`` where the server said that it doesn't lead.
+    ``position`` was proven after the request was made, None if it was not proven.
+    ``denied`` is set where the server stated that it does not lead.
     """
 
     position: Position | None
--- a/tests/test_connection_reuse.py
+++ b/tests/test_connection_reuse.py
@@ -11,7 +11,7 @@
 import trio
 
 from rattanhollow.serving import WorkOutcome
-from rattanhollow.serving._serving import EXPIRE_INTERVAL_S, KEPT_IDLE_S
+from rattanhollow.serving._serving import CONNECTION_IDLE_TIMEOUT_S, EXPIRE_INTERVAL_S
 from test_serving import Stage, on_stage, work
 
 ORGANISATIONS = 140
@@ -35,7 +35,7 @@
         async def trim() -> None:
             while True:
                 await trio.sleep(EXPIRE_INTERVAL_S)
-                stage.primary.trim(KEPT_IDLE_S)
+                stage.primary.trim(CONNECTION_IDLE_TIMEOUT_S)
 
         async def arrive(seconds: float) -> int:
             until_s, served = trio.current_time() + seconds, 0
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -345,17 +345,17 @@
 def test_slots_serve_organisations_in_turn_by_priority() -> None:
     """A flood of one organisation keeps no other waiting behind all of it."""
     queue: SlotQueue[str] = SlotQueue(1)
-    assert queue.take()
+    assert queue.try_acquire()
     for number in range(5):
-        queue.wait(f"flood-{number}", "flood", 2)
-    queue.wait("small", "small", 2)
-    queue.wait("urgent", "flood", 1)
+        queue.enqueue(f"flood-{number}", "flood", 2)
+    queue.enqueue("small", "small", 2)
+    queue.enqueue("urgent", "flood", 1)
     order = []
     for _ in range(7):
         queue.release(10.0)
-        order.append(queue.next())
+        order.append(queue.acquire_next())
     assert order[0] == "urgent" and order.index("small") <= 2
-    assert queue.next() is None and queue.busy == 1
+    assert queue.acquire_next() is None and queue.busy == 1
 
 
 def test_a_pool_prefers_the_connection_that_fits() -> None:
@@ -363,14 +363,14 @@
     pool = ConnectionPool(4)
     session: Any = None
     for values in ({}, {"v": "1"}, {"w": "2"}):
-        pool.begin_opening()
+        pool.reserve_opening()
         connection = ServerConnection(session, "kirk")
         connection.values = values
-        pool.end_opening(connection)
-        pool.give_back(connection, 0.0)
-    taken = [pool.take("kirk", {"v": "1"}) for _ in range(3)]
+        pool.finish_opening(connection)
+        pool.return_idle(connection, 0.0)
+    taken = [pool.lend_best_match("kirk", {"v": "1"}) for _ in range(3)]
     assert [c.values if c else None for c in taken] == [{"v": "1"}, {}, {"w": "2"}]
-    assert pool.take("kirk", {}) is None
+    assert pool.lend_best_match("kirk", {}) is None
 
 
 def test_a_replica_that_is_behind_is_asked_rarely() -> None:
