--- a/src/rattanhollow/serving/_served_backend.py
+++ b/src/rattanhollow/serving/_served_backend.py
@@ -49,7 +49,8 @@
 SILENT_AFTER_S = 0.4
 SILENCE_CHECK_INTERVAL_S = 0.1
 UNREACHABLE_PROBE_INTERVAL_S = 0.25
-# Hosts that served the server previously may hold connections for a while longer.
+# How long no connection is opened after the server reported its limit: hosts that
+# served it previously may hold connections for a while longer.
 CONNECTION_LIMIT_PAUSE_S = 1.0
 # Connections left for hosts that check the server without serving it.
 RESERVED_CONNECTIONS = 2
@@ -399,7 +400,9 @@
             self._free_slot(None)
             raise _WorkStopped(
                 not_run(
-                    Blocker.OVERLOADED, "the queue left too little time", int(wait_ms)
+                    Blocker.OVERLOADED,
+                    "too little time was left after queueing",
+                    int(wait_ms),
                 )
             )
 
@@ -493,8 +496,8 @@
         if failure is OpenFailure.TOO_MANY:
             self._pool.pause_opening(self._parts.clock() + CONNECTION_LIMIT_PAUSE_S)
         overloaded = failure in (OpenFailure.TOO_MANY, OpenFailure.BUSY)
-        obstacle = Blocker.OVERLOADED if overloaded else Blocker.NOT_SERVED
-        raise _WorkStopped(not_run(obstacle, failure.value))
+        blocker = Blocker.OVERLOADED if overloaded else Blocker.NOT_SERVED
+        raise _WorkStopped(not_run(blocker, failure.value))
 
     async def _exchange(
         self, connection: ServerConnection, commands: list[Command], timeout_s: float
--- a/tests/test_connection_counts.py
+++ b/tests/test_connection_counts.py
@@ -1,9 +1,9 @@
-"""A flood of transactions before a backend server that comes and goes.
+"""Connection counts of the pool while a backend server fails and recovers under load.
 
-Statements of open transactions wait for slots while the server falls silent, or
-while their callers leave: each connection has to be either closed or lent again.
-What the pool went on counting stood in the way of all later work, long after the
-flood. No network: stand-in databases in memory, time that jumps.
+Statements of open transactions wait for slots while the server stops responding or
+their callers leave. Each connection must then be closed or lendable again: a
+connection that stays counted as lent blocks later work for good. Uses stand-in
+databases in memory and simulated time, no network.
 """
 
 import random
@@ -17,7 +17,7 @@
 
 
 async def _fill_slots(stage: Stage, nursery: trio.Nursery) -> None:
-    """Occupy all slots for some seconds, so that what comes behind waits."""
+    """Occupy all slots for some seconds, so that later work has to wait."""
     stage.databases[0].work_s = 3.0
     for _ in range(stage.databases[0].slot_count):
         nursery.start_soon(stage.primary.run, work(budget_ms=5_000))
@@ -31,14 +31,14 @@
 
 
 def _assert_all_counted(stage: Stage) -> None:
-    """Compare the pool's counts with the connections that the database has."""
+    """Assert that the pool counts exactly the connections that the database has."""
     counts = stage.primary.counts
     assert counts.lent == counts.opening == 0
     assert counts.idle == stage.databases[0].connections
 
 
 def test_a_silent_server_frees_transactions_that_wait_for_a_slot() -> None:
-    """Their statements never began when the server was given up."""
+    """The server becomes unreachable before their statements start."""
 
     async def scenario(stage: Stage) -> None:
         await _open_transactions(stage, 4)
@@ -61,7 +61,7 @@
 
 
 def test_a_caller_that_leaves_frees_a_transaction_that_waits_for_a_slot() -> None:
-    """Its statement's turn doesn't come before its time is over."""
+    """Its statement's deadline passes before a slot is free."""
 
     async def scenario(stage: Stage) -> None:
         await _open_transactions(stage, 4)
@@ -81,23 +81,23 @@
 
 
 async def _transact(stage: Stage, rng: random.Random, number: int) -> None:
-    """Run one transaction whose caller may leave at any moment."""
+    """Run one transaction whose caller may leave at any time."""
     name = f"t{number}"
     budget_ms = rng.randrange(50, 2_000)
-    demand = partial(
+    build_work = partial(
         work, organisation=f"o{number % 5}", transaction=name, budget_ms=budget_ms
     )
     with trio.move_on_after(rng.uniform(0.05, 4.0)):
-        begun = await stage.primary.run(demand(scope=Scope.BEGIN))
-        while begun.open and rng.random() < 0.7:
+        opened = await stage.primary.run(build_work(scope=Scope.BEGIN))
+        while opened.open and rng.random() < 0.7:
             await trio.sleep(rng.uniform(0, 0.2))
-            begun = await stage.primary.run(demand(scope=Scope.WITHIN))
-    await stage.primary.run(demand(WorkKind.ROLLBACK))
+            opened = await stage.primary.run(build_work(scope=Scope.WITHIN))
+    await stage.primary.run(build_work(WorkKind.ROLLBACK))
 
 
 @pytest.mark.parametrize("seed", range(12))
-def test_nothing_stays_counted_behind_a_flood(seed: int) -> None:
-    """Silence, slowness, cancelled work and rollbacks in any order."""
+def test_no_connection_stays_counted_after_a_flood(seed: int) -> None:
+    """The server hangs and slows down, work is cancelled and rolled back, at random."""
 
     async def scenario(stage: Stage) -> None:
         rng = random.Random(seed)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,6 +1,6 @@
-"""Backend servers that say that they are well and fail what they are given.
+"""Backend servers that pass health checks but fail the work they receive.
 
-No network, simulated time. Patterns: a lying health check, a grey server.
+No network, simulated time. Fault patterns: lying health check, grey failure.
 """
 
 import random
@@ -15,22 +15,22 @@
 )
 
 
-def test_a_server_that_fails_all_is_left_but_for_probes() -> None:
-    """Of a flood of reads that could go elsewhere, a few find out how it is."""
+def test_a_server_that_fails_all_work_receives_only_probes() -> None:
+    """Of many reads that could run elsewhere, only a few reach it as probes."""
     health = Health()
     for number in range(MIN_OUTCOMES):
         health.record_outcome(True, number * 0.01)
-    let_through = 0
+    admitted = 0
     for step in range(200):
         now_s = 0.1 + step * 0.01
         if not health.should_divert(now_s):
-            let_through += 1
+            admitted += 1
             health.record_outcome(True, now_s)
-    assert let_through <= 2.1 / PROBE_INTERVAL_S + 1
+    assert admitted <= 2.1 / PROBE_INTERVAL_S + 1
 
 
-def test_a_server_that_is_well_again_is_used_again() -> None:
-    """What it failed is forgotten, probes that succeed count."""
+def test_a_recovered_server_is_used_again() -> None:
+    """Past failures expire, and successful probes count."""
     health = Health()
     for _ in range(MIN_OUTCOMES):
         health.record_outcome(True, 0.0)
@@ -40,27 +40,27 @@
 
 
 @pytest.mark.parametrize("seed", range(10))
-def test_rare_failures_keep_nobody_away(seed: int) -> None:
-    """A few bad statements in a hundred are no sign of a failing server."""
+def test_rare_failures_divert_no_work(seed: int) -> None:
+    """Two bad statements in a hundred do not mark a server as failing."""
     rng = random.Random(seed)
     health = Health()
-    turned_away = 0
+    diverted = 0
     for step in range(2_000):
         now_s = step * 0.02
         health.record_outcome(rng.random() < 0.02, now_s)
-        turned_away += health.should_divert(now_s)
-    assert turned_away == 0
+        diverted += health.should_divert(now_s)
+    assert diverted == 0
 
 
 @pytest.mark.parametrize("seed", range(10))
-def test_a_grey_server_is_left_to_what_only_it_can_do(seed: int) -> None:
-    """One that fails two fifths gets next to nothing of what others can do."""
+def test_a_grey_server_receives_little_movable_work(seed: int) -> None:
+    """A server that fails 40 % receives at most 35 % of the work others can do."""
     rng = random.Random(seed)
     health = Health()
     used = 0
     for step in range(1_000):
         now_s = step * 0.01
-        # What only this server may do goes on, and tells how it is.
+        # Work that only this server can do continues and supplies outcomes.
         if step % 4 == 0:
             health.record_outcome(rng.random() < 0.4, now_s)
         elif not health.should_divert(now_s):
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -1,6 +1,6 @@
-"""Serving a backend server: slots, connections, transactions, silence.
+"""Serving a backend server: slots, connections, transactions and unresponsive servers.
 
-No network: stand-in databases in memory, time that jumps.
+Uses stand-in databases in memory and simulated time, no network.
 """
 
 from collections.abc import Awaitable, Callable
@@ -33,7 +33,7 @@
 
 
 class Stage:
-    """A group of three databases, its primary served."""
+    """A group of three databases whose primary is served."""
 
     def __init__(self, nursery: trio.Nursery, connections: int = 8) -> None:
         self.databases = [DatabaseServer(f"i-{n}", f"z{n}") for n in range(3)]
@@ -68,12 +68,12 @@
         return served
 
     def runs(self) -> list[str]:
-        """Return the texts that ran, in order."""
+        """Return the texts of the statements that the primary ran, in order."""
         return [run.text for run in self.databases[0].runs]
 
 
 def on_stage(scenario: Callable[[Stage], Awaitable[Any]], connections: int = 8) -> None:
-    """Run a scenario in time that jumps."""
+    """Run a scenario in simulated time."""
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
@@ -84,9 +84,9 @@
 
 
 def work(kind: WorkKind = WorkKind.READ, **changes: Any) -> Work:
-    """Return work for the primary."""
+    """Return work for the primary, a read by default."""
     texts = {WorkKind.READ: "READ a", WorkKind.WRITE: "WRITE a 1"}
-    whole = Work(
+    default = Work(
         server="i-0",
         organisation="kirk",
         request_id="r",
@@ -95,31 +95,31 @@
         text=texts.get(kind, ""),
         budget_ms=1_000,
     )
-    return whole._replace(**changes)
+    return default._replace(**changes)
 
 
-def test_never_more_at_once_than_the_server_has_slots_for() -> None:
+def test_concurrent_statements_never_exceed_the_slots() -> None:
     """Forty statements at once keep three slots busy, and none is refused."""
 
     async def scenario(stage: Stage) -> None:
         stage.databases[0].work_s = 0.02
-        answers: list[WorkResult] = []
+        results: list[WorkResult] = []
 
-        async def one(number: int) -> None:
+        async def send_work(number: int) -> None:
             item = work(organisation=f"o{number % 4}", budget_ms=5_000)
-            answers.append(await stage.primary.run(item))
+            results.append(await stage.primary.run(item))
 
         async with trio.open_nursery() as nursery:
             for number in range(40):
-                nursery.start_soon(one, number)
-        assert all(answer.outcome is WorkOutcome.DONE for answer in answers)
+                nursery.start_soon(send_work, number)
+        assert all(each.outcome is WorkOutcome.DONE for each in results)
         assert stage.databases[0].most_at_once == 3
 
     on_stage(scenario)
 
 
 def test_connections_stay_within_the_limit_and_make_room() -> None:
-    """Ten organisations share four connections; the one idle longest goes."""
+    """Ten organisations share four connections; the longest idle one is closed."""
 
     async def scenario(stage: Stage) -> None:
         stage.databases[0].max_connections = 4
@@ -132,16 +132,16 @@
 
 
 def test_a_refused_begin_leaves_the_session_values_known() -> None:
-    """Values set before a BEGIN that was refused don't reach the next session."""
+    """Values set before a refused BEGIN do not leak into the next session."""
 
     async def scenario(stage: Stage) -> None:
         replica = stage.serve(1)
-        ahead = Position(9, 9)
+        unreached = Position(9, 9)
         begin = work(
             server="i-1",
             scope=Scope.BEGIN_READ_ONLY,
             transaction="t",
-            floor=ahead,
+            floor=unreached,
             values=(("v1", "theirs"),),
         )
         assert (await replica.run(begin)).reason is Reason.BEHIND
@@ -152,7 +152,7 @@
 
 
 def test_prepared_shapes_are_prepared_once_a_connection() -> None:
-    """Callers' names never meet: a shape has one name on a connection."""
+    """Each shape has one name per connection, so callers' names cannot collide."""
 
     async def scenario(stage: Stage) -> None:
         for writes in (False, True, False, True):
@@ -166,7 +166,7 @@
 
 
 def test_a_transaction_stays_on_its_connection() -> None:
-    """Its statements run inside it, others outside, and its end frees it."""
+    """Its statements run in it, others outside it, and its end frees the connection."""
 
     async def scenario(stage: Stage) -> None:
         run = stage.primary.run
@@ -175,18 +175,18 @@
         assert (await run(work())).outcome is WorkOutcome.DONE
         within = partial(work, scope=Scope.WITHIN, transaction="t")
         assert (await run(within(WorkKind.READ))).open
-        done = await run(within(WorkKind.COMMIT))
-        assert done.outcome is WorkOutcome.DONE and done.led and not done.open
+        result = await run(within(WorkKind.COMMIT))
+        assert result.outcome is WorkOutcome.DONE and result.led and not result.open
         inside = [r.in_transaction for r in stage.databases[0].runs]
         assert inside == [True, False, True, True]
-        gone = await run(within(WorkKind.READ))
-        assert gone.blocker is Blocker.NO_TRANSACTION
+        after_commit = await run(within(WorkKind.READ))
+        assert after_commit.blocker is Blocker.NO_TRANSACTION
 
     on_stage(scenario)
 
 
 def test_idle_transactions_are_rolled_back() -> None:
-    """One that nobody goes on with ends after its time, and keeps nothing."""
+    """A transaction without further statements expires, and nothing is committed."""
 
     async def scenario(stage: Stage) -> None:
         begin = work(WorkKind.WRITE, scope=Scope.BEGIN, transaction="t")
@@ -203,53 +203,55 @@
 
 
 def test_a_proven_read_is_refused_by_a_deposed_primary() -> None:
-    """A server that lost the lead serves no read that must be the newest."""
+    """A server that no longer leads serves no read that must see the newest data."""
 
     async def scenario(stage: Stage) -> None:
         assert (await stage.primary.run(work(scope=Scope.PROVEN))).led
         stage.group.promote_now(stage.databases[1])
-        done = await stage.primary.run(work(scope=Scope.PROVEN))
-        assert done.outcome is WorkOutcome.REFUSED and done.reason is Reason.NOT_LEADER
+        result = await stage.primary.run(work(scope=Scope.PROVEN))
+        assert (
+            result.outcome is WorkOutcome.REFUSED and result.reason is Reason.NOT_LEADER
+        )
         assert (await stage.primary.run(work())).outcome is WorkOutcome.DONE
-        answer = await stage.primary.prove()
-        assert answer.position is None and answer.denied
+        proof = await stage.primary.prove()
+        assert proof.position is None and proof.denied
 
     on_stage(scenario)
 
 
-def test_a_lost_answer_to_a_write_is_unknown() -> None:
-    """The write ran: nobody may be told that it did not."""
+def test_a_write_whose_reply_is_lost_has_an_unknown_outcome() -> None:
+    """The write ran, so it must not be reported as not run."""
 
     async def scenario(stage: Stage) -> None:
         stage.databases[0].lose_answers = 1
-        done = await stage.primary.run(work(WorkKind.WRITE, budget_ms=300))
-        assert done.outcome is WorkOutcome.UNKNOWN
+        result = await stage.primary.run(work(WorkKind.WRITE, budget_ms=300))
+        assert result.outcome is WorkOutcome.UNKNOWN
         assert len(stage.group.acknowledged) == 1
 
     on_stage(scenario)
 
 
 def test_work_without_time_left_does_not_run() -> None:
-    """A statement whose time passed while its connection was made ready."""
+    """The deadline passes while the connection is being opened."""
 
     async def scenario(stage: Stage) -> None:
         stage.databases[0].open_s = 0.2
-        done = await stage.primary.run(work(WorkKind.WRITE, budget_ms=100))
-        assert done.outcome is WorkOutcome.NOT_RUN
+        result = await stage.primary.run(work(WorkKind.WRITE, budget_ms=100))
+        assert result.outcome is WorkOutcome.NOT_RUN
         await trio.sleep(1)
         assert not stage.runs()
 
     on_stage(scenario)
 
 
-def test_a_silent_server_is_given_up_and_found_again() -> None:
-    """Work under way ends as unknown, new work is refused, until it is back."""
+def test_an_unresponsive_server_is_unreachable_until_it_responds() -> None:
+    """Work under way ends as unknown, and new work is refused until it responds."""
 
     async def scenario(stage: Stage) -> None:
         await stage.primary.run(work())
         stage.databases[0].dark = True
-        done = await stage.primary.run(work(WorkKind.WRITE, budget_ms=5_000))
-        assert done.outcome is WorkOutcome.UNKNOWN and not stage.primary.reachable
+        result = await stage.primary.run(work(WorkKind.WRITE, budget_ms=5_000))
+        assert result.outcome is WorkOutcome.UNKNOWN and not stage.primary.reachable
         refused = await stage.primary.run(work())
         assert (refused.outcome, refused.blocker) == (
             WorkOutcome.NOT_RUN,
@@ -263,8 +265,8 @@
     on_stage(scenario)
 
 
-def test_a_connection_gone_silent_is_not_the_server() -> None:
-    """One silent connection is replaced; the server stays reachable."""
+def test_one_dead_connection_does_not_make_the_server_unreachable() -> None:
+    """The dead connection is replaced; the server stays reachable."""
 
     async def scenario(stage: Stage) -> None:
         await stage.primary.run(work())
@@ -277,36 +279,36 @@
 
 
 def test_an_overlong_queue_refuses_at_once() -> None:
-    """Work that can't be served in time hears so when it comes, with a time."""
+    """Work that cannot run in time is refused on arrival, with a retry delay."""
 
     async def scenario(stage: Stage) -> None:
         stage.databases[0].work_s = 0.1
         refused: list[tuple[float, WorkResult]] = []
         served = 0
 
-        async def one() -> None:
+        async def send_work() -> None:
             nonlocal served
-            came_s = trio.current_time()
-            done = await stage.primary.run(work(budget_ms=500))
-            if done.outcome is WorkOutcome.DONE:
+            sent_at_s = trio.current_time()
+            result = await stage.primary.run(work(budget_ms=500))
+            if result.outcome is WorkOutcome.DONE:
                 served += 1
             else:
-                refused.append((trio.current_time() - came_s, done))
+                refused.append((trio.current_time() - sent_at_s, result))
 
         for _ in range(3):
-            await one()
+            await send_work()
         async with trio.open_nursery() as nursery:
             for _ in range(60):
-                nursery.start_soon(one)
+                nursery.start_soon(send_work)
         assert served >= 12
-        assert any(took_s == 0 and done.retry_after_ms for took_s, done in refused)
-        assert all(done.blocker is Blocker.OVERLOADED for _, done in refused)
+        assert any(took_s == 0 and result.retry_after_ms for took_s, result in refused)
+        assert all(result.blocker is Blocker.OVERLOADED for _, result in refused)
 
     on_stage(scenario)
 
 
 def test_switching_begins_nothing_that_could_be_lost() -> None:
-    """While the primary is replaced, reads go on and writes don't begin."""
+    """While the primary is being replaced, reads continue and writes do not start."""
 
     async def scenario(stage: Stage) -> None:
         stage.primary.switching = True
@@ -314,8 +316,8 @@
             work(WorkKind.WRITE),
             work(WorkKind.WRITE, scope=Scope.BEGIN, transaction="t"),
         ):
-            done = await stage.primary.run(item)
-            assert (done.outcome, done.blocker) == (
+            result = await stage.primary.run(item)
+            assert (result.outcome, result.blocker) == (
                 WorkOutcome.NOT_RUN,
                 Blocker.SWITCHING,
             )
@@ -327,7 +329,7 @@
 
 
 def test_idle_connections_are_trimmed() -> None:
-    """A host that no longer serves a server frees its connections there."""
+    """Connections that have been idle for long enough are closed."""
 
     async def scenario(stage: Stage) -> None:
         await stage.primary.run(work())
@@ -343,7 +345,7 @@
 
 
 def test_slots_serve_organisations_in_turn_by_priority() -> None:
-    """A flood of one organisation keeps no other waiting behind all of it."""
+    """A flood from one organisation does not delay another's work until its end."""
     queue: SlotQueue[str] = SlotQueue(1)
     assert queue.try_acquire()
     for number in range(5):
@@ -359,7 +361,7 @@
 
 
 def test_a_pool_prefers_the_connection_that_fits() -> None:
-    """Equal values first, then those that only have to be added to."""
+    """Equal values are preferred, then values that only need additions."""
     pool = ConnectionPool(4)
     session: Any = None
     for values in ({}, {"v": "1"}, {"w": "2"}):
@@ -373,20 +375,23 @@
     assert pool.lend_best_match("kirk", {}) is None
 
 
-def test_a_replica_that_is_behind_is_asked_rarely() -> None:
-    """A flood of reads that its log can't serve costs it ten questions a second."""
+def test_a_lagging_replica_receives_few_reads() -> None:
+    """Of a flood of reads that its log cannot serve, it receives ten a second."""
 
     async def scenario(stage: Stage) -> None:
         replica = stage.serve(1)
         floor = Position(9, 9)
-        behind = work(server="i-1", floor=floor, movable=True)
+        read = work(server="i-1", floor=floor, movable=True)
         for _ in range(100):
-            done = await replica.run(behind)
-            assert (done.outcome, done.reason) == (WorkOutcome.REFUSED, Reason.BEHIND)
+            result = await replica.run(read)
+            assert (result.outcome, result.reason) == (
+                WorkOutcome.REFUSED,
+                Reason.BEHIND,
+            )
             await trio.sleep(0.01)
         metered = stage.parts.meter.exposition()
         assert b"rattanhollow_server_ms_count" in metered
-        asked = float(metered.split(b"rattanhollow_server_ms_count")[1].split()[1])
-        assert asked <= 12
+        read_count = float(metered.split(b"rattanhollow_server_ms_count")[1].split()[1])
+        assert read_count <= 12
 
     on_stage(scenario)
