--- a/src/rattanhollow/serving/_health.py
+++ b/src/rattanhollow/serving/_health.py
@@ -31,7 +31,7 @@
         self._drop_old_outcomes(now_s)
 
     def is_failing(self, now_s: float) -> bool:
-        """Whether the failure ratio reaches `FAILING_RATIO`."""
+        """Whether `FAILING_RATIO` of at least `MIN_OUTCOMES` recent outcomes failed."""
         self._drop_old_outcomes(now_s)
         count = len(self._outcomes)
         return count >= MIN_OUTCOMES and self._failures >= FAILING_RATIO * count
--- a/src/rattanhollow/serving/_slots.py
+++ b/src/rattanhollow/serving/_slots.py
@@ -31,7 +31,7 @@
 
     @property
     def waiting(self) -> int:
-        """The number of units of work that enqueue."""
+        """The number of units of work that wait."""
         return sum(len(queue) for queue in self._waiting.values())
 
     def try_acquire(self) -> bool:
