--- a/src/rattanhollow/host/_watch_primaries.py
+++ b/src/rattanhollow/host/_watch_primaries.py
@@ -16,7 +16,7 @@
     BackendServer,
     Command,
     Reply,
-    Served,
+    ServedBackend,
     ServerStatus,
     Serving,
 )
@@ -72,7 +72,7 @@
         names = {record.name for record in lit} | {own_name}
         return ranked(service, names)[0] == own_name
 
-    def served(server: BackendServer) -> Served | None:
+    def served(server: BackendServer) -> ServedBackend | None:
         return parts.serving.serve(server.id)
 
     def suspicion_s(server: BackendServer) -> float:
@@ -113,9 +113,9 @@
 
     def behind() -> list[tuple[BackendServer, float]]:
         return [
-            (found.server, found.behind_s)
+            (found.server, found.lagging_s)
             for found in parts.serving.served()
-            if found.behind_s > 0 and parts.agents.is_preferred_host_for(found.server)
+            if found.lagging_s > 0 and parts.agents.is_preferred_host_for(found.server)
         ]
 
     # The guardian is told of claims by the very parts that it is built from.
--- a/src/rattanhollow/routing/_agents.py
+++ b/src/rattanhollow/routing/_agents.py
@@ -10,13 +10,13 @@
 from rattanhollow.routing._zone_topology import ZoneTopology
 from rattanhollow.serving import (
     BackendServer,
-    Done,
-    Fate,
-    Obstacle,
+    Blocker,
     ProofAnswer,
     ProofQuestion,
     Serving,
     Work,
+    WorkOutcome,
+    WorkResult,
     not_run,
     unknown,
 )
@@ -44,7 +44,7 @@
     ``host`` is empty if no host could serve the server.
     """
 
-    result: Done
+    result: WorkResult
     host: str
     transaction: str
 
@@ -66,32 +66,30 @@
         detail = "no host is available to serve it"
         for record in itertools.islice(self.candidate_hosts(server), MAX_HOSTS_TRIED):
             outcome = await self.run_on_host(record.name, work)
-            not_served = outcome.obstacle in (Obstacle.NOT_SERVED, Obstacle.HOST_LOST)
-            if outcome.fate is not Fate.NOT_RUN or not not_served:
+            not_served = outcome.blocker in (Blocker.NOT_SERVED, Blocker.HOST_LOST)
+            if outcome.outcome is not WorkOutcome.NOT_RUN or not not_served:
                 return DispatchResult(outcome, record.name, work.transaction)
             detail = f"{record.name}: {outcome.detail}"
-        return DispatchResult(
-            not_run(Obstacle.NOT_SERVED, detail), "", work.transaction
-        )
+        return DispatchResult(not_run(Blocker.NOT_SERVED, detail), "", work.transaction)
 
-    async def run_on_host(self, host: str, work: Work) -> Done:
+    async def run_on_host(self, host: str, work: Work) -> WorkResult:
         """Run work through one host."""
         if host == self._dependencies.own_record().name:
-            return await self._dependencies.serving.work(work)
+            return await self._dependencies.serving.run_work(work)
         record = self._dependencies.hosts.find(host)
         if record is None:
-            return not_run(Obstacle.HOST_LOST, f"{host} is no longer a member")
+            return not_run(Blocker.HOST_LOST, f"{host} is no longer a member")
         response = await self._dependencies.peers.ask(
             record.peer, work, work.budget_ms + ROUND_TRIP_MS
         )
         result = response.ok()
-        if isinstance(result, Done):
+        if isinstance(result, WorkResult):
             return result
         failure = response.err()
         if failure is not None and not failure.sent:
-            return not_run(Obstacle.HOST_LOST, failure.reason)
+            return not_run(Blocker.HOST_LOST, failure.reason)
         reason = failure.reason if failure is not None else "unexpected response type"
-        return unknown(Obstacle.HOST_LOST, reason)
+        return unknown(Blocker.HOST_LOST, reason)
 
     async def prove(self, server: BackendServer) -> ProofAnswer:
         """Return a log position for which ``server`` proved that it is the primary."""
--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -16,12 +16,12 @@
 from rattanhollow.routing._zone_topology import ZoneTopology
 from rattanhollow.serving import (
     BackendServer,
-    Done,
-    Fate,
-    Obstacle,
+    Blocker,
     Scope,
     Work,
     WorkKind,
+    WorkOutcome,
+    WorkResult,
 )
 from rattanhollow.statements import Answer, Completed, Reason, Refused
 
@@ -131,7 +131,9 @@
         await read.finished.wait()
         assert read.dispatched is not None
         results.append((read.dispatched, at))
-        if read.dispatched.result.fate is Fate.DONE or len(results) == len(pending):
+        if read.dispatched.result.outcome is WorkOutcome.DONE or len(results) == len(
+            pending
+        ):
             ready.set()
 
     async with trio.open_nursery() as nursery:
@@ -140,7 +142,9 @@
         await ready.wait()
         nursery.cancel_scope.cancel()
     # Both may have finished by now; a successful result takes precedence.
-    successful = [pair for pair in results if pair[0].result.fate is Fate.DONE]
+    successful = [
+        pair for pair in results if pair[0].result.outcome is WorkOutcome.DONE
+    ]
     return successful[0] if successful else results[-1]
 
 
@@ -186,7 +190,7 @@
         )
         result = await self._dependencies.dispatcher.run_on_host(placement.host, work)
         self._record_result(placement.server, result, requested_at_s)
-        if result.fate is Fate.DONE:
+        if result.outcome is WorkOutcome.DONE:
             committed = result.position if work.kind is WorkKind.COMMIT else None
             return Outcome(_completed(result), placement, committed, result.open)
         return Outcome(_transaction_refusal(work, result))
@@ -216,7 +220,7 @@
             statement.work.kind is WorkKind.EXECUTE and not statement.work.shape_writes
         )
         skipped: set[str] = set()
-        last: Done | None = None
+        last: WorkResult | None = None
         failures = 0
         while True:
             server = self._select_primary(statement.route.service, skipped)
@@ -229,7 +233,7 @@
                 continue
             dispatched = await self._attempt(statement, server, scope, None, budget_ms)
             result = last = dispatched.result
-            if result.fate is Fate.DONE:
+            if result.outcome is WorkOutcome.DONE:
                 committed = result.position if scope is Scope.ALONE else None
                 placement = Placement(server, dispatched.host, dispatched.transaction)
                 return Outcome(_completed(result), placement, committed, result.open)
@@ -242,7 +246,7 @@
                 if failures <= MAX_PRIMARY_READ_RETRIES:
                     continue
             if _may_retry(result, reads or scope is Scope.BEGIN):
-                if result.obstacle is Obstacle.OVERLOADED:
+                if result.blocker is Blocker.OVERLOADED:
                     return Outcome(_busy_refusal(result))
                 await self._dependencies.directory.wait_for_change(RETRY_PAUSE_S)
                 continue
@@ -257,7 +261,7 @@
             detail = "no primary proved its current log position"
             return Outcome(Refused(Reason.BUSY, detail))
         skipped: set[str] = set()
-        last: Done | None = None
+        last: WorkResult | None = None
         while True:
             budget_ms = self._budget_ms(statement)
             if budget_ms < MIN_ATTEMPT_MS:
@@ -273,7 +277,7 @@
                 statement, server, other, scope, floor, budget_ms
             )
             result = last = dispatched.result
-            if result.fate is Fate.DONE:
+            if result.outcome is WorkOutcome.DONE:
                 leader = self._dependencies.directory.leader(server.service)
                 leads = leader is not None and leader.id == server.id
                 self._dependencies.meter.count(
@@ -373,9 +377,9 @@
         dispatched = await self._dependencies.dispatcher.run(server, work)
         self._record_result(server, dispatched.result, requested_at_s)
         result = dispatched.result
-        reason = result.reason.name if result.reason else result.obstacle.name
-        self._dependencies.meter.count(kinds.ATTEMPTS, result.fate.name, reason)
-        if dispatched.result.fate is not Fate.DONE:
+        reason = result.reason.name if result.reason else result.blocker.name
+        self._dependencies.meter.count(kinds.ATTEMPTS, result.outcome.name, reason)
+        if dispatched.result.outcome is not WorkOutcome.DONE:
             log_event(
                 "attempt.failed",
                 request=work.request_id,
@@ -383,11 +387,11 @@
                 server=server.id,
                 host=dispatched.host,
                 scope=scope.value,
-                fate=dispatched.result.fate.value,
+                fate=dispatched.result.outcome.value,
                 reason=dispatched.result.reason.name
                 if dispatched.result.reason
                 else "",
-                obstacle=dispatched.result.obstacle.value,
+                obstacle=dispatched.result.blocker.value,
                 detail=dispatched.result.detail,
                 floor=floor,
                 budget_ms=budget_ms,
@@ -396,7 +400,7 @@
         return dispatched
 
     def _record_result(
-        self, server: BackendServer, result: Done, requested_at_s: float
+        self, server: BackendServer, result: WorkResult, requested_at_s: float
     ) -> None:
         if result.led and result.position is not None:
             self._dependencies.floors.record_position(
@@ -404,7 +408,7 @@
             )
             self._dependencies.directory.record_leader_proof(server.service, server.id)
         wait_ms = float(result.wait_ms)
-        if result.reason is Reason.FAILED or result.obstacle is Obstacle.FAILING:
+        if result.reason is Reason.FAILED or result.blocker is Blocker.FAILING:
             wait_ms += FAILURE_PENALTY_MS
         self._recent_wait_ms[server.id] = (self._dependencies.clock(), wait_ms)
 
@@ -500,45 +504,45 @@
         return int((statement.deadline_s - self._dependencies.clock()) * 1000)
 
 
-def _completed(result: Done) -> Completed:
+def _completed(result: WorkResult) -> Completed:
     return Completed(result.rows, result.proof)
 
 
-def _may_retry(result: Done, repeatable: bool) -> bool:
+def _may_retry(result: WorkResult, repeatable: bool) -> bool:
     """Whether a retry is safe: the statement did not run, or may run twice."""
-    if result.fate is Fate.NOT_RUN:
+    if result.outcome is WorkOutcome.NOT_RUN:
         return True
-    if result.fate is Fate.REFUSED:
+    if result.outcome is WorkOutcome.REFUSED:
         return result.reason in _NOT_RUN_REASONS
     return repeatable
 
 
-def _busy_refusal(last: Done | None) -> Refused:
+def _busy_refusal(last: WorkResult | None) -> Refused:
     detail = last.detail if last is not None else "no backend server available"
     retry_after_ms = last.retry_after_ms if last is not None else 0
     return Refused(Reason.BUSY, detail, retry_after_ms)
 
 
-def _standalone_refusal(result: Done, reads: bool) -> Refused:
+def _standalone_refusal(result: WorkResult, reads: bool) -> Refused:
     """Return the response to a failed statement outside a transaction."""
-    if result.fate is Fate.REFUSED and result.reason is not None:
+    if result.outcome is WorkOutcome.REFUSED and result.reason is not None:
         if result.reason in _FORWARDED_REASONS:
             return Refused(result.reason, result.detail)
         return Refused(Reason.BUSY, result.detail)
-    if result.fate is Fate.NOT_RUN or reads:
+    if result.outcome is WorkOutcome.NOT_RUN or reads:
         return Refused(Reason.BUSY, result.detail, result.retry_after_ms)
     return Refused(Reason.IN_DOUBT, result.detail)
 
 
-def _transaction_refusal(work: Work, result: Done) -> Refused:
+def _transaction_refusal(work: Work, result: WorkResult) -> Refused:
     """Return the response to a failed statement within a transaction."""
     commits = work.kind is WorkKind.COMMIT
-    if result.fate is Fate.REFUSED and result.reason is not None:
+    if result.outcome is WorkOutcome.REFUSED and result.reason is not None:
         if result.reason in _NOT_RUN_REASONS or result.reason is Reason.ABORTED:
             return Refused(Reason.ABORTED, result.detail)
         return Refused(
             _FORWARDED_REASONS.get(result.reason, Reason.IN_DOUBT), result.detail
         )
-    if result.fate is Fate.UNKNOWN and commits:
+    if result.outcome is WorkOutcome.UNKNOWN and commits:
         return Refused(Reason.IN_DOUBT, result.detail)
     return Refused(Reason.ABORTED, result.detail)
--- a/src/rattanhollow/succession/_replace.py
+++ b/src/rattanhollow/succession/_replace.py
@@ -166,7 +166,7 @@
             task.old_leader, CommandKind.STATUS
         )
     if leader_status is not None and leader_status.leads:
-        await parts.command_sender.send(server, CommandKind.LET_GO)
+        await parts.command_sender.send(server, CommandKind.RESUME_RECEIVING)
     ended = await write_claim_phase(
         parts.store, task.service, record._replace(phase=Phase.ENDED)
     )
@@ -280,7 +280,9 @@
 async def _hold_replicas(
     servers: list[BackendServer], term: int, parts: ReplaceParts
 ) -> list[Member]:
-    statuses = await parts.command_sender.send_to_all(servers, CommandKind.HOLD, term)
+    statuses = await parts.command_sender.send_to_all(
+        servers, CommandKind.SUSPEND_RECEIVING, term
+    )
     return [
         Member(
             server, status, status is not None and parts.is_log_complete(server, status)
@@ -297,7 +299,7 @@
     if record.phase is Phase.CHOSEN:
         return
     servers = [member.server for member in replicas]
-    await parts.command_sender.send_to_all(servers, CommandKind.LET_GO)
+    await parts.command_sender.send_to_all(servers, CommandKind.RESUME_RECEIVING)
     await write_claim_phase(
         parts.store, task.service, record._replace(phase=Phase.ENDED)
     )
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -25,13 +25,13 @@
     ZoneTopology,
 )
 from rattanhollow.serving import (
-    Done,
-    Fate,
-    Obstacle,
+    Blocker,
     ProofAnswer,
     Scope,
     Work,
     WorkKind,
+    WorkOutcome,
+    WorkResult,
     not_run,
     unknown,
 )
@@ -145,7 +145,7 @@
     assert directory.replica_missing_at_s(SERVICE) == 7.0
 
 
-Script = Callable[[str, Work], Awaitable[Done]]
+Script = Callable[[str, Work], Awaitable[WorkResult]]
 
 
 class RouterHarness:
@@ -177,7 +177,7 @@
             await self.script(server.id, work), "host-1", work.transaction
         )
 
-    async def run_on_host(self, host: str, work: Work) -> Done:
+    async def run_on_host(self, host: str, work: Work) -> WorkResult:
         """Simulate `WorkDispatcher.run_on_host`."""
         self.attempts.append((work.server, work))
         return await self.script(work.server, work)
@@ -222,14 +222,14 @@
     run_jumping(main, seed)
 
 
-async def succeed(server: str, work: Work) -> Done:
+async def succeed(server: str, work: Work) -> WorkResult:
     """Succeed on any server."""
-    return Done(Fate.DONE, position=Position(1, 60), led=server == "i-0")
+    return WorkResult(WorkOutcome.DONE, position=Position(1, 60), led=server == "i-0")
 
 
-def refused(reason: Reason) -> Done:
+def refused(reason: Reason) -> WorkResult:
     """Return a refusal by the server."""
-    return Done(Fate.REFUSED, reason=reason, detail=reason.name)
+    return WorkResult(WorkOutcome.REFUSED, reason=reason, detail=reason.name)
 
 
 def reason_of(outcome: Outcome) -> Reason:
@@ -241,7 +241,7 @@
 def test_a_read_that_a_server_fails_is_retried_on_another() -> None:
     """A failing server costs one read another attempt; the next read avoids it."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         if server == "i-1":
             return refused(Reason.FAILED)
         return await succeed(server, work)
@@ -259,7 +259,7 @@
 def test_a_lagging_replica_is_avoided_for_a_while() -> None:
     """Lacking the writes of one session only is not counted as lagging."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         if server == "i-1":
             return refused(Reason.BEHIND)
         return await succeed(server, work)
@@ -281,7 +281,7 @@
 def test_a_read_without_response_is_hedged() -> None:
     """An unresponsive server or serving host uses up only a part of the time."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         if server == "i-1":
             await trio.sleep(5)
         return await succeed(server, work)
@@ -301,7 +301,7 @@
 def test_a_slow_success_is_returned_if_the_hedged_read_fails() -> None:
     """The failure of the second server must not hide the result of the first."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         if server == "i-1":
             await trio.sleep(0.5)
             return await succeed(server, work)
@@ -319,7 +319,7 @@
 def test_of_two_simultaneous_results_the_success_is_returned() -> None:
     """A failure received at the same moment must not hide the success."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         at_s = 1.2 - trio.current_time()
         await trio.sleep(at_s)
         return refused(Reason.BUSY) if server == "i-2" else await succeed(server, work)
@@ -337,7 +337,7 @@
 def test_hedged_reads_are_limited() -> None:
     """If all servers are slow, hedging must not double the load."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         await trio.sleep(0.4)
         return await succeed(server, work)
 
@@ -353,7 +353,7 @@
 def test_the_failure_of_the_last_server_is_returned() -> None:
     """If all servers fail, the caller receives the failure at once."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         return refused(Reason.FAILED)
 
     async def scenario(harness: RouterHarness) -> None:
@@ -368,7 +368,7 @@
     """A primary that fails only some of its work may succeed on a retry."""
     failures = 0
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         nonlocal failures
         failures += 1
         return refused(Reason.FAILED) if failures <= 2 else await succeed(server, work)
@@ -385,7 +385,7 @@
 def test_a_failed_write_is_not_retried(kind: WorkKind) -> None:
     """It ran, so the decision is left to the caller."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         return refused(Reason.FAILED)
 
     async def scenario(harness: RouterHarness) -> None:
@@ -453,16 +453,16 @@
     [
         refused(Reason.BEHIND),
         refused(Reason.BUSY),
-        not_run(Obstacle.NOT_SERVED, "x"),
-        not_run(Obstacle.OVERLOADED, "x"),
-        unknown(Obstacle.LOST, "x"),
-        unknown(Obstacle.HOST_LOST, "x"),
+        not_run(Blocker.NOT_SERVED, "x"),
+        not_run(Blocker.OVERLOADED, "x"),
+        unknown(Blocker.LOST, "x"),
+        unknown(Blocker.HOST_LOST, "x"),
     ],
 )
-def test_a_read_that_did_not_succeed_is_retried_on_another(failure: Done) -> None:
+def test_a_read_that_did_not_succeed_is_retried_on_another(failure: WorkResult) -> None:
     """Whatever the outcome, a read may run twice."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         return failure if server == "i-1" else await succeed(server, work)
 
     async def scenario(harness: RouterHarness) -> None:
@@ -476,19 +476,19 @@
 @pytest.mark.parametrize(
     ("failure", "expected"),
     [
-        (unknown(Obstacle.LOST, "x"), Reason.IN_DOUBT),
-        (unknown(Obstacle.HOST_LOST, "x"), Reason.IN_DOUBT),
+        (unknown(Blocker.LOST, "x"), Reason.IN_DOUBT),
+        (unknown(Blocker.HOST_LOST, "x"), Reason.IN_DOUBT),
         (refused(Reason.IN_DOUBT), Reason.IN_DOUBT),
         (refused(Reason.TIMED_OUT), Reason.TIMED_OUT),
         (refused(Reason.FAILED), Reason.FAILED),
     ],
 )
 def test_a_write_that_may_have_run_is_not_retried(
-    failure: Done, expected: Reason
+    failure: WorkResult, expected: Reason
 ) -> None:
     """It runs at most once, and the reason must not imply that it was not kept."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         return failure
 
     async def scenario(harness: RouterHarness) -> None:
@@ -502,10 +502,10 @@
 def test_a_write_that_did_not_run_goes_to_the_new_primary() -> None:
     """It moves on after a `NOT_LEADER` refusal, and its position is returned."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         if server == "i-0":
             return refused(Reason.NOT_LEADER)
-        return Done(Fate.DONE, position=Position(2, 61), led=True)
+        return WorkResult(WorkOutcome.DONE, position=Position(2, 61), led=True)
 
     async def scenario(harness: RouterHarness) -> None:
         outcome = await harness.router.write(make_request(WorkKind.WRITE))
@@ -520,8 +520,8 @@
 def test_a_write_waits_for_a_primary_until_its_deadline() -> None:
     """It waits while the primary is replaced, then is refused as not run."""
 
-    async def script(server: str, work: Work) -> Done:
-        return not_run(Obstacle.SWITCHING, "x")
+    async def script(server: str, work: Work) -> WorkResult:
+        return not_run(Blocker.SWITCHING, "x")
 
     async def scenario(harness: RouterHarness) -> None:
         outcome = await harness.router.write(make_request(WorkKind.WRITE))
@@ -534,8 +534,8 @@
 def test_an_overloaded_primary_refuses_at_once() -> None:
     """Work that cannot be served is not queued; the refusal has a retry delay."""
 
-    async def script(server: str, work: Work) -> Done:
-        return not_run(Obstacle.OVERLOADED, "x", retry_after_ms=400)
+    async def script(server: str, work: Work) -> WorkResult:
+        return not_run(Blocker.OVERLOADED, "x", retry_after_ms=400)
 
     async def scenario(harness: RouterHarness) -> None:
         outcome = await harness.router.write(make_request(WorkKind.WRITE))
@@ -550,12 +550,14 @@
 def test_each_attempt_has_its_own_transaction() -> None:
     """A transaction left open by an attempt of unknown outcome is never reused."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         if len(names) < 2:
             names.append(work.transaction)
-            return unknown(Obstacle.HOST_LOST, "x")
+            return unknown(Blocker.HOST_LOST, "x")
         names.append(work.transaction)
-        return Done(Fate.DONE, position=Position(1, 60), led=True, open=True)
+        return WorkResult(
+            WorkOutcome.DONE, position=Position(1, 60), led=True, open=True
+        )
 
     names: list[str] = []
 
@@ -573,24 +575,24 @@
 @pytest.mark.parametrize(
     ("kind", "failure", "expected"),
     [
-        (WorkKind.READ, unknown(Obstacle.LOST, "x"), Reason.ABORTED),
-        (WorkKind.WRITE, unknown(Obstacle.HOST_LOST, "x"), Reason.ABORTED),
-        (WorkKind.COMMIT, unknown(Obstacle.LOST, "x"), Reason.IN_DOUBT),
-        (WorkKind.COMMIT, unknown(Obstacle.HOST_LOST, "x"), Reason.IN_DOUBT),
-        (WorkKind.COMMIT, not_run(Obstacle.SWITCHING, "x"), Reason.ABORTED),
+        (WorkKind.READ, unknown(Blocker.LOST, "x"), Reason.ABORTED),
+        (WorkKind.WRITE, unknown(Blocker.HOST_LOST, "x"), Reason.ABORTED),
+        (WorkKind.COMMIT, unknown(Blocker.LOST, "x"), Reason.IN_DOUBT),
+        (WorkKind.COMMIT, unknown(Blocker.HOST_LOST, "x"), Reason.IN_DOUBT),
+        (WorkKind.COMMIT, not_run(Blocker.SWITCHING, "x"), Reason.ABORTED),
         (WorkKind.COMMIT, refused(Reason.NOT_LEADER), Reason.ABORTED),
         (WorkKind.COMMIT, refused(Reason.IN_DOUBT), Reason.IN_DOUBT),
     ],
 )
 def test_the_refusal_within_a_failed_transaction(
-    kind: WorkKind, failure: Done, expected: Reason
+    kind: WorkKind, failure: WorkResult, expected: Reason
 ) -> None:
     """Only a commit that may have taken effect is in doubt."""
 
-    async def script(server: str, work: Work) -> Done:
+    async def script(server: str, work: Work) -> WorkResult:
         return opened if work.scope is Scope.BEGIN else failure
 
-    opened = Done(Fate.DONE, position=Position(1, 60), led=True, open=True)
+    opened = WorkResult(WorkOutcome.DONE, position=Position(1, 60), led=True, open=True)
 
     async def scenario(harness: RouterHarness) -> None:
         begin_outcome = await harness.router.begin(
