rates: reword the pooled rate limiter

Comments, docstrings and internal names of rates/_pooled.py in the usual terms of rate limiting: request and response, previous deposits, slow broker timeout, own share, extra depth. broker_candidates replaces possible_brokers. Every reason and number behind a constant is kept.

The refusal detail "no token lately" is now "no token available recently".

--- a/src/rattanhollow/rates/__init__.py
+++ b/src/rattanhollow/rates/__init__.py
@@ -1,6 +1,6 @@
 """The rate and burst of each organisation, kept over the whole fleet."""
 
-from rattanhollow.rates._brokers import brokers_by_region, possible_brokers
+from rattanhollow.rates._brokers import broker_candidates, brokers_by_region
 from rattanhollow.rates._pooled import Admission, PooledRateParts, PooledRates
 from rattanhollow.rates._rates import RateParts, Rates
 
@@ -11,5 +11,5 @@
     "RateParts",
     "Rates",
     "brokers_by_region",
-    "possible_brokers",
+    "broker_candidates",
 ]
--- a/src/rattanhollow/rates/_brokers.py
+++ b/src/rattanhollow/rates/_brokers.py
@@ -22,7 +22,7 @@
 Brokers = dict[int, str]
 
 
-def possible_brokers(names: Collection[str], regions: int) -> list[str]:
+def broker_candidates(names: Collection[str], regions: int) -> list[str]:
     """Return the hosts of a region that may be its brokers, the first choice first."""
     at_most = BROKERS_SPARED * _broker_count(len(names), regions)
     return list(_ranking(tuple(sorted(names)))[:at_most])
@@ -42,7 +42,7 @@
     found = []
     for region in sorted(hosts, key=lambda name: (name != own_region, name)):
         names = hosts[region]
-        possible = [n for n in possible_brokers(names, len(hosts)) if answers(n)]
+        possible = [n for n in broker_candidates(names, len(hosts)) if answers(n)]
         chosen = possible[: _broker_count(len(names), len(hosts))]
         if chosen:
             found.append(_by_shard(tuple(chosen)))
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -1,4 +1,4 @@
-"""Rates that hosts share through brokers of tokens, without an owner."""
+"""Rate limits that hosts share through token brokers, without an owner."""
 
 import math
 from collections import defaultdict, deque
@@ -31,61 +31,62 @@
 )
 from rattanhollow.rates._brokers import (
     Brokers,
+    broker_candidates,
     brokers_by_region,
-    possible_brokers,
 )
 
-# Deposits last for several of these.
-ASK_INTERVAL_S = 0.4
-# Questions to a broker are this far apart at least, so that they gather wants.
-ASK_SPACING_S = 0.02
-ASK_TIMEOUT_MS = 400
-# How long a broker is waited for before one of another region is asked: a question
-# to the far end of the fleet and back.
-PATIENCE_S = 0.08
-# How often a host that has started asks those that did not answer yet.
-LOOK_INTERVAL_S = 0.1
-# How long an operation waits for a token: two questions to another region, and no
-# more than this part of the time within which its caller expects the answer.
-WAIT_AT_MOST_S = 0.25
-WAIT_PART = 0.2
-# The same behind this host's start, while brokers that started with it hold few
-# deposits or none: refused, a caller would use up its retries before there are any.
-# What is left of the time that a caller expects is for the statement itself.
-STARTING_S = 2.0
-STARTING_WAIT_AT_MOST_S = 0.6
-STARTING_WAIT_PART = 0.6
-# Timers may fire a little early.
-SLEEP_SLACK_S = 0.002
-# The part of the allowed slack that all hosts of a small fleet together begin
-# with; the rest is for tokens that were fetched before a window and used in it.
-STARTING_PART = 0.75
-# In a large fleet no host would begin with a whole token: there the brokers'
-# buckets are deeper by this part, which evens out what small organisations ask,
-# and begin with it. So a window may hold it twice, and some tokens fetched before.
-DEEPER_PART = 0.4
-# How many operations may wait, in parts of what an equal share gives meanwhile:
-# some hosts get more than others.
-WAITING_PART = 2.0
-# How long an organisation counts as over its rate behind an answer that said so.
-DRY_S = 0.25
-# How soon brokers are asked again that had too few tokens for all who asked: a flood
-# would ask as often as questions are gathered.
-ASK_AGAIN_S = 0.1
-# Tokens are fetched ahead where at least so many are used between two questions.
-AHEAD_FROM = 1.0
+# Shorter than the lifetime of a deposit, so that each is renewed several times.
+BROKER_REQUEST_INTERVAL_S = 0.4
+# Minimum time between requests, so that one request carries several wants.
+REQUEST_SPACING_S = 0.02
+REQUEST_TIMEOUT_MS = 400
+# After this time a broker of another region is tried as well. It covers one round
+# trip to the most distant host of the fleet.
+SLOW_BROKER_TIMEOUT_S = 0.08
+# How often a newly started host queries the brokers that have not responded yet.
+DEPOSIT_CHECK_INTERVAL_S = 0.1
+# Maximum time an operation waits for a token: two requests to another region, and
+# at most this fraction of the latency that the caller expects.
+MAX_WAIT_S = 0.25
+WAIT_TARGET_RATIO = 0.2
+# Longer limits after this host's start, while brokers that started with it hold few
+# deposits or none: a refused caller would use up its retries before any tokens
+# exist. The rest of the expected latency is left for the statement itself.
+STARTUP_PERIOD_S = 2.0
+STARTUP_MAX_WAIT_S = 0.6
+STARTUP_WAIT_TARGET_RATIO = 0.6
+# Timers may fire slightly early.
+TIMER_SLACK_S = 0.002
+# Fraction of the allowed slack that all hosts of a small fleet together start with;
+# the rest covers tokens that were fetched before a window and used within it.
+INITIAL_TOKENS_SLACK_RATIO = 0.75
+# In a large fleet no host would start with a whole token. There the brokers' buckets
+# are deeper by this fraction of the slack, and start with it, which smooths uneven
+# demand of small organisations. A window may therefore contain the extra depth twice,
+# plus some tokens that were fetched before it.
+EXTRA_DEPTH_RATIO = 0.4
+# Maximum number of waiting operations, relative to what an equal share yields during
+# the wait: some hosts receive more operations than others.
+MAX_WAITERS_RATIO = 2.0
+# How long an organisation counts as over its rate after a response that said so.
+NO_TOKENS_PERIOD_S = 0.25
+# Delay before a broker that granted too few tokens is queried again. Without it,
+# a flood would send a request every REQUEST_SPACING_S.
+REQUEST_RETRY_DELAY_S = 0.1
+# Tokens are prefetched if at least this many are used between two requests.
+MIN_PREFETCH_TOKENS = 1.0
 DEMAND_SMOOTHING = 0.4
-RETRY_AT_MOST_MS = 2_000
-# Callers that come back sooner find the same few tokens.
-LEAST_RETRY_MS = 50
+MAX_RETRY_AFTER_MS = 2_000
+# Callers that retry sooner compete for the same few tokens.
+MIN_RETRY_AFTER_MS = 50
 
 
 class PooledRateParts(NamedTuple):
-    """What the limits need of the rest of the host; ``clock`` never stops.
+    """Dependencies of the rate limiter; ``clock`` also advances while suspended.
 
-    ``region_of(zone)`` gives an availability zone's region.
-    ``settle_s`` is how long a host that has just registered is not yet counted
-    by all others, ``slack`` how many operations may go above rate and burst.
+    ``region_of(zone)`` returns the region of an availability zone.
+    ``settle_s`` is the time after its registration until all other hosts count
+    a host, ``slack`` the number of operations allowed above rate and burst.
     """
 
     organisations: Callable[[], dict[str, Organisation]]
@@ -100,9 +101,9 @@
 
 
 class Admission(NamedTuple):
-    """Whether an operation is within the rate, and when a refused one may return.
+    """Whether an operation is within the rate, and when to retry a refused one.
 
-    ``detail`` tells what decided about a refused one.
+    ``detail`` gives the cause of a refusal.
     """
 
     admitted: bool
@@ -110,8 +111,8 @@
     detail: str = ""
 
 
-class _Tokens(NamedTuple):
-    left: int
+class _TokenBatch(NamedTuple):
+    remaining: int
     until_s: float
 
 
@@ -127,71 +128,71 @@
         self.decided.set()
 
 
-class _Local:
-    """What this host has of one organisation's rate."""
+class _OrganisationState:
+    """Tokens, waiting operations and demand of one organisation on this host."""
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self.bucket = TokenBucket(clock)
         self.waiters: deque[_Waiter] = deque()
-        self.dry_until_s = -math.inf
-        self.ask_from_s = -math.inf
+        self.empty_until_s = -math.inf
+        self.next_request_at_s = -math.inf
         self.wait_ms = 0
-        # How many regions had too few tokens for those that wait now, and when the
-        # first of these has more.
+        # How many regions had too few tokens for the current waiters, and the
+        # shortest time until one of these regions has more.
         self.regions_tried = 0
-        self.least_wait_ms = RETRY_AT_MOST_MS
-        self.asked = 0
+        self.min_wait_ms = MAX_RETRY_AFTER_MS
+        self.arrivals = 0
         self.demand_per_s = 0.0
-        self._tokens: deque[_Tokens] = deque()
+        self._batches: deque[_TokenBatch] = deque()
 
     def take(self, now_s: float) -> bool:
-        """Use a token that was fetched, or one of this host's own part."""
-        while self._tokens:
-            first = self._tokens.popleft()
+        """Use a fetched token, or one of this host's own share."""
+        while self._batches:
+            first = self._batches.popleft()
             if first.until_s <= now_s:
                 continue
-            if first.left > 1:
-                self._tokens.appendleft(first._replace(left=first.left - 1))
+            if first.remaining > 1:
+                self._batches.appendleft(first._replace(remaining=first.remaining - 1))
             return True
         return self.bucket.take()
 
     def add(self, count: int, until_s: float) -> None:
-        """Keep tokens that were granted."""
+        """Store granted tokens."""
         if count:
-            self._tokens.append(_Tokens(count, until_s))
+            self._batches.append(_TokenBatch(count, until_s))
 
-    def at_hand(self, now_s: float) -> int:
-        """Return how many fetched tokens are left."""
-        return sum(item.left for item in self._tokens if item.until_s > now_s)
+    def available_tokens(self, now_s: float) -> int:
+        """Return the number of fetched tokens that have not expired."""
+        return sum(item.remaining for item in self._batches if item.until_s > now_s)
 
 
-class _Earlier:
-    """What is known of deposits of an earlier start of this host.
+class _PreviousDeposits:
+    """What brokers hold from a previous start of this host.
 
-    ``held_until_s`` is when the last that was told of ends.
+    ``held_until_s`` is when the last reported deposit ends.
     """
 
     def __init__(self, now_s: float) -> None:
         self.held_until_s = now_s
-        self.asked: set[str] = set()
-        self._answered: set[str] = set()
-        self._first_seen: dict[str, str] = {}
-
-    def heard(self, record: HostRecord) -> bool:
-        """Whether a broker holds nothing, or has told until when it does."""
-        first = self._first_seen.setdefault(record.name, record.incarnation)
-        return first != record.incarnation or record.name in self._answered
-
-    def asks(self, record: HostRecord) -> bool:
-        """Whether to ask a broker now: not while an answer is due."""
-        if record.incarnation in self.asked:
+        self.pending: set[str] = set()
+        self._responded: set[str] = set()
+        self._first_incarnation: dict[str, str] = {}
+
+    def is_resolved(self, record: HostRecord) -> bool:
+        """Whether a broker has reported its deposits, or restarted and holds none."""
+        first = self._first_incarnation.setdefault(record.name, record.incarnation)
+        return first != record.incarnation or record.name in self._responded
+
+    def mark_pending(self, record: HostRecord) -> bool:
+        """Mark a broker as queried; False while its response is pending."""
+        if record.incarnation in self.pending:
             return False
-        self.asked.add(record.incarnation)
+        self.pending.add(record.incarnation)
         return True
 
-    def answered(self, record: HostRecord, held_until_s: float) -> None:
-        """Note a broker's answer."""
-        self._answered.add(record.name)
+    def record_response(self, record: HostRecord, held_until_s: float) -> None:
+        """Record a broker's response."""
+        self._responded.add(record.name)
         self.held_until_s = max(self.held_until_s, held_until_s)
 
 
@@ -203,33 +204,33 @@
         self._started_at_s = parts.clock()
         self._depositor = Depositor(parts.clock())
         self._broker = TokenBroker(parts.clock)
-        self._local: dict[str, _Local] = {}
+        self._states: dict[str, _OrganisationState] = {}
         self._stamps: dict[str, Stamp] = {}
-        self._grouped: dict[str, list[str]] = {}
-        self._grouped_at = -1
-        self._counted_at_s = math.inf
-        # When each broker was asked that has not answered yet.
-        self._asking: dict[str, float] = {}
-        self._regular_at_s = 0.0
-        self._urgent = trio.Event()
+        self._region_names: dict[str, list[str]] = {}
+        self._region_names_version = -1
+        self._counted_from_s = math.inf
+        # When the pending request to each broker was sent.
+        self._pending_since_s: dict[str, float] = {}
+        self._next_regular_at_s = 0.0
+        self._wake_up = trio.Event()
         self._nursery: trio.Nursery | None = None
 
     def registered(self, anew: bool) -> None:
-        """Note that the store has this host's record: others count it soon.
+        """Record that the store has this host's record, so others will count it.
 
-        Unless it is there ``anew``, they have counted an earlier start.
+        Unless the record is new (``anew``), they already count a previous start.
         """
         settle_s = self._parts.settle_s if anew else 0.0
         at_s = self._parts.clock() + settle_s
-        self._counted_at_s = min(self._counted_at_s, at_s)
+        self._counted_from_s = min(self._counted_from_s, at_s)
 
     async def admit(self, organisation: str, target_ms: int) -> Admission:
-        """Count one operation; it may wait a little for its turn within the rate.
+        """Admit or refuse one operation, after a short wait for a token if needed.
 
-        ``target_ms`` is the latency that its caller expects.
+        ``target_ms`` is the latency that the caller expects.
         """
-        part = STARTING_WAIT_PART if self._starting() else WAIT_PART
-        wait_s = min(self._wait_at_most_s(), target_ms / 1000 * part)
+        ratio = STARTUP_WAIT_TARGET_RATIO if self._is_starting() else WAIT_TARGET_RATIO
+        wait_s = min(self._max_wait_s(), target_ms / 1000 * ratio)
         admission = await self._admit(organisation, wait_s)
         outcome = "admitted" if admission.admitted else "over"
         self._parts.meter.count(kinds.ADMISSIONS, organisation, outcome)
@@ -239,196 +240,221 @@
         limits = self._parts.organisations().get(organisation)
         if limits is None or not limits.rate_per_s:
             return Admission(limits is not None)
-        local = self._of(organisation)
-        local.asked += 1
+        state = self._state_for(organisation)
+        state.arrivals += 1
         now_s = self._parts.clock()
-        self._resize(organisation, local, limits)
-        if not local.waiters and local.take(now_s):
+        self._resize(organisation, state, limits)
+        if not state.waiters and state.take(now_s):
             return Admission(True)
-        if now_s < local.dry_until_s and len(local.waiters) >= self._room(limits):
-            return self._over(local, limits, "no token lately")
+        if now_s < state.empty_until_s and len(state.waiters) >= self._queue_limit(
+            limits
+        ):
+            return self._refuse(state, limits, "no token available recently")
         waiter = _Waiter()
-        local.waiters.append(waiter)
-        self._urgent.set()
+        state.waiters.append(waiter)
+        self._wake_up.set()
         try:
-            await self._wait(local, waiter, now_s + wait_s)
+            await self._wait_for_token(state, waiter, now_s + wait_s)
         finally:
             if not waiter.decided.is_set():
-                local.waiters.remove(waiter)
+                state.waiters.remove(waiter)
         if waiter.admitted:
             return Admission(True)
         decided = "no token" if waiter.decided.is_set() else "no token in time"
-        return self._over(local, limits, decided)
+        return self._refuse(state, limits, decided)
 
-    def _over(self, local: _Local, limits: Organisation, why: str) -> Admission:
-        demand = round(local.demand_per_s, 1)
+    def _refuse(
+        self, state: _OrganisationState, limits: Organisation, reason: str
+    ) -> Admission:
+        demand = round(state.demand_per_s, 1)
         detail = (
-            f"{why}: rate_per_s={limits.rate_per_s} burst={limits.burst}"
-            f" demand_here_per_s={demand} regions_tried={local.regions_tried}"
+            f"{reason}: rate_per_s={limits.rate_per_s} burst={limits.burst}"
+            f" demand_here_per_s={demand} regions_tried={state.regions_tried}"
         )
-        return Admission(False, max(LEAST_RETRY_MS, local.wait_ms), detail)
+        return Admission(False, max(MIN_RETRY_AFTER_MS, state.wait_ms), detail)
 
-    async def _wait(self, local: _Local, waiter: _Waiter, until_s: float) -> None:
-        """Wait for a token that is fetched, or for the next of the own part."""
+    async def _wait_for_token(
+        self, state: _OrganisationState, waiter: _Waiter, until_s: float
+    ) -> None:
+        """Wait for a fetched token, or for the next one of this host's own share."""
         while not waiter.decided.is_set():
             left_s = until_s - self._parts.clock()
             if left_s <= 0:
                 return
-            own_s = local.bucket.wait_for_token_s() + SLEEP_SLACK_S
+            own_s = state.bucket.wait_for_token_s() + TIMER_SLACK_S
             with trio.move_on_after(min(left_s, own_s)):
                 await waiter.decided.wait()
-            if local.waiters and local.waiters[0] is waiter and local.bucket.take():
-                local.waiters.popleft().decide(admitted=True)
+            if state.waiters and state.waiters[0] is waiter and state.bucket.take():
+                state.waiters.popleft().decide(admitted=True)
 
     async def run(self) -> None:
-        """Deposit and fetch tokens, until cancelled."""
+        """Renew deposits and fetch tokens until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._look_for_earlier)
-            self._regular_at_s = looked_at_s = self._parts.clock()
+            nursery.start_soon(self._check_previous_deposits)
+            self._next_regular_at_s = measured_at_s = self._parts.clock()
             while True:
-                left_s = self._regular_at_s - self._parts.clock()
-                if any(local.waiters for local in self._local.values()):
-                    left_s = min(left_s, PATIENCE_S)
+                left_s = self._next_regular_at_s - self._parts.clock()
+                if any(state.waiters for state in self._states.values()):
+                    left_s = min(left_s, SLOW_BROKER_TIMEOUT_S)
                 with trio.move_on_after(max(0.0, left_s)):
-                    await self._urgent.wait()
-                self._urgent = trio.Event()
+                    await self._wake_up.wait()
+                self._wake_up = trio.Event()
                 now_s = self._parts.clock()
-                regular = now_s >= self._regular_at_s
+                regular = now_s >= self._next_regular_at_s
                 if regular:
-                    self._measure(now_s - looked_at_s)
-                    looked_at_s = now_s
-                    self._regular_at_s = now_s + ASK_INTERVAL_S
-                self._ask_brokers(regular)
-                await trio.sleep(ASK_SPACING_S)
+                    self._update_demand(now_s - measured_at_s)
+                    measured_at_s = now_s
+                    self._next_regular_at_s = now_s + BROKER_REQUEST_INTERVAL_S
+                self._send_requests(regular)
+                await trio.sleep(REQUEST_SPACING_S)
 
-    async def _look_for_earlier(self) -> None:
-        """Find out whether any broker holds what an earlier start deposited.
+    async def _check_previous_deposits(self) -> None:
+        """Check whether any broker holds deposits of a previous start of this host.
 
-        One that has itself started behind this host holds nothing.
+        A broker that started after this host holds none.
         """
-        earlier = _Earlier(self._parts.clock())
+        previous = _PreviousDeposits(self._parts.clock())
         async with trio.open_nursery() as nursery:
-            while self._parts.clock() < earlier.held_until_s + DEPOSIT_S:
-                await trio.sleep(LOOK_INTERVAL_S)
-                if self._parts.clock() < self._counted_at_s:
+            while self._parts.clock() < previous.held_until_s + DEPOSIT_S:
+                await trio.sleep(DEPOSIT_CHECK_INTERVAL_S)
+                if self._parts.clock() < self._counted_from_s:
                     continue
-                others = [r for r in self._nearby_brokers() if not earlier.heard(r)]
-                if not others:
-                    left_s = earlier.held_until_s - self._parts.clock()
+                unresolved = [
+                    r
+                    for r in self._region_broker_candidates()
+                    if not previous.is_resolved(r)
+                ]
+                if not unresolved:
+                    left_s = previous.held_until_s - self._parts.clock()
                     await trio.sleep(max(0.0, left_s))
                     self._depositor.nothing_earlier()
                     break
-                for record in others:
-                    if earlier.asks(record):
-                        nursery.start_soon(self._ask_for_earlier, record, earlier)
+                for record in unresolved:
+                    if previous.mark_pending(record):
+                        nursery.start_soon(self._request_held_deposit, record, previous)
             nursery.cancel_scope.cancel()
 
-    def _nearby_brokers(self) -> list[HostRecord]:
-        """Return the other hosts of this region that may be brokers."""
+    def _region_broker_candidates(self) -> list[HostRecord]:
+        """Return the other hosts of this region that are broker candidates."""
         own = self._parts.own()
         regions = self._names_by_region()
-        nearby = regions.get(self._parts.region_of(own.zone), [])
-        found = map(self._parts.hosts.find, possible_brokers(nearby, len(regions)))
+        region_names = regions.get(self._parts.region_of(own.zone), [])
+        found = map(
+            self._parts.hosts.find, broker_candidates(region_names, len(regions))
+        )
         return [r for r in found if r is not None and r.name != own.name]
 
-    async def _ask_for_earlier(self, record: HostRecord, earlier: "_Earlier") -> None:
-        question = DepositQuestion(self._parts.own().name)
-        asked = await self._parts.peers.ask(record.peer, question, ASK_TIMEOUT_MS)
-        answer = asked.ok()
-        if isinstance(answer, DepositAnswer):
-            until_s = self._parts.clock() + answer.held_ms / 1000
-            earlier.answered(record, until_s)
-        earlier.asked.discard(record.incarnation)
-
-    def answer_deposit(self, question: DepositQuestion) -> DepositAnswer:
-        """Tell a host that has started whether anything of it is held here."""
-        left_s = self._broker.holds_until_s(question.host) - self._parts.clock()
+    async def _request_held_deposit(
+        self, record: HostRecord, previous: "_PreviousDeposits"
+    ) -> None:
+        request = DepositQuestion(self._parts.own().name)
+        reply = await self._parts.peers.ask(record.peer, request, REQUEST_TIMEOUT_MS)
+        response = reply.ok()
+        if isinstance(response, DepositAnswer):
+            until_s = self._parts.clock() + response.held_ms / 1000
+            previous.record_response(record, until_s)
+        previous.pending.discard(record.incarnation)
+
+    def answer_deposit(self, request: DepositQuestion) -> DepositAnswer:
+        """Return for how long deposits of a newly started host are held here."""
+        left_s = self._broker.holds_until_s(request.host) - self._parts.clock()
         return DepositAnswer(max(0, math.ceil(min(max(left_s, 0), DEPOSIT_S) * 1000)))
 
-    def answer(self, question: PoolQuestion) -> PoolAnswer:
-        """Take deposits of another host, and grant it tokens."""
+    def answer(self, request: PoolQuestion) -> PoolAnswer:
+        """Accept deposits of a host and grant it tokens."""
         own = self._parts.own().incarnation
         organisations = self._parts.organisations()
-        extra = self._extra()
-        if question.stamp.broker == own:
+        extra_depth = self._extra_depth()
+        if request.stamp.broker == own:
             changed = {
                 shard
-                for shard in question.shards
+                for shard in request.shards
                 if self._broker.take_deposit(
-                    question.host, shard, question.base, question.stamp.at_s
+                    request.host, shard, request.base, request.stamp.at_s
                 )
             }
             for name, limits in organisations.items():
                 if shard_of(name) in changed:
-                    self._broker.refresh(name, limits.rate_per_s, limits.burst, extra)
+                    self._broker.refresh(
+                        name, limits.rate_per_s, limits.burst, extra_depth
+                    )
         grants = []
-        for want in question.wants:
+        for want in request.wants:
             known = organisations.get(want.organisation)
             if known is not None:
-                grant = self._broker.grant(want, known.rate_per_s, known.burst, extra)
+                grant = self._broker.grant(
+                    want, known.rate_per_s, known.burst, extra_depth
+                )
                 grants.append(grant)
         return PoolAnswer(Stamp(own, self._parts.clock()), tuple(grants))
 
-    def _starting(self) -> bool:
-        return self._parts.clock() - self._started_at_s < STARTING_S
+    def _is_starting(self) -> bool:
+        return self._parts.clock() - self._started_at_s < STARTUP_PERIOD_S
 
-    def _wait_at_most_s(self) -> float:
-        return STARTING_WAIT_AT_MOST_S if self._starting() else WAIT_AT_MOST_S
+    def _max_wait_s(self) -> float:
+        return STARTUP_MAX_WAIT_S if self._is_starting() else MAX_WAIT_S
 
-    def _room(self, limits: Organisation) -> int:
-        """Return how many operations may wait while there are too few tokens."""
+    def _queue_limit(self, limits: Organisation) -> int:
+        """Return how many operations may wait while tokens are short."""
         hosts = max(1, self._parts.hosts.count)
         share_per_s = limits.rate_per_s / hosts
-        return max(1, round(share_per_s * self._wait_at_most_s() * WAITING_PART))
+        return max(1, round(share_per_s * self._max_wait_s() * MAX_WAITERS_RATIO))
 
-    def _of(self, organisation: str) -> _Local:
-        local = self._local.get(organisation)
-        if local is None:
-            local = self._local[organisation] = _Local(self._parts.clock)
-            local.bucket.start_with(self._starting_tokens())
-        return local
+    def _state_for(self, organisation: str) -> _OrganisationState:
+        state = self._states.get(organisation)
+        if state is None:
+            state = self._states[organisation] = _OrganisationState(self._parts.clock)
+            state.bucket.start_with(self._initial_tokens())
+        return state
 
-    def _starting_tokens(self) -> float:
+    def _initial_tokens(self) -> float:
         hosts = max(1, self._parts.hosts.count)
-        tokens = self._parts.slack * STARTING_PART / hosts
+        tokens = self._parts.slack * INITIAL_TOKENS_SLACK_RATIO / hosts
         return tokens if tokens >= 1 else 0.0
 
-    def _extra(self) -> float:
-        """Return how much deeper than their bursts the brokers' buckets may be."""
-        return 0.0 if self._starting_tokens() else self._parts.slack * DEEPER_PART
+    def _extra_depth(self) -> float:
+        """Return by how much the brokers' buckets may exceed their bursts."""
+        return 0.0 if self._initial_tokens() else self._parts.slack * EXTRA_DEPTH_RATIO
 
-    def _base(self) -> float:
-        """Return this host's own part: equal for all hosts that the store lists.
+    def _own_share(self) -> float:
+        """Return this host's share of each rate, equal for all listed hosts.
 
-        Nothing before others can know of this host: they would use more than
-        their part meanwhile.
+        Zero until the other hosts can know of this host: until then their shares
+        are computed without it, and the sum would exceed the rate.
         """
-        if self._parts.clock() < self._counted_at_s:
+        if self._parts.clock() < self._counted_from_s:
             return 0.0
         hosts = self._parts.hosts
         listed = hosts.find(self._parts.own().name) is not None
         return 1.0 / (hosts.count + (0 if listed else 1))
 
-    def _resize(self, name: str, local: _Local, limits: Organisation) -> None:
+    def _resize(
+        self, name: str, state: _OrganisationState, limits: Organisation
+    ) -> None:
         now_s = self._parts.clock()
-        part = base = self._base()
+        share = base = self._own_share()
         if self._depositor.is_deposited(shard_of(name), now_s):
-            part = base * kept_part(limits.burst, base)
-        local.bucket.resize(limits.rate_per_s * part, limits.burst * part)
+            share = base * kept_part(limits.burst, base)
+        state.bucket.resize(limits.rate_per_s * share, limits.burst * share)
 
-    def _measure(self, interval_s: float) -> None:
+    def _update_demand(self, interval_s: float) -> None:
         organisations = self._parts.organisations()
-        for name, local in list(self._local.items()):
+        for name, state in list(self._states.items()):
             if name not in organisations:
-                del self._local[name]
+                del self._states[name]
                 continue
-            seen_per_s = local.asked / max(interval_s, 1e-3)
-            local.demand_per_s += DEMAND_SMOOTHING * (seen_per_s - local.demand_per_s)
-            local.asked = 0
+            measured_per_s = state.arrivals / max(interval_s, 1e-3)
+            state.demand_per_s += DEMAND_SMOOTHING * (
+                measured_per_s - state.demand_per_s
+            )
+            state.arrivals = 0
+
+    def _send_requests(self, regular: bool) -> None:
+        """Send deposits and wants to the brokers, one pending request for each.
 
-    def _ask_brokers(self, regular: bool) -> None:
-        """Ask each broker that has something to hear, and isn't being asked."""
+        A request with deposits is sent even while another is pending.
+        """
         now_s = self._parts.clock()
         wants: dict[str, list[TokenWant]] = defaultdict(list)
         shards: dict[str, list[int]] = defaultdict(list)
@@ -438,131 +464,139 @@
         if regular:
             for shard, broker in regions[0].items():
                 if broker not in self._stamps:
-                    # It would ignore a deposit; its answer has the first stamp.
+                    # A broker ignores unstamped deposits; its response has the stamp.
                     shards.setdefault(broker, [])
                 elif self._depositor.deposit(shard, broker, now_s):
                     shards[broker].append(shard)
-        for name, local in self._local.items():
-            tokens = self._wanted(local, now_s, regular)
+        for name, state in self._states.items():
+            tokens = self._tokens_to_request(state, now_s, regular)
             if tokens:
-                broker = self._broker_to_ask(shard_of(name), local, regions, now_s)
+                broker = self._select_broker(shard_of(name), state, regions, now_s)
                 wants[broker].append(TokenWant(name, tokens))
         assert self._nursery is not None
         for broker in {*shards, *wants}:
-            # Deposits have to be renewed in time, whatever is under way.
-            if broker in self._asking and not shards[broker]:
+            # Deposits must be renewed in time, even if a request is pending.
+            if broker in self._pending_since_s and not shards[broker]:
                 continue
-            self._asking[broker] = now_s
+            self._pending_since_s[broker] = now_s
             self._nursery.start_soon(
-                self._ask, broker, tuple(shards[broker]), tuple(wants[broker])
+                self._send_request, broker, tuple(shards[broker]), tuple(wants[broker])
             )
 
-    def _broker_to_ask(
-        self, shard: int, local: _Local, regions: list[Brokers], now_s: float
+    def _select_broker(
+        self,
+        shard: int,
+        state: _OrganisationState,
+        regions: list[Brokers],
+        now_s: float,
     ) -> str:
-        """Return the broker whose turn it is, or the next that isn't slow."""
-        at = local.regions_tried % len(regions)
-        for brokers in [*regions[at:], *regions[:at]]:
-            asked_at_s = self._asking.get(brokers[shard], now_s)
-            if now_s - asked_at_s < PATIENCE_S:
+        """Return the broker of the next region to try, skipping slow ones."""
+        start = state.regions_tried % len(regions)
+        for brokers in [*regions[start:], *regions[:start]]:
+            sent_at_s = self._pending_since_s.get(brokers[shard], now_s)
+            if now_s - sent_at_s < SLOW_BROKER_TIMEOUT_S:
                 return brokers[shard]
-        return regions[at][shard]
+        return regions[start][shard]
 
     def _names_by_region(self) -> dict[str, list[str]]:
         changes = self._parts.hosts.changes
-        if changes != self._grouped_at:
-            self._grouped_at = changes
-            self._grouped = defaultdict(list)
+        if changes != self._region_names_version:
+            self._region_names_version = changes
+            self._region_names = defaultdict(list)
             for record in self._parts.hosts.all():
                 region = self._parts.region_of(record.zone)
-                self._grouped[region].append(record.name)
-        return self._grouped
+                self._region_names[region].append(record.name)
+        return self._region_names
 
     def _brokers(self) -> list[Brokers]:
-        """Return the brokers of all regions, those of this host's region first."""
+        """Return the brokers of all regions, this host's own region first."""
         own_region = self._parts.region_of(self._parts.own().zone)
-        return brokers_by_region(own_region, self._names_by_region(), self._answers)
+        return brokers_by_region(
+            own_region, self._names_by_region(), self._is_available
+        )
 
-    def _answers(self, name: str) -> bool:
+    def _is_available(self, name: str) -> bool:
         record = self._parts.hosts.find(name)
         if record is None or record.leaving:
             return False
         return not self._parts.peers.is_dark(record.peer)
 
-    def _wanted(self, local: _Local, now_s: float, regular: bool) -> int:
-        tokens = len(local.waiters) if now_s >= local.ask_from_s else 0
-        ahead = local.demand_per_s * ASK_INTERVAL_S
-        if regular and ahead >= AHEAD_FROM:
-            tokens += max(0, math.ceil(ahead) - local.at_hand(now_s))
+    def _tokens_to_request(
+        self, state: _OrganisationState, now_s: float, regular: bool
+    ) -> int:
+        tokens = len(state.waiters) if now_s >= state.next_request_at_s else 0
+        expected = state.demand_per_s * BROKER_REQUEST_INTERVAL_S
+        if regular and expected >= MIN_PREFETCH_TOKENS:
+            tokens += max(0, math.ceil(expected) - state.available_tokens(now_s))
         return tokens
 
-    async def _ask(
+    async def _send_request(
         self, broker: str, shards: tuple[int, ...], wants: tuple[TokenWant, ...]
     ) -> None:
         own = self._parts.own()
-        asked_at_s = self._parts.clock()
+        sent_at_s = self._parts.clock()
         stamp = self._stamps.get(broker, Stamp("", 0.0))
-        question = PoolQuestion(own.name, stamp, self._base(), shards, wants)
-        answer: object = None
+        request = PoolQuestion(own.name, stamp, self._own_share(), shards, wants)
+        response: object = None
         try:
             if broker == own.name:
-                answer = self.answer(question)
+                response = self.answer(request)
             else:
                 record = self._parts.hosts.find(broker)
                 if record is not None:
-                    asked = await self._parts.peers.ask(
-                        record.peer, question, ASK_TIMEOUT_MS
+                    reply = await self._parts.peers.ask(
+                        record.peer, request, REQUEST_TIMEOUT_MS
                     )
-                    answer = asked.ok()
+                    response = reply.ok()
         finally:
-            self._asking.pop(broker, None)
-        if not isinstance(answer, PoolAnswer):
+            self._pending_since_s.pop(broker, None)
+        if not isinstance(response, PoolAnswer):
             for want in wants:
                 self._try_next_region(want.organisation)
             return
         known = self._stamps.get(broker)
-        self._stamps[broker] = answer.stamp
-        if known is None or known.broker != answer.stamp.broker:
-            self._regular_at_s = self._parts.clock()
-            self._urgent.set()
+        self._stamps[broker] = response.stamp
+        if known is None or known.broker != response.stamp.broker:
+            self._next_regular_at_s = self._parts.clock()
+            self._wake_up.set()
         wanted = {want.organisation: want.tokens for want in wants}
-        for grant in answer.grants:
-            self._take_grant(grant, wanted.get(grant.organisation, 0), asked_at_s)
+        for grant in response.grants:
+            self._apply_grant(grant, wanted.get(grant.organisation, 0), sent_at_s)
 
     def _try_next_region(self, organisation: str) -> bool:
-        """Ask elsewhere for what is missing; False where all were asked lately."""
-        local = self._local.get(organisation)
-        if local is None or not local.waiters:
+        """Request missing tokens from the next region; False if all were just tried."""
+        state = self._states.get(organisation)
+        if state is None or not state.waiters:
             return True
-        dry = self._parts.clock() < local.dry_until_s
-        local.regions_tried += 1
-        if dry or local.regions_tried >= len(self._names_by_region()):
-            local.regions_tried = 0
+        was_empty = self._parts.clock() < state.empty_until_s
+        state.regions_tried += 1
+        if was_empty or state.regions_tried >= len(self._names_by_region()):
+            state.regions_tried = 0
             return False
-        self._urgent.set()
+        self._wake_up.set()
         return True
 
-    def _take_grant(self, grant: TokenGrant, wanted: int, asked_at_s: float) -> None:
-        local = self._local.get(grant.organisation)
-        if local is None:
+    def _apply_grant(self, grant: TokenGrant, wanted: int, sent_at_s: float) -> None:
+        state = self._states.get(grant.organisation)
+        if state is None:
             return
         now_s = self._parts.clock()
-        local.add(grant.tokens, asked_at_s + TOKEN_S)
-        while local.waiters and local.take(now_s):
-            local.waiters.popleft().decide(admitted=True)
+        state.add(grant.tokens, sent_at_s + TOKEN_S)
+        while state.waiters and state.take(now_s):
+            state.waiters.popleft().decide(admitted=True)
         if grant.tokens >= wanted:
-            local.regions_tried = 0
-            local.least_wait_ms = RETRY_AT_MOST_MS
+            state.regions_tried = 0
+            state.min_wait_ms = MAX_RETRY_AFTER_MS
             return
-        local.least_wait_ms = min(local.least_wait_ms, grant.wait_ms)
+        state.min_wait_ms = min(state.min_wait_ms, grant.wait_ms)
         if self._try_next_region(grant.organisation):
             return
-        local.dry_until_s = now_s + DRY_S
-        local.ask_from_s = now_s + ASK_AGAIN_S
-        local.wait_ms, local.least_wait_ms = local.least_wait_ms, RETRY_AT_MOST_MS
-        own_ms = local.bucket.wait_for_token_s() * 1000
-        hopeless = min(own_ms, local.wait_ms) > WAIT_AT_MOST_S * 1000
-        # More is deposited with every host that starts: waits get shorter.
-        if hopeless and not self._starting():
-            while local.waiters:
-                local.waiters.popleft().decide(admitted=False)
+        state.empty_until_s = now_s + NO_TOKENS_PERIOD_S
+        state.next_request_at_s = now_s + REQUEST_RETRY_DELAY_S
+        state.wait_ms, state.min_wait_ms = state.min_wait_ms, MAX_RETRY_AFTER_MS
+        own_ms = state.bucket.wait_for_token_s() * 1000
+        wait_too_long = min(own_ms, state.wait_ms) > MAX_WAIT_S * 1000
+        # Each host that starts deposits more, so waits get shorter during startup.
+        if wait_too_long and not self._is_starting():
+            while state.waiters:
+                state.waiters.popleft().decide(admitted=False)
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -37,10 +37,10 @@
 from rattanhollow.rates import (
     PooledRateParts,
     PooledRates,
+    broker_candidates,
     brokers_by_region,
-    possible_brokers,
 )
-from rattanhollow.rates._pooled import DEEPER_PART, WAIT_AT_MOST_S
+from rattanhollow.rates._pooled import EXTRA_DEPTH_RATIO, MAX_WAIT_S
 from rattanhollow.routing import Floors
 from rattanhollow.serving import ProofAnswer
 from rattanhollow.store import Stored
@@ -77,7 +77,7 @@
     found = brokers_by_region("lothian", REGIONS, lambda name: name != dark)[0]
     assert dark not in found.values()
     assert set(found.values()) <= set(
-        possible_brokers(REGIONS["lothian"], len(REGIONS))
+        broker_candidates(REGIONS["lothian"], len(REGIONS))
     )
 
 
@@ -267,7 +267,7 @@
             for host in range(hosts):
                 brokers[number].take_deposit(f"{host}", shard, 1 / 65, clock())
         for _ in range(_poisson(rng, asked_per_s * STEP_S)):
-            waiting.append((rng.randrange(3), clock() + WAIT_AT_MOST_S))
+            waiting.append((rng.randrange(3), clock() + MAX_WAIT_S))
         for item in list(waiting):
             order = [brokers[(item[0] + offset) % 3] for offset in range(3)]
             want = TokenWant("kirk", 1)
@@ -306,7 +306,7 @@
 def test_a_small_organisation_of_a_large_fleet_gets_its_rate(seed: int) -> None:
     """No more is refused than by one bucket of its rate and burst for the fleet."""
     asked_per_s = SMALL_RATE / 1.6
-    _, refused = _run_small_organisation(seed, asked_per_s, SLACK * DEEPER_PART)
+    _, refused = _run_small_organisation(seed, asked_per_s, SLACK * EXTRA_DEPTH_RATIO)
     _, refused_without = _run_small_organisation(seed, asked_per_s, 0.0)
     refused_by_one = _refused_by_one_bucket(seed, asked_per_s)
     assert refused <= refused_by_one < refused_without
@@ -315,7 +315,9 @@
 @pytest.mark.parametrize("seed", range(5))
 def test_deeper_buckets_keep_a_flood_within_what_operators_allow(seed: int) -> None:
     """In any window a flood gets rate, burst and the allowed slack at most."""
-    admitted, _ = _run_small_organisation(seed, 50.0, SLACK * DEEPER_PART, steps=1_000)
+    admitted, _ = _run_small_organisation(
+        seed, 50.0, SLACK * EXTRA_DEPTH_RATIO, steps=1_000
+    )
     allowed = (SMALL_RATE * WINDOW_S + SMALL_RATE) * 1.1 + SLACK
     start = 0
     for end, at_s in enumerate(admitted):
@@ -332,7 +334,7 @@
     """All brokers start anew in the middle of a window, with their extra depth."""
     clock = _Clock()
     shard = shard_of("kirk")
-    extra = SLACK * DEEPER_PART
+    extra = SLACK * EXTRA_DEPTH_RATIO
     brokers = [TokenBroker(clock) for _ in PARTS]
     admitted: list[float] = []
     for step in range(300):
