--- a/src/rattanhollow/flow/__init__.py
+++ b/src/rattanhollow/flow/__init__.py
@@ -1,4 +1,4 @@
-"""Bounding how often something happens."""
+"""Local rate limiting."""
 
 from rattanhollow.flow._token_bucket import TokenBucket
 
--- a/src/rattanhollow/flow/_token_bucket.py
+++ b/src/rattanhollow/flow/_token_bucket.py
@@ -3,57 +3,57 @@
 import time
 from collections.abc import Callable
 
-LONGEST_WAIT_S = 60.0
+MAX_WAIT_S = 60.0
 
 
 class TokenBucket:
-    """Holds up to ``burst`` tokens, refilled at ``rate_per_s``; begins empty.
+    """Holds up to ``burst`` tokens, refilled at ``rate_per_s``; starts empty.
 
-    A change of rate and burst never adds tokens, so that the sum over several
-    buckets keeps to the sum of their rates and bursts.
+    Resizing never adds tokens, so several buckets together never exceed the sum
+    of their rates and bursts.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._rate_per_s = 0.0
         self._burst = 0.0
-        self._level = 0.0
-        self._filled_at_s = clock()
+        self._tokens = 0.0
+        self._refilled_at_s = clock()
 
     def resize(self, rate_per_s: float, burst: float) -> None:
         """Change rate and burst; tokens above the new burst are dropped."""
-        self._fill()
+        self._refill()
         self._rate_per_s = rate_per_s
         self._burst = burst
-        self._level = min(self._level, burst)
+        self._tokens = min(self._tokens, burst)
 
     def start_with(self, tokens: float) -> None:
-        """Begin with some tokens, which the bucket's user accounts for."""
-        self._level = tokens
+        """Set the initial number of tokens, which the caller accounts for."""
+        self._tokens = tokens
 
     def add(self, tokens: float) -> None:
-        """Add tokens, up to the burst; the bucket's user accounts for them."""
-        self._fill()
-        self._level = min(self._burst, self._level + tokens)
+        """Add tokens, up to the burst; the caller accounts for them."""
+        self._refill()
+        self._tokens = min(self._burst, self._tokens + tokens)
 
     def take(self) -> bool:
-        """Take one token, if there is one."""
-        self._fill()
-        if self._level < 1:
+        """Take one token if available and return whether one was taken."""
+        self._refill()
+        if self._tokens < 1:
             return False
-        self._level -= 1
+        self._tokens -= 1
         return True
 
     def wait_for_token_s(self) -> float:
-        """Return when the next token is there, at the present rate."""
-        self._fill()
-        missing = max(0.0, 1 - self._level)
+        """Return the time until the next token at the current rate."""
+        self._refill()
+        missing = max(0.0, 1 - self._tokens)
         if not missing:
             return 0.0
-        return missing / self._rate_per_s if self._rate_per_s > 0 else LONGEST_WAIT_S
+        return missing / self._rate_per_s if self._rate_per_s > 0 else MAX_WAIT_S
 
-    def _fill(self) -> None:
+    def _refill(self) -> None:
         now_s = self._clock()
-        added = (now_s - self._filled_at_s) * self._rate_per_s
-        self._filled_at_s = now_s
-        self._level = min(self._burst, self._level + added)
+        added = (now_s - self._refilled_at_s) * self._rate_per_s
+        self._refilled_at_s = now_s
+        self._tokens = min(self._burst, self._tokens + added)
--- a/src/rattanhollow/rates/__init__.py
+++ b/src/rattanhollow/rates/__init__.py
@@ -1,4 +1,4 @@
-"""The rate and burst of each organisation, kept over the whole fleet."""
+"""Fleet-wide rate limits of organisations."""
 
 from rattanhollow.rates._brokers import broker_candidates, brokers_by_region
 from rattanhollow.rates._pooled import Admission, PooledRateParts, PooledRates
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -444,9 +444,9 @@
             if name not in organisations:
                 del self._states[name]
                 continue
-            measured_per_s = state.arrivals / max(interval_s, 1e-3)
+            arrivals_per_s = state.arrivals / max(interval_s, 1e-3)
             state.demand_per_s += DEMAND_SMOOTHING * (
-                measured_per_s - state.demand_per_s
+                arrivals_per_s - state.demand_per_s
             )
             state.arrivals = 0
 
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -1,4 +1,4 @@
-"""Rate and burst over the fleet: a hard bound, whatever fails."""
+"""Fleet-wide rate and burst are never exceeded, whatever fails."""
 
 import random
 from typing import Any
@@ -18,19 +18,19 @@
 VALID_S, LEASE_S = 4.0, 2.0
 TICK_S = 0.02
 HOSTS = 8
-# So few that the callers of one process exceed them on a busy machine, too.
+# Low enough for the callers of one process to exceed them even on a busy machine.
 FLEET_RATE, FLEET_BURST = 40, 16
 SECONDS = 60
 
 
 class Clock:
-    """A clock that the test moves."""
+    """A clock that the test advances."""
 
     def __init__(self) -> None:
         self.now_s = 1_000.0
 
     def __call__(self) -> float:
-        """Return the time."""
+        """Return the simulated time."""
         return self.now_s
 
 
@@ -51,37 +51,39 @@
         return self.bucket.take()
 
     def holding(self) -> Holding | None:
-        """Return what is reported to the owner."""
+        """Return the held share as reported to the owner."""
         left_s = self.valid_until_s - self.clock()
         if self.share is None or left_s <= 0:
             return None
         return Holding(self.share, int(left_s * 1000))
 
-    def adopt(self, share: Share, asked_at_s: float) -> None:
-        """Use a share."""
+    def apply_share(self, share: Share, asked_at_s: float) -> None:
+        """Apply a granted share."""
         self.share = share
         self.valid_until_s = asked_at_s + VALID_S
         self.bucket.resize(share.rate_per_s, share.burst)
 
 
-def worst_excess(admitted: list[float]) -> float:
-    """Return by how much the worst window exceeds rate and burst."""
-    worst = 0.0
+def max_excess(admitted: list[float]) -> float:
+    """Return the maximum excess over rate and burst in any window."""
+    excess = 0.0
     level, last_s = 0.0, admitted[0]
     for at_s in admitted:
         level = max(0.0, level - (at_s - last_s) * RATE) + 1
         last_s = at_s
-        worst = max(worst, level - BURST)
-    return worst
+        excess = max(excess, level - BURST)
+    return excess
 
 
-def storm(seed: int, obey_validity: bool = True, confirm_first: bool = True) -> float:
-    """Let hosts ask, die, pause and lose messages and owners; the worst excess."""
+def simulate_faults(
+    seed: int, obey_validity: bool = True, confirm_first: bool = True
+) -> float:
+    """Simulate requests, crashes, partitions and lost messages; return the excess."""
     rng = random.Random(seed)
     clock = Clock()
     owner = ShareOwner(VALID_S, float("-inf"), clock)
     hosts = [Host(clock) for _ in range(HOSTS)]
-    cut: dict[int, float] = {}
+    partitioned_until_s: dict[int, float] = {}
     admitted: list[float] = []
     for _ in range(int(SECONDS / TICK_S)):
         clock.now_s += TICK_S
@@ -91,40 +93,42 @@
         if rng.random() < 0.004:
             hosts[rng.randrange(HOSTS)] = Host(clock)
         if rng.random() < 0.03:
-            cut[rng.randrange(HOSTS)] = clock.now_s + rng.uniform(0, 2 * VALID_S)
-        hot = int(clock.now_s) % HOSTS
+            partitioned_until_s[rng.randrange(HOSTS)] = clock.now_s + rng.uniform(
+                0, 2 * VALID_S
+            )
+        busiest = int(clock.now_s) % HOSTS
         for at, host in enumerate(hosts):
-            for _ in range(8 if at == hot else 1):
+            for _ in range(8 if at == busiest else 1):
                 if host.admit(obey_validity):
                     admitted.append(clock.now_s)
-            if rng.random() < 0.1 and cut.get(at, 0) < clock.now_s:
-                demand = 500.0 if at == hot else rng.uniform(0, 20)
+            if rng.random() < 0.1 and partitioned_until_s.get(at, 0) < clock.now_s:
+                demand = 500.0 if at == busiest else rng.uniform(0, 20)
                 asked_at_s = clock.now_s
                 name = f"{at}-{id(host)}"
                 share = owner.grant(name, demand, host.holding(), RATE, BURST)
                 if rng.random() < 0.8:
-                    host.adopt(share, asked_at_s)
-    return worst_excess(admitted)
+                    host.apply_share(share, asked_at_s)
+    return max_excess(admitted)
 
 
 @pytest.mark.parametrize("seed", range(6))
-def test_the_bound_is_hard(seed: int) -> None:
-    """No window sees more than rate and burst, through deaths, cuts and losses."""
-    assert storm(seed) <= 1e-6
+def test_rate_and_burst_are_never_exceeded(seed: int) -> None:
+    """No window exceeds rate and burst despite crashes, partitions and losses."""
+    assert simulate_faults(seed) <= 1e-6
 
 
-def test_the_bound_breaks_without_validity() -> None:
-    """Where holders use shares past their time, the same storm exceeds the rate."""
-    assert max(storm(seed, obey_validity=False) for seed in range(6)) > 5
+def test_using_expired_shares_exceeds_the_rate() -> None:
+    """If holders use expired shares, the same simulation exceeds the rate."""
+    assert max(simulate_faults(seed, obey_validity=False) for seed in range(6)) > 5
 
 
-def test_the_bound_breaks_without_confirming_first() -> None:
-    """Where a new owner grants at once, the same storm exceeds the rate."""
-    assert max(storm(seed, confirm_first=False) for seed in range(6)) > 5
+def test_granting_without_confirming_exceeds_the_rate() -> None:
+    """If a new owner grants immediately, the same simulation exceeds the rate."""
+    assert max(simulate_faults(seed, confirm_first=False) for seed in range(6)) > 5
 
 
 def test_shares_follow_demand() -> None:
-    """A host with more demand gets more, once the others have confirmed less."""
+    """A host with more demand gets more after the others have confirmed less."""
     clock = Clock()
     owner = ShareOwner(VALID_S, float("-inf"), clock)
     hosts = {name: Host(clock) for name in "abc"}
@@ -133,7 +137,7 @@
         for name, host in hosts.items():
             demand = 90.0 if name == ("a" if turn < 20 else "b") else 1.0
             share = owner.grant(name, demand, host.holding(), RATE, BURST)
-            host.adopt(share, clock())
+            host.apply_share(share, clock())
         if turn == 19:
             assert hosts["a"].share.rate_per_s > 0.8 * RATE
     assert hosts["b"].share.rate_per_s > 0.8 * RATE
@@ -141,9 +145,9 @@
     assert total <= RATE + 1e-6
 
 
-@pytest.mark.parametrize("fault", ["none", "pause", "answers lost", "down"])
-def test_a_lease_has_one_holder(fault: str) -> None:
-    """Two hosts never hold a lease at once, whatever the store or a pause does."""
+@pytest.mark.parametrize("fault", ["none", "pause", "responses lost", "down"])
+def test_a_lease_has_at_most_one_holder(fault: str) -> None:
+    """Two hosts never hold a lease at once, despite store faults and pauses."""
 
     async def main() -> None:
         rng = random.Random(1)
@@ -156,7 +160,7 @@
         for turn in range(400):
             clock.now_s += 0.1
             table.faults.down = fault == "down" and turn % 100 > 60
-            if fault == "answers lost":
+            if fault == "responses lost":
                 table.faults.lose_answers = int(rng.random() < 0.3)
             if fault == "pause" and rng.random() < 0.05:
                 paused[rng.randrange(3)] = clock.now_s + rng.uniform(0, 3 * LEASE_S)
@@ -171,8 +175,8 @@
     run_trio(main)
 
 
-def test_a_released_lease_is_taken_at_once() -> None:
-    """A holder that leaves makes nobody wait."""
+def test_a_released_lease_is_acquired_immediately() -> None:
+    """After a holder releases its lease, another host acquires it without delay."""
 
     async def main() -> None:
         clock = Clock()
@@ -190,8 +194,8 @@
     run_trio(main)
 
 
-async def hammer(fleet: Fleet) -> tuple[int, float, int]:
-    """Send far more than the rate through all proxies; admitted, time, wrong."""
+async def overload(fleet: Fleet) -> tuple[int, float, int]:
+    """Overload all proxies; return admissions, duration and unexpected errors."""
     note = "[note]\nid = r\nbase = 1\noperator = ann\n"
     note += f"[change organisation kirk]\nrate_per_s = {FLEET_RATE}"
     note += f"\nburst = {FLEET_BURST}"
@@ -199,34 +203,34 @@
     (await apply_note(fleet.store(), read_note("r", note), "ann")).unwrap()
     while any(p.configuration.version < 2 for p in fleet.proxies.values()):
         await trio.sleep(0.02)
-    admitted = wrong = 0
-    began_s = trio.current_time()
+    admitted = unexpected = 0
+    started_at_s = trio.current_time()
 
     async def one(client: Any) -> None:
-        nonlocal admitted, wrong
-        while trio.current_time() - began_s < 4:
+        nonlocal admitted, unexpected
+        while trio.current_time() - started_at_s < 4:
             result = await client.run("SELECT 1")
             admitted += result.error is None
             if result.error is not None:
-                wrong += result.error.sqlstate != "53400"
+                unexpected += result.error.sqlstate != "53400"
             await trio.sleep(0.004)
 
     async with trio.open_nursery() as nursery:
         for client in clients:
             nursery.start_soon(one, client)
-    return admitted, trio.current_time() - began_s, wrong
+    return admitted, trio.current_time() - started_at_s, unexpected
 
 
-def test_a_fleet_keeps_to_the_rate(with_fleet: Any) -> None:
-    """All hosts together admit no more than rate and burst, and most of it."""
-    admitted, took_s, wrong = with_fleet(hammer)
-    assert wrong == 0
-    assert admitted <= FLEET_RATE * took_s + FLEET_BURST
-    assert admitted >= FLEET_RATE / 2 * took_s
+def test_a_fleet_stays_within_the_rate(with_fleet: Any) -> None:
+    """All hosts together admit at most rate and burst, and at least half the rate."""
+    admitted, duration_s, unexpected = with_fleet(overload)
+    assert unexpected == 0
+    assert admitted <= FLEET_RATE * duration_s + FLEET_BURST
+    assert admitted >= FLEET_RATE / 2 * duration_s
 
 
 def test_a_fleet_exceeds_the_rate_without_limits(with_fleet: Any) -> None:
-    """With the limits off, the same load exceeds the rate."""
+    """With rate limits disabled, the same load exceeds the rate."""
     guards = ALL_GUARDS._replace(rates=False)
-    admitted, took_s, _ = with_fleet(hammer, guards=guards)
-    assert admitted > FLEET_RATE * took_s + FLEET_BURST
+    admitted, duration_s, _ = with_fleet(overload, guards=guards)
+    assert admitted > FLEET_RATE * duration_s + FLEET_BURST
--- a/tests/test_rates_restart.py
+++ b/tests/test_rates_restart.py
@@ -1,9 +1,9 @@
-"""All hosts start again at once, and callers come back inside their rates.
+"""All hosts restart at once while callers stay within their rates.
 
-Before the brokers hold any deposit there are no tokens. An operation that can still
-end within its caller's target has to wait for them: refused, its caller's few retries
-are used up before anything is there to be had. No network: hosts ask one another
-directly, with the distances of three regions; time that jumps.
+There are no tokens until the brokers hold deposits. An operation that can still finish
+within its caller's target has to wait for them: if it is refused, the caller uses up
+its few retries before any token is available. No network: hosts call one another
+directly, with the latencies of three regions, in simulated time.
 """
 
 import random
@@ -29,12 +29,12 @@
 
 REGIONS = ("lothian", "tayside", "highland")
 HOSTS = 18
-WAY_S = {True: 0.001, False: 0.04}
+LATENCY_S = {True: 0.001, False: 0.04}
 TARGET_MS = 1_000
 SLACK = 20
 WINDOW_S = 5.0
-# Organisations ask for this part of their rates.
-ASKED_PART = 1 / 1.6
+# Ratio of the demand of each organisation to its rate.
+DEMAND_RATIO = 1 / 1.6
 RATES_PER_S = (23.0, 13.0, 13.0, 7.0, 6.0, 5.0)
 ORGANISATIONS = {
     f"o{n}": Organisation(f"o{n}", keys=(), rate_per_s=rate, burst=rate)
@@ -43,11 +43,11 @@
 
 
 class _Fleet:
-    """Hosts that were listed with an earlier start, and start one after another."""
+    """Hosts that are listed with a previous start and restart one after another."""
 
     def __init__(self, rng: random.Random, hosts: int = HOSTS) -> None:
         self.rng = rng
-        self.asked = 0
+        self.request_count = 0
         self.records = {
             f"h{n}": HostRecord(f"h{n}", "10.0.0.1", REGIONS[n % 3], 1, "", "earlier")
             for n in range(hosts)
@@ -58,7 +58,7 @@
         self.outcomes: list[tuple[float, bool]] = []
 
     async def start(self, name: str, at_s: float) -> None:
-        """Start a host, which the others hear of from the store soon."""
+        """Start a host; the others see its record in the store shortly after."""
         await trio.sleep(at_s)
         directory = HostDirectory(lambda: None)
         for other, record in self.records.items():
@@ -70,7 +70,7 @@
                 organisations=lambda: ORGANISATIONS,
                 own=lambda: record,
                 hosts=directory,
-                peers=_Links(self, record),  # type: ignore[arg-type]
+                peers=_Connections(self, record),  # type: ignore[arg-type]
                 clock=trio.current_time,
                 region_of=lambda zone: zone,
                 settle_s=1.5,
@@ -90,25 +90,25 @@
             self.records[name] = record
 
     async def operate(self, nursery: trio.Nursery, seconds: float) -> None:
-        """Let callers come to hosts that have started, each inside its rate."""
-        asked_per_s = sum(RATES_PER_S) * ASKED_PART
+        """Send operations within their rates to hosts that have started."""
+        demand_per_s = sum(RATES_PER_S) * DEMAND_RATIO
         until_s = trio.current_time() + seconds
         while trio.current_time() < until_s:
-            await trio.sleep(self.rng.expovariate(asked_per_s))
+            await trio.sleep(self.rng.expovariate(demand_per_s))
             organisation = self.rng.choices(list(ORGANISATIONS), RATES_PER_S)[0]
             host = self.rng.choice(sorted(self.running))
-            nursery.start_soon(self._one, host, organisation)
+            nursery.start_soon(self._admit_one_operation, host, organisation)
 
-    async def _one(self, host: str, organisation: str) -> None:
-        came_s = trio.current_time()
+    async def _admit_one_operation(self, host: str, organisation: str) -> None:
+        arrived_at_s = trio.current_time()
         admission = await self.running[host].admit(organisation, TARGET_MS)
-        self.outcomes.append((came_s, admission.admitted))
+        self.outcomes.append((arrived_at_s, admission.admitted))
         if admission.admitted:
             self.admitted[organisation].append(trio.current_time())
 
 
-class _Links:
-    """Links of one host; those to hosts that haven't started are found dark."""
+class _Connections:
+    """Connections of one host; after a timeout, hosts that have not started are dark."""
 
     def __init__(self, fleet: _Fleet, own: HostRecord) -> None:
         self._fleet = fleet
@@ -119,27 +119,27 @@
         return peer.name in self._dark and peer.name not in self._fleet.running
 
     async def ask(
-        self, peer: PeerAddress, question: Message, timeout_ms: int
+        self, peer: PeerAddress, request: Message, timeout_ms: int
     ) -> Result[Message, AskFailure]:
-        self._fleet.asked += 1
-        answering = self._fleet.running.get(peer.name)
-        if answering is None:
+        self._fleet.request_count += 1
+        responder = self._fleet.running.get(peer.name)
+        if responder is None:
             await trio.sleep(timeout_ms / 1000)
             self._dark.add(peer.name)
             return Err(AskFailure("not started", sent=False))
-        near = self._fleet.records[peer.name].zone == self._own.zone
-        await trio.sleep(WAY_S[near])
+        same_region = self._fleet.records[peer.name].zone == self._own.zone
+        await trio.sleep(LATENCY_S[same_region])
         answer: Any
-        if isinstance(question, DepositQuestion):
-            answer = answering.answer_deposit(question)
+        if isinstance(request, DepositQuestion):
+            answer = responder.answer_deposit(request)
         else:
-            assert isinstance(question, PoolQuestion)
-            answer = answering.answer(question)
+            assert isinstance(request, PoolQuestion)
+            answer = responder.answer(request)
         return Ok(answer)
 
 
 def _restart(seed: int, seconds: float) -> _Fleet:
-    """Start all hosts within 0.3 s; callers come as soon as one has started."""
+    """Start all hosts within 0.3 s, then send operations for ``seconds``."""
     rng = random.Random(seed)
     fleet = _Fleet(rng)
 
@@ -157,10 +157,10 @@
 
 
 @pytest.mark.parametrize("seed", range(8))
-def test_callers_inside_their_rates_are_served_behind_a_restart_of_all(
+def test_callers_within_their_rates_are_served_after_a_restart_of_all_hosts(
     seed: int,
 ) -> None:
-    """Nineteen of twenty that come within the first two seconds."""
+    """At least 95 % of the operations in the first two seconds are admitted."""
     outcomes = _restart(seed, 2.0).outcomes
     served = sum(admitted for _, admitted in outcomes)
     assert served >= 0.95 * len(outcomes)
@@ -168,7 +168,7 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_waiting_callers_never_exceed_rate_and_burst(seed: int) -> None:
-    """Over any window, those that waited for the first tokens included."""
+    """No window exceeds the limits, including waiters for the first tokens."""
     fleet = _restart(seed, 8.0)
     for name, times in fleet.admitted.items():
         limits = ORGANISATIONS[name]
@@ -177,7 +177,7 @@
             assert sum(t < at_s + WINDOW_S for t in times[n:]) <= allowed
 
 
-def _asked_by_an_idle_host_per_s(hosts: int) -> float:
+def _idle_requests_per_host_per_s(hosts: int) -> float:
     fleet = _Fleet(random.Random(0), hosts)
 
     async def main() -> None:
@@ -185,16 +185,16 @@
             for name in fleet.records:
                 nursery.start_soon(fleet.start, name, fleet.rng.uniform(0, 0.3))
             await trio.sleep(4)
-            fleet.asked = 0
+            fleet.request_count = 0
             await trio.sleep(4)
             nursery.cancel_scope.cancel()
 
     run_jumping(main)
-    # A broker asks itself, without a message.
-    return fleet.asked / (hosts - len(REGIONS)) / 4
+    # A broker sends no message for its own requests.
+    return fleet.request_count / (hosts - len(REGIONS)) / 4
 
 
-def test_an_idle_host_asks_as_often_whatever_the_size_of_its_fleet() -> None:
-    """Each question wakes two hosts: most of what a large fleet does when idle."""
-    small, large = map(_asked_by_an_idle_host_per_s, (18, 195))
+def test_idle_requests_per_host_do_not_grow_with_the_fleet() -> None:
+    """Each request wakes two hosts and dominates the idle load of a large fleet."""
+    small, large = map(_idle_requests_per_host_per_s, (18, 195))
     assert large <= 1.1 * small
