--- a/tests/test_rates_restart.py
+++ b/tests/test_rates_restart.py
@@ -108,7 +108,7 @@
 
 
 class _Connections:
-    """Connections of one host; after a timeout, hosts that have not started are dark."""
+    """Connections of one host; hosts found not started are dark until they start."""
 
     def __init__(self, fleet: _Fleet, own: HostRecord) -> None:
         self._fleet = fleet
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -1,7 +1,7 @@
-"""What crosses regions, in a fleet of many hosts.
+"""Traffic between regions, in a fleet of many hosts.
 
-No network: brokers, floors and gossip as plain objects, simulated time. Pattern:
-hundreds of hosts in three regions, one of which floods or loses its broker.
+No network: brokers, floors and gossip as plain objects in simulated time. Hosts are
+spread over three regions, one of which is flooded or loses its broker.
 """
 
 import math
@@ -53,15 +53,15 @@
 
 
 def test_deposits_stay_in_the_own_region() -> None:
-    """The first brokers asked are all of the asker's region."""
+    """The brokers tried first are all in the requesting host's own region."""
     for region, names in REGIONS.items():
-        nearest = brokers_by_region(region, REGIONS, lambda name: True)[0]
-        assert set(nearest) == set(range(SHARDS))
-        assert set(nearest.values()) <= set(names)
+        own_brokers = brokers_by_region(region, REGIONS, lambda name: True)[0]
+        assert set(own_brokers) == set(range(SHARDS))
+        assert set(own_brokers.values()) <= set(names)
 
 
-def test_every_region_is_asked_for_what_is_missing() -> None:
-    """A flood in one region may use what the others leave, region by region."""
+def test_missing_tokens_are_requested_from_every_region() -> None:
+    """A flood in one region may use what other regions leave, one after another."""
     found = brokers_by_region("tayside", REGIONS, lambda name: True)
     regions = [next(iter(brokers.values())).split("-")[0] for brokers in found]
     assert regions[0] == "tayside"
@@ -69,11 +69,11 @@
 
 
 @pytest.mark.parametrize("seed", range(10))
-def test_another_host_takes_the_place_of_a_dark_broker(seed: int) -> None:
-    """Hosts agree on the brokers but for those that are dark to one of them."""
+def test_another_host_replaces_a_dark_broker(seed: int) -> None:
+    """Hosts agree on the brokers, except for those that are dark to one of them."""
     rng = random.Random(seed)
-    usual = brokers_by_region("lothian", REGIONS, lambda name: True)[0]
-    dark = rng.choice(sorted(set(usual.values())))
+    original_brokers = brokers_by_region("lothian", REGIONS, lambda name: True)[0]
+    dark = rng.choice(sorted(set(original_brokers.values())))
     found = brokers_by_region("lothian", REGIONS, lambda name: name != dark)[0]
     assert dark not in found.values()
     assert set(found.values()) <= set(
@@ -81,8 +81,8 @@
     )
 
 
-def test_a_region_without_any_host_that_answers_is_passed_over() -> None:
-    """Its rates are out of reach; those of the other regions are not."""
+def test_a_region_without_available_hosts_is_skipped() -> None:
+    """Without available hosts a region has no brokers; other regions still have."""
     found = brokers_by_region(
         "lothian", REGIONS, lambda name: not name.startswith("lothian")
     )
@@ -97,12 +97,12 @@
         return self.now_s
 
 
-def test_a_floor_from_nearby_is_as_old_as_the_host_nearby_says() -> None:
-    """A position covers nothing that was acknowledged behind its proof."""
+def test_a_floor_from_a_nearby_host_has_the_reported_age() -> None:
+    """A position covers nothing that was acknowledged after its proof."""
     clock = _Clock()
 
     async def prove(service: str) -> ProofAnswer:
-        raise AssertionError("the primary is asked across regions")
+        raise AssertionError("the primary in another region was queried")
 
     async def nearby(service: str) -> FloorAnswer:
         clock.now_s += 0.1
@@ -115,10 +115,10 @@
 
 
 @pytest.mark.parametrize("answer", [None, FloorAnswer(None)])
-def test_the_primary_is_asked_where_nobody_nearby_knows(
+def test_the_primary_is_queried_if_no_nearby_host_has_a_floor(
     answer: FloorAnswer | None,
 ) -> None:
-    """A host nearby that is dark, or reaches no primary, costs one question."""
+    """A nearby host that is dark or reaches no primary costs one extra query."""
 
     async def prove(service: str) -> ProofAnswer:
         return ProofAnswer(Position(4, 1))
@@ -131,15 +131,15 @@
     assert floors.known(SERVICE, 50.0) == Position(4, 1)
 
 
-def test_many_hosts_nearby_cost_one_question_to_the_primary() -> None:
-    """A hundred hosts that ask within the reuse time share one proof."""
+def test_many_nearby_hosts_cause_one_query_to_the_primary() -> None:
+    """A hundred requests within the reuse time share one proof."""
     clock = _Clock()
-    asked = 0
+    proof_count = 0
 
     async def prove(service: str) -> ProofAnswer:
-        nonlocal asked
-        asked += 1
-        return ProofAnswer(Position(5, asked))
+        nonlocal proof_count
+        proof_count += 1
+        return ProofAnswer(Position(5, proof_count))
 
     floors = Floors(prove, clock)
 
@@ -150,11 +150,11 @@
             clock.now_s += 0.001
 
     trio.run(ask_all)
-    assert asked == 1
+    assert proof_count == 1
 
 
-def test_a_proof_handed_on_is_never_called_younger_than_it_is() -> None:
-    """The age of an answer that waited for the primary counts the wait."""
+def test_the_age_of_a_forwarded_proof_is_never_understated() -> None:
+    """The age in a response includes the time spent waiting for the primary."""
     clock = _Clock()
 
     async def prove(service: str) -> ProofAnswer:
@@ -183,48 +183,50 @@
 
 
 @pytest.mark.parametrize("seed", range(20))
-def test_news_reach_all_hosts_though_the_store_turns_many_away(seed: int) -> None:
-    """Both relays of a zone among them: copies spread by comparing alone, in time."""
+def test_updates_reach_all_hosts_though_the_store_refuses_many(seed: int) -> None:
+    """Gossip and polls suffice even if the store refuses both relays of a zone."""
     rng = random.Random(seed)
     names = [name for hosts in REGIONS.values() for name in hosts]
     gossips = {name: _gossip(name, rng) for name in names}
     relays = {name for name in names if gossips[name].is_relay()}
-    turned_away = {n for n in relays if n.startswith("lothian")}
-    turned_away |= set(rng.sample(names, len(names) * 35 // 100))
-    knows = relays - turned_away
+    refused_by_store = {n for n in relays if n.startswith("lothian")}
+    refused_by_store |= set(rng.sample(names, len(names) * 35 // 100))
+    informed = relays - refused_by_store
     in_force_s = 5.0
-    due_s = {name: rng.uniform(0, gossips[name].interval_s) for name in names}
+    next_exchange_s = {name: rng.uniform(0, gossips[name].interval_s) for name in names}
     polled_at_s = now_s = 0.0
 
-    def told(zone: str) -> set[str]:
-        return {name for name in REGIONS[zone] if rng.random() > LOST_PART}
+    def notify_zone(zone: str) -> set[str]:
+        return {name for name in REGIONS[zone] if rng.random() > LOST_RATIO}
 
     while now_s < in_force_s:
-        name = min(due_s, key=lambda n: due_s[n])
-        now_s = due_s[name]
-        due_s[name] += gossips[name].interval_s * rng.uniform(0.8, 1.2)
+        name = min(next_exchange_s, key=lambda n: next_exchange_s[n])
+        now_s = next_exchange_s[name]
+        next_exchange_s[name] += gossips[name].interval_s * rng.uniform(0.8, 1.2)
         partner = rng.choice(gossips[name]._partners()).name
-        if name not in knows and partner in knows and rng.random() > LOST_PART:
-            knows.add(name)
+        if name not in informed and partner in informed and rng.random() > LOST_RATIO:
+            informed.add(name)
             if name in relays:
-                knows |= told(name.partition("-")[0])
+                informed |= notify_zone(name.partition("-")[0])
         if now_s - polled_at_s >= in_force_s / POLLS_IN_TIME:
             polled_at_s = now_s
             for region in REGIONS:
                 reader = rng.choice(REGIONS[region])
-                if reader in turned_away or reader in knows:
+                if reader in refused_by_store or reader in informed:
                     continue
-                knows |= {reader, *told(region)}
-                reached = {r for r in sorted(relays) if rng.random() > LOST_PART}
-                zones = [relay.partition("-")[0] for relay in sorted(reached)]
-                knows |= reached.union(*map(told, zones))
-    assert knows == set(names)
+                informed |= {reader, *notify_zone(region)}
+                informed_relays = {
+                    r for r in sorted(relays) if rng.random() > LOST_RATIO
+                }
+                zones = [relay.partition("-")[0] for relay in sorted(informed_relays)]
+                informed |= informed_relays.union(*map(notify_zone, zones))
+    assert informed == set(names)
 
 
-def test_most_hosts_compare_copies_within_their_zone() -> None:
-    """A few relays carry news between regions; the others rarely ask there."""
+def test_most_hosts_compare_cached_copies_within_their_zone() -> None:
+    """Relays exchange updates between regions; other hosts rarely contact them."""
     rng = random.Random(1)
-    far = 0
+    other_zone_count = 0
     for name in REGIONS["lothian"]:
         gossip = _gossip(name, rng)
         if gossip.is_relay():
@@ -233,45 +235,47 @@
         for _ in range(20):
             partners = gossip._partners()
             assert any(p.zone == "lothian-a" for p in partners)
-            far += any(p.zone != "lothian-a" for p in partners)
-    assert 0 < far <= 0.6 * 20 * 22
+            other_zone_count += any(p.zone != "lothian-a" for p in partners)
+    assert 0 < other_zone_count <= 0.6 * 20 * 22
 
 
 SMALL_RATE = 3.0
 SLACK = 20
-PARTS = (24, 22, 19)
-# Messages between hosts that are lost or come too late.
-LOST_PART = 0.2
+HOSTS_PER_REGION = (24, 22, 19)
+# Fraction of messages between hosts that are lost or arrive too late.
+LOST_RATIO = 0.2
 STEP_S = 0.05
 WINDOW_S = 5.0
 
 
-def _run_small_organisation(
-    seed: int, asked_per_s: float, extra: float, steps: int = 4_000
+def _simulate_small_organisation(
+    seed: int, demand_per_s: float, extra_depth: float, steps: int = 4_000
 ) -> tuple[list[float], int]:
     """Return when operations were admitted, and how many were refused.
 
-    Three brokers hold the deposits of 65 hosts; each operation comes in a region
-    at random, asks the other regions for what is missing at home, and waits.
+    Three brokers hold the deposits of 65 hosts. Each operation arrives in a random
+    region, tries the other regions if its own has no token, and waits.
     """
     rng = random.Random(seed)
     clock = _Clock()
-    brokers = [TokenBroker(clock) for _ in PARTS]
+    brokers = [TokenBroker(clock) for _ in HOSTS_PER_REGION]
     shard = shard_of("kirk")
     admitted: list[float] = []
     refused = 0
     waiting: list[tuple[int, float]] = []
     for _ in range(steps):
         clock.now_s += STEP_S
-        for number, hosts in enumerate(PARTS):
+        for number, hosts in enumerate(HOSTS_PER_REGION):
             for host in range(hosts):
                 brokers[number].take_deposit(f"{host}", shard, 1 / 65, clock())
-        for _ in range(_poisson(rng, asked_per_s * STEP_S)):
+        for _ in range(_poisson(rng, demand_per_s * STEP_S)):
             waiting.append((rng.randrange(3), clock() + MAX_WAIT_S))
         for item in list(waiting):
             order = [brokers[(item[0] + offset) % 3] for offset in range(3)]
             want = TokenWant("kirk", 1)
-            if any(b.grant(want, SMALL_RATE, SMALL_RATE, extra).tokens for b in order):
+            if any(
+                b.grant(want, SMALL_RATE, SMALL_RATE, extra_depth).tokens for b in order
+            ):
                 admitted.append(clock())
                 waiting.remove(item)
             elif clock() >= item[1]:
@@ -280,7 +284,7 @@
     return admitted, refused
 
 
-def _refused_by_one_bucket(seed: int, asked_per_s: float) -> int:
+def _refused_by_single_bucket(seed: int, demand_per_s: float) -> int:
     rng = random.Random(seed)
     clock = _Clock()
     bucket = TokenBucket(clock)
@@ -288,7 +292,7 @@
     refused = 0
     for _ in range(4_000):
         clock.now_s += STEP_S
-        for _ in range(_poisson(rng, asked_per_s * STEP_S)):
+        for _ in range(_poisson(rng, demand_per_s * STEP_S)):
             rng.randrange(3)
             refused += not bucket.take()
     return refused
@@ -304,18 +308,20 @@
 
 @pytest.mark.parametrize("seed", range(5))
 def test_a_small_organisation_of_a_large_fleet_gets_its_rate(seed: int) -> None:
-    """No more is refused than by one bucket of its rate and burst for the fleet."""
-    asked_per_s = SMALL_RATE / 1.6
-    _, refused = _run_small_organisation(seed, asked_per_s, SLACK * EXTRA_DEPTH_RATIO)
-    _, refused_without = _run_small_organisation(seed, asked_per_s, 0.0)
-    refused_by_one = _refused_by_one_bucket(seed, asked_per_s)
-    assert refused <= refused_by_one < refused_without
+    """No more is refused than by a single bucket with the fleet's rate and burst."""
+    demand_per_s = SMALL_RATE / 1.6
+    _, refused = _simulate_small_organisation(
+        seed, demand_per_s, SLACK * EXTRA_DEPTH_RATIO
+    )
+    _, refused_without = _simulate_small_organisation(seed, demand_per_s, 0.0)
+    refused_by_single_bucket = _refused_by_single_bucket(seed, demand_per_s)
+    assert refused <= refused_by_single_bucket < refused_without
 
 
 @pytest.mark.parametrize("seed", range(5))
-def test_deeper_buckets_keep_a_flood_within_what_operators_allow(seed: int) -> None:
-    """In any window a flood gets rate, burst and the allowed slack at most."""
-    admitted, _ = _run_small_organisation(
+def test_deeper_buckets_keep_a_flood_within_the_allowed_slack(seed: int) -> None:
+    """In any window a flood gets at most rate, burst and the allowed slack."""
+    admitted, _ = _simulate_small_organisation(
         seed, 50.0, SLACK * EXTRA_DEPTH_RATIO, steps=1_000
     )
     allowed = (SMALL_RATE * WINDOW_S + SMALL_RATE) * 1.1 + SLACK
@@ -328,26 +334,26 @@
 
 @pytest.mark.parametrize("rate", [1.0, 3.0, 5.0, 40.0])
 @pytest.mark.parametrize("at_step", range(0, 100, 7))
-def test_a_restart_of_all_keeps_a_flood_within_what_operators_allow(
+def test_a_restart_of_all_hosts_keeps_a_flood_within_the_allowed_slack(
     rate: float, at_step: int
 ) -> None:
-    """All brokers start anew in the middle of a window, with their extra depth."""
+    """All brokers restart in the middle of a window, with their extra depth."""
     clock = _Clock()
     shard = shard_of("kirk")
-    extra = SLACK * EXTRA_DEPTH_RATIO
-    brokers = [TokenBroker(clock) for _ in PARTS]
+    extra_depth = SLACK * EXTRA_DEPTH_RATIO
+    brokers = [TokenBroker(clock) for _ in HOSTS_PER_REGION]
     admitted: list[float] = []
     for step in range(300):
         clock.now_s += STEP_S
         if step == 100 + at_step:
-            brokers = [TokenBroker(clock) for _ in PARTS]
-        for broker, hosts in zip(brokers, PARTS, strict=True):
+            brokers = [TokenBroker(clock) for _ in HOSTS_PER_REGION]
+        for broker, hosts in zip(brokers, HOSTS_PER_REGION, strict=True):
             for host in range(hosts):
                 broker.take_deposit(f"{host}", shard, 1 / 65, clock())
-            # A pause lets the buckets fill before the flood.
+            # Without wants until then, the buckets fill before the flood.
             if step >= 100:
                 want = TokenWant("kirk", 1_000)
-                granted = broker.grant(want, rate, rate, extra).tokens
+                granted = broker.grant(want, rate, rate, extra_depth).tokens
                 admitted += [clock()] * granted
     allowed = (rate * WINDOW_S + rate) * 1.1 + SLACK
     start = 0
@@ -358,25 +364,25 @@
 
 
 class _EmptyBrokers:
-    """Links to brokers that have no tokens; counts what they are asked for."""
+    """Connections to brokers without tokens; counts the token requests."""
 
     def __init__(self) -> None:
-        self.wanted = 0
+        self.request_count = 0
 
     def is_dark(self, peer: object) -> bool:
         return False
 
-    async def ask(self, peer: PeerAddress, question: Any, timeout_ms: int) -> Any:
+    async def ask(self, peer: PeerAddress, request: Any, timeout_ms: int) -> Any:
         await trio.sleep(0.01)
-        if isinstance(question, DepositQuestion):
+        if isinstance(request, DepositQuestion):
             return Ok(DepositAnswer(0))
-        self.wanted += bool(question.wants)
-        grants = tuple(TokenGrant(w.organisation, 0, 10) for w in question.wants)
+        self.request_count += bool(request.wants)
+        grants = tuple(TokenGrant(w.organisation, 0, 10) for w in request.wants)
         return Ok(PoolAnswer(Stamp(peer.name, 0.0), grants))
 
 
-def test_a_flood_asks_the_brokers_rarely() -> None:
-    """A flooding organisation costs its brokers twenty questions a second at most."""
+def test_a_flood_causes_few_broker_requests() -> None:
+    """A flooding organisation causes at most twenty broker requests per second."""
     brokers = _EmptyBrokers()
     directory = HostDirectory(lambda: None)
     for region, names in REGIONS.items():
@@ -411,4 +417,4 @@
             nursery.cancel_scope.cancel()
 
     run_jumping(flood)
-    assert 0 < brokers.wanted <= 2 * 20
+    assert 0 < brokers.request_count <= 2 * 20
