rates, flow: rename classes, methods and a module used elsewhere

rattanhollow.rates._rates -> rattanhollow.rates._leased PooledRates -> PooledRateLimiter PooledRateParts -> PooledRateLimiterParts Rates -> LeasedRateLimiter RateParts -> LeasedRateLimiterParts answer_deposit -> handle_deposit_request wait_for_token_s -> time_to_next_token_s start_with -> set_initial_tokens

In some files only, as the old word has other uses elsewhere: Rates -> LeasedRateLimiter: src/rattanhollow/proxy/_root.py and src/rattanhollow/proxy/_answer_peers.py (not the docstring of tests/test_token_pool.py) parts.rates.answer -> parts.rates.handle_pool_request: src/rattanhollow/host/_answer_peers.py parts.rates.answer -> parts.rates.handle_share_request: src/rattanhollow/proxy/_answer_peers.py responder.answer -> responder.handle_pool_request: tests/test_rates_restart.py

--- a/src/rattanhollow/coordination/_token_pool.py
+++ b/src/rattanhollow/coordination/_token_pool.py
@@ -158,7 +158,7 @@
         tokens = 0
         while tokens < want.tokens and bucket.take():
             tokens += 1
-        wait_ms = min(int(bucket.wait_for_token_s() * 1000) + 1, 60_000)
+        wait_ms = min(int(bucket.time_to_next_token_s() * 1000) + 1, 60_000)
         return TokenGrant(want.organisation, tokens, wait_ms)
 
     def refresh(
--- a/src/rattanhollow/flow/_token_bucket.py
+++ b/src/rattanhollow/flow/_token_bucket.py
@@ -27,7 +27,7 @@
         self._burst = burst
         self._tokens = min(self._tokens, burst)
 
-    def start_with(self, tokens: float) -> None:
+    def set_initial_tokens(self, tokens: float) -> None:
         """Set the initial number of tokens, which the caller accounts for."""
         self._tokens = tokens
 
@@ -44,7 +44,7 @@
         self._tokens -= 1
         return True
 
-    def wait_for_token_s(self) -> float:
+    def time_to_next_token_s(self) -> float:
         """Return the time until the next token at the current rate."""
         self._refill()
         missing = max(0.0, 1 - self._tokens)
--- a/src/rattanhollow/host/_answer_peers.py
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -17,7 +17,7 @@
     ReachAnswer,
     ReachQuestion,
 )
-from rattanhollow.rates import PooledRates
+from rattanhollow.rates import PooledRateLimiter
 from rattanhollow.routing import Floors, ServerDirectory
 from rattanhollow.serving import ProofQuestion, Serving, Work
 
@@ -27,7 +27,7 @@
 
     serving: Serving
     neighbours: NeighbourWatch
-    rates: PooledRates
+    rates: PooledRateLimiter
     gossip: Gossip
     directory: ServerDirectory
     floors: Floors
@@ -44,9 +44,9 @@
     if isinstance(question, FloorQuestion):
         return await parts.floors.answer(question.service)
     if isinstance(question, PoolQuestion):
-        return parts.rates.answer(question)
+        return parts.rates.handle_pool_request(question)
     if isinstance(question, DepositQuestion):
-        return parts.rates.answer_deposit(question)
+        return parts.rates.handle_deposit_request(question)
     if isinstance(question, CopyQuestion):
         return parts.gossip.answer(question)
     if isinstance(question, CopyNews):
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -38,7 +38,7 @@
     Message,
     Peers,
 )
-from rattanhollow.rates import PooledRateParts, PooledRates
+from rattanhollow.rates import PooledRateLimiter, PooledRateLimiterParts
 from rattanhollow.routing import (
     AgentParts,
     Agents,
@@ -111,8 +111,8 @@
             AgentParts(self._own, self.hosts, self.peers, self.serving, places)
         )
         self.floors = Floors(self._prove, now_s, self._ask_nearby)
-        self.rates = PooledRates(
-            PooledRateParts(
+        self.rates = PooledRateLimiter(
+            PooledRateLimiterParts(
                 organisations=lambda: self.routes.organisations,
                 own=self._own,
                 hosts=self.hosts,
--- a/src/rattanhollow/observe/_logs.py
+++ b/src/rattanhollow/observe/_logs.py
@@ -98,7 +98,7 @@
             per_s = QUIET_PER_S if quiet else LINES_PER_S
             room = self._rooms[event] = TokenBucket(self._clock)
             room.resize(per_s, at_once)
-            room.start_with(at_once)
+            room.set_initial_tokens(at_once)
         return room.take()
 
     def _put(self, event: str, line: str) -> None:
--- a/src/rattanhollow/proxy/_answer_peers.py
+++ b/src/rattanhollow/proxy/_answer_peers.py
@@ -18,7 +18,7 @@
 from rattanhollow.proxy._cancel import answer_cancel
 from rattanhollow.proxy._service import Service
 from rattanhollow.proxy._watch_all import GroupWatches
-from rattanhollow.rates import Rates
+from rattanhollow.rates import LeasedRateLimiter
 
 
 class Answerers(NamedTuple):
@@ -28,7 +28,7 @@
     watches: GroupWatches
     neighbours: NeighbourWatch
     freshness: Freshness
-    rates: Rates
+    rates: LeasedRateLimiter
     service: Service
 
 
@@ -46,7 +46,7 @@
     if isinstance(question, ConfigurationQuestion):
         return parts.freshness.configuration()
     if isinstance(question, ShareQuestion):
-        return parts.rates.answer(question)
+        return parts.rates.handle_share_request(question)
     if isinstance(question, CancelQuestion):
         return await answer_cancel(parts.service, question)
     return None
--- a/src/rattanhollow/proxy/_root.py
+++ b/src/rattanhollow/proxy/_root.py
@@ -46,7 +46,7 @@
 from rattanhollow.proxy._service import Callers, Service
 from rattanhollow.proxy._watch_all import GroupWatches
 from rattanhollow.proxy._watch_primary import WatchParts
-from rattanhollow.rates import RateParts, Rates
+from rattanhollow.rates import LeasedRateLimiter, LeasedRateLimiterParts
 from rattanhollow.records import RecordError
 from rattanhollow.settings import ProxySettings
 from rattanhollow.sql import classifier
@@ -120,7 +120,7 @@
         reach = Reach(self._own_record, self.hosts, self.peers, rng)
         self.freshness = Freshness(self._configurations, reach)
         self._watches = GroupWatches(self.groups, self._watch_parts())
-        self.rates = Rates(self._rate_parts())
+        self.rates = LeasedRateLimiter(self._rate_parts())
         self._drained = trio.Event()
 
     async def run(
@@ -272,8 +272,8 @@
         )
         return await answer_peer(question, self._own_record(), parts)
 
-    def _rate_parts(self) -> RateParts:
-        return RateParts(
+    def _rate_parts(self) -> LeasedRateLimiterParts:
+        return LeasedRateLimiterParts(
             organisations=lambda: self.configuration.organisations,
             own=self._own_record,
             hosts=self.hosts,
--- a/src/rattanhollow/rates/__init__.py
+++ b/src/rattanhollow/rates/__init__.py
@@ -1,15 +1,22 @@
 """Fleet-wide rate limits of organisations."""
 
 from rattanhollow.rates._brokers import broker_candidates, brokers_by_region
-from rattanhollow.rates._pooled import Admission, PooledRateParts, PooledRates
-from rattanhollow.rates._rates import RateParts, Rates
+from rattanhollow.rates._leased import (
+    LeasedRateLimiter,
+    LeasedRateLimiterParts,
+)
+from rattanhollow.rates._pooled import (
+    Admission,
+    PooledRateLimiter,
+    PooledRateLimiterParts,
+)
 
 __all__ = [
     "Admission",
-    "PooledRateParts",
-    "PooledRates",
-    "RateParts",
-    "Rates",
-    "brokers_by_region",
+    "LeasedRateLimiter",
+    "LeasedRateLimiterParts",
+    "PooledRateLimiter",
+    "PooledRateLimiterParts",
     "broker_candidates",
+    "brokers_by_region",
 ]
--- a/src/rattanhollow/rates/_rates.py
+++ b/src/rattanhollow/rates/_leased.py
@@ -37,7 +37,7 @@
 RESERVED_RATIO = 0.1
 
 
-class RateParts(NamedTuple):
+class LeasedRateLimiterParts(NamedTuple):
     """Dependencies of the rate limiter."""
 
     organisations: Callable[[], dict[str, Organisation]]
@@ -62,10 +62,10 @@
         self.used_at_s = time.monotonic()
 
 
-class Rates:
+class LeasedRateLimiter:
     """Admits requests of organisations within their rates."""
 
-    def __init__(self, parts: RateParts) -> None:
+    def __init__(self, parts: LeasedRateLimiterParts) -> None:
         self._parts = parts
         self.follower = Follower(LEASE_KIND, lambda item, name: None)
         self._states: dict[str, _OrganisationState] = {}
@@ -123,7 +123,7 @@
         for lease in self._leases.values():
             await lease.release()
 
-    def answer(self, request: ShareQuestion) -> ShareAnswer:
+    def handle_share_request(self, request: ShareQuestion) -> ShareAnswer:
         """Grant shares to another host, for the shards that this host owns."""
         grants = [self._grant(request.host, ask) for ask in request.asks]
         return ShareAnswer(tuple(grant for grant in grants if grant is not None))
@@ -181,7 +181,7 @@
         asks = tuple(self._build_ask(name, sent_at_s) for name in names)
         request = ShareQuestion(self._parts.own().incarnation, asks)
         if self._leases[shard].is_held():
-            self._apply_grants(self.answer(request), sent_at_s)
+            self._apply_grants(self.handle_share_request(request), sent_at_s)
             return
         owner = self._parts.hosts.by_incarnation(self._leases[shard].seen_holder)
         if owner is None:
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -81,7 +81,7 @@
 MIN_RETRY_AFTER_MS = 50
 
 
-class PooledRateParts(NamedTuple):
+class PooledRateLimiterParts(NamedTuple):
     """Dependencies of the rate limiter; ``clock`` also advances while suspended.
 
     ``region_of(zone)`` returns the region of an availability zone.
@@ -196,10 +196,10 @@
         self.held_until_s = max(self.held_until_s, held_until_s)
 
 
-class PooledRates:
+class PooledRateLimiter:
     """Admits operations of organisations within their rates."""
 
-    def __init__(self, parts: PooledRateParts) -> None:
+    def __init__(self, parts: PooledRateLimiterParts) -> None:
         self._parts = parts
         self._started_at_s = parts.clock()
         self._depositor = Depositor(parts.clock())
@@ -281,7 +281,7 @@
             left_s = until_s - self._parts.clock()
             if left_s <= 0:
                 return
-            own_s = state.bucket.wait_for_token_s() + TIMER_SLACK_S
+            own_s = state.bucket.time_to_next_token_s() + TIMER_SLACK_S
             with trio.move_on_after(min(left_s, own_s)):
                 await waiter.decided.wait()
             if state.waiters and state.waiters[0] is waiter and state.bucket.take():
@@ -356,12 +356,12 @@
             previous.record_response(record, until_s)
         previous.pending.discard(record.incarnation)
 
-    def answer_deposit(self, request: DepositQuestion) -> DepositAnswer:
+    def handle_deposit_request(self, request: DepositQuestion) -> DepositAnswer:
         """Return for how long deposits of a newly started host are held here."""
         left_s = self._broker.holds_until_s(request.host) - self._parts.clock()
         return DepositAnswer(max(0, math.ceil(min(max(left_s, 0), DEPOSIT_S) * 1000)))
 
-    def answer(self, request: PoolQuestion) -> PoolAnswer:
+    def handle_pool_request(self, request: PoolQuestion) -> PoolAnswer:
         """Accept deposits of a host and grant it tokens."""
         own = self._parts.own().incarnation
         organisations = self._parts.organisations()
@@ -405,7 +405,7 @@
         state = self._states.get(organisation)
         if state is None:
             state = self._states[organisation] = _OrganisationState(self._parts.clock)
-            state.bucket.start_with(self._initial_tokens())
+            state.bucket.set_initial_tokens(self._initial_tokens())
         return state
 
     def _initial_tokens(self) -> float:
@@ -540,7 +540,7 @@
         response: object = None
         try:
             if broker == own.name:
-                response = self.answer(request)
+                response = self.handle_pool_request(request)
             else:
                 record = self._parts.hosts.find(broker)
                 if record is not None:
@@ -594,7 +594,7 @@
         state.empty_until_s = now_s + NO_TOKENS_PERIOD_S
         state.next_request_at_s = now_s + REQUEST_RETRY_DELAY_S
         state.wait_ms, state.min_wait_ms = state.min_wait_ms, MAX_RETRY_AFTER_MS
-        own_ms = state.bucket.wait_for_token_s() * 1000
+        own_ms = state.bucket.time_to_next_token_s() * 1000
         wait_too_long = min(own_ms, state.wait_ms) > MAX_WAIT_S * 1000
         # Each host that starts deposits more, so waits get shorter during startup.
         if wait_too_long and not self._is_starting():
--- a/tests/test_rates_restart.py
+++ b/tests/test_rates_restart.py
@@ -24,7 +24,7 @@
     PeerAddress,
     PoolQuestion,
 )
-from rattanhollow.rates import PooledRateParts, PooledRates
+from rattanhollow.rates import PooledRateLimiter, PooledRateLimiterParts
 from rattanhollow.store import Stored
 
 REGIONS = ("lothian", "tayside", "highland")
@@ -52,7 +52,7 @@
             f"h{n}": HostRecord(f"h{n}", "10.0.0.1", REGIONS[n % 3], 1, "", "earlier")
             for n in range(hosts)
         }
-        self.running: dict[str, PooledRates] = {}
+        self.running: dict[str, PooledRateLimiter] = {}
         self.directories: dict[str, HostDirectory] = {}
         self.admitted: dict[str, list[float]] = {name: [] for name in ORGANISATIONS}
         self.outcomes: list[tuple[float, bool]] = []
@@ -65,8 +65,8 @@
             directory.follower.offer(Stored("hosts", other, 1, record._asdict()))
         self.directories[name] = directory
         record = self.records[name]._replace(incarnation=f"{name}-again")
-        rates = PooledRates(
-            PooledRateParts(
+        rates = PooledRateLimiter(
+            PooledRateLimiterParts(
                 organisations=lambda: ORGANISATIONS,
                 own=lambda: record,
                 hosts=directory,
@@ -131,10 +131,10 @@
         await trio.sleep(LATENCY_S[same_region])
         answer: Any
         if isinstance(request, DepositQuestion):
-            answer = responder.answer_deposit(request)
+            answer = responder.handle_deposit_request(request)
         else:
             assert isinstance(request, PoolQuestion)
-            answer = responder.answer(request)
+            answer = responder.handle_pool_request(request)
         return Ok(answer)
 
 
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -35,8 +35,8 @@
     PoolAnswer,
 )
 from rattanhollow.rates import (
-    PooledRateParts,
-    PooledRates,
+    PooledRateLimiter,
+    PooledRateLimiterParts,
     broker_candidates,
     brokers_by_region,
 )
@@ -393,8 +393,8 @@
     assert own is not None
 
     async def flood() -> None:
-        rates = PooledRates(
-            PooledRateParts(
+        rates = PooledRateLimiter(
+            PooledRateLimiterParts(
                 organisations=lambda: {
                     "kirk": Organisation("kirk", keys=(), rate_per_s=100, burst=100)
                 },
