--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -181,15 +181,15 @@
     async def main() -> None:
         clock = Clock()
         store = local_store(ObjectTable())
-        one, other = (Lease(store, "x", n, LEASE_S, clock=clock) for n in "ab")
-        await one.step()
-        await other.step()
-        assert (one.is_held(), other.is_held()) == (True, False)
-        assert not one.had_predecessor
-        await one.release()
-        await other.step()
-        assert (one.is_held(), other.is_held()) == (False, True)
-        assert other.had_predecessor
+        first, second = (Lease(store, "x", n, LEASE_S, clock=clock) for n in "ab")
+        await first.step()
+        await second.step()
+        assert (first.is_held(), second.is_held()) == (True, False)
+        assert not first.had_predecessor
+        await first.release()
+        await second.step()
+        assert (first.is_held(), second.is_held()) == (False, True)
+        assert second.had_predecessor
 
     run_trio(main)
 
@@ -206,7 +206,7 @@
     admitted = unexpected = 0
     started_at_s = trio.current_time()
 
-    async def one(client: Any) -> None:
+    async def send_requests(client: Any) -> None:
         nonlocal admitted, unexpected
         while trio.current_time() - started_at_s < 4:
             result = await client.run("SELECT 1")
@@ -217,7 +217,7 @@
 
     async with trio.open_nursery() as nursery:
         for client in clients:
-            nursery.start_soon(one, client)
+            nursery.start_soon(send_requests, client)
     return admitted, trio.current_time() - started_at_s, unexpected
 
 
--- a/tests/test_rates_restart.py
+++ b/tests/test_rates_restart.py
@@ -129,13 +129,13 @@
             return Err(AskFailure("not started", sent=False))
         same_region = self._fleet.records[peer.name].zone == self._own.zone
         await trio.sleep(LATENCY_S[same_region])
-        answer: Any
+        response: Any
         if isinstance(request, DepositQuestion):
-            answer = responder.handle_deposit_request(request)
+            response = responder.handle_deposit_request(request)
         else:
             assert isinstance(request, PoolQuestion)
-            answer = responder.handle_pool_request(request)
-        return Ok(answer)
+            response = responder.handle_pool_request(request)
+        return Ok(response)
 
 
 def _restart(seed: int, seconds: float) -> _Fleet:
