--- a/src/rattanhollow/host/_answer_peers.py
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -17,7 +17,7 @@
     ReachAnswer,
     ReachQuestion,
 )
-from rattanhollow.rates import PooledRates
+from rattanhollow.rates import PooledRateLimiter
 from rattanhollow.routing import FloorCache, ServerDirectory
 from rattanhollow.serving import ProofQuestion, Serving, Work
 
@@ -27,7 +27,7 @@
 
     serving: Serving
     neighbours: NeighbourWatch
-    rates: PooledRates
+    rates: PooledRateLimiter
     gossip: Gossip
     directory: ServerDirectory
     floors: FloorCache
@@ -44,9 +44,9 @@
     if isinstance(question, FloorQuestion):
         return await parts.floors.respond_to_host(question.service)
     if isinstance(question, PoolQuestion):
-        return parts.rates.answer(question)
+        return parts.rates.handle_pool_request(question)
     if isinstance(question, DepositQuestion):
-        return parts.rates.answer_deposit(question)
+        return parts.rates.handle_deposit_request(question)
     if isinstance(question, CopyQuestion):
         return parts.gossip.comparison_response(question)
     if isinstance(question, CopyNews):
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -38,7 +38,7 @@
     Message,
     Peers,
 )
-from rattanhollow.rates import PooledRateParts, PooledRates
+from rattanhollow.rates import PooledRateLimiter, PooledRateLimiterParts
 from rattanhollow.routing import (
     DispatcherDependencies,
     FloorCache,
@@ -115,8 +115,8 @@
             )
         )
         self.floors = FloorCache(self._prove, now_s, self._ask_nearby)
-        self.rates = PooledRates(
-            PooledRateParts(
+        self.rates = PooledRateLimiter(
+            PooledRateLimiterParts(
                 organisations=lambda: self.routes.organisations,
                 own=self._own,
                 hosts=self.hosts,
