Rename the token pool's constants and deposit methods

Mechanical rename, no other change:

KEPT_PART -> KEPT_FRACTION kept_part -> kept_fraction DEPOSIT_S -> DEPOSIT_LIFETIME_S TOKEN_S -> TOKEN_LIFETIME_S take_deposit -> accept_deposit nothing_earlier -> clear_previous_start

--- a/src/rattanhollow/coordination/__init__.py
+++ b/src/rattanhollow/coordination/__init__.py
@@ -29,24 +29,24 @@
 from rattanhollow.coordination._shares import Holding, Share, ShareOwner
 from rattanhollow.coordination._suspicion import Vote, agreed
 from rattanhollow.coordination._token_pool import (
-    DEPOSIT_S,
-    KEPT_PART,
+    DEPOSIT_LIFETIME_S,
+    KEPT_FRACTION,
     SHARDS,
-    TOKEN_S,
+    TOKEN_LIFETIME_S,
     Depositor,
     Stamp,
     TokenBroker,
     TokenGrant,
     TokenWant,
-    kept_part,
+    kept_fraction,
     shard_of,
 )
 from rattanhollow.flow import TokenBucket
 
 __all__ = [
-    "DEPOSIT_S",
+    "DEPOSIT_LIFETIME_S",
     "GROUP_KIND",
-    "KEPT_PART",
+    "KEPT_FRACTION",
     "SHARDS",
     "LEASE_KIND",
     "NO_GROUP",
@@ -67,7 +67,7 @@
     "Step",
     "Succession",
     "Survival",
-    "TOKEN_S",
+    "TOKEN_LIFETIME_S",
     "TokenBroker",
     "TokenBucket",
     "TokenGrant",
@@ -78,7 +78,7 @@
     "follow_all",
     "group_state_from_spec",
     "group_state_spec",
-    "kept_part",
+    "kept_fraction",
     "parse_position",
     "ranked",
     "shard_of",
--- a/src/rattanhollow/coordination/_token_pool.py
+++ b/src/rattanhollow/coordination/_token_pool.py
@@ -17,15 +17,15 @@
 
 # A deposit is renewed several times before it ends. While it lasts behind its
 # broker's death, or its depositor's, hosts have only what they kept.
-DEPOSIT_S = 1.5
+DEPOSIT_LIFETIME_S = 1.5
 # How long behind its start a broker's buckets begin with their extra depth.
 YOUNG_S = 3.0
 # The part of its own share that a host never deposits.
-KEPT_PART = 0.5
+KEPT_FRACTION = 0.5
 # Organisations whose parts are deposited together.
 SHARDS = 16
 # A token that wasn't used is given up: so few of them are about at any time.
-TOKEN_S = 0.8
+TOKEN_LIFETIME_S = 0.8
 
 
 class Stamp(NamedTuple):
@@ -62,12 +62,12 @@
     return int.from_bytes(digest) % SHARDS
 
 
-def kept_part(burst: float, base: float) -> float:
+def kept_fraction(burst: float, base: float) -> float:
     """Return how much of its own part ``base`` of a rate a host keeps.
 
     Nothing where that would never make up a whole token.
     """
-    return KEPT_PART if burst * base * KEPT_PART >= 1 else 0.0
+    return KEPT_FRACTION if burst * base * KEPT_FRACTION >= 1 else 0.0
 
 
 class Depositor:
@@ -77,9 +77,11 @@
     """
 
     def __init__(self, started_at_s: float) -> None:
-        self._until_s = {n: {"": started_at_s + DEPOSIT_S} for n in range(SHARDS)}
+        self._until_s = {
+            n: {"": started_at_s + DEPOSIT_LIFETIME_S} for n in range(SHARDS)
+        }
 
-    def nothing_earlier(self) -> None:
+    def clear_previous_start(self) -> None:
         """Note that no broker holds anything of an earlier start."""
         for brokers in self._until_s.values():
             brokers.pop("", None)
@@ -93,7 +95,7 @@
         brokers = self._until_s[shard]
         if any(name != broker and until > now_s for name, until in brokers.items()):
             return False
-        self._until_s[shard] = {broker: now_s + DEPOSIT_S}
+        self._until_s[shard] = {broker: now_s + DEPOSIT_LIFETIME_S}
         return True
 
 
@@ -111,7 +113,7 @@
         self._started_at_s = clock()
         self._credited: dict[str, float] = {}
 
-    def take_deposit(
+    def accept_deposit(
         self, host: str, shard: int, base: float, stamped_at_s: float
     ) -> bool:
         """Take what a host doesn't keep of its own part ``base``.
@@ -121,7 +123,7 @@
         """
         deposits = self._deposits.setdefault(shard, {})
         known = deposits.get(host)
-        deposit = deposits[host] = _Deposit(base, stamped_at_s + DEPOSIT_S)
+        deposit = deposits[host] = _Deposit(base, stamped_at_s + DEPOSIT_LIFETIME_S)
         lasting_until_s = self._lasting_until_s.get(shard, math.inf)
         self._lasting_until_s[shard] = min(lasting_until_s, deposit.until_s)
         if known is not None and known.base == base and known.until_s > self._clock():
@@ -172,7 +174,9 @@
         parts = self._parts.setdefault(shard, {})
         if burst not in parts:
             bases = [item.base for item in self._deposits.get(shard, {}).values()]
-            parts[burst] = sum(base * (1 - kept_part(burst, base)) for base in bases)
+            parts[burst] = sum(
+                base * (1 - kept_fraction(burst, base)) for base in bases
+            )
         return parts[burst]
 
     def _end_deposits(self, shard: int) -> None:
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -9,15 +9,15 @@
 
 from rattanhollow.configuration import Organisation
 from rattanhollow.coordination import (
-    DEPOSIT_S,
-    TOKEN_S,
+    DEPOSIT_LIFETIME_S,
+    TOKEN_LIFETIME_S,
     Depositor,
     Stamp,
     TokenBroker,
     TokenBucket,
     TokenGrant,
     TokenWant,
-    kept_part,
+    kept_fraction,
     shard_of,
 )
 from rattanhollow.membership import HostDirectory, HostRecord
@@ -309,7 +309,7 @@
         """
         earlier = _Earlier(self._parts.clock())
         async with trio.open_nursery() as nursery:
-            while self._parts.clock() < earlier.held_until_s + DEPOSIT_S:
+            while self._parts.clock() < earlier.held_until_s + DEPOSIT_LIFETIME_S:
                 await trio.sleep(LOOK_INTERVAL_S)
                 if self._parts.clock() < self._counted_at_s:
                     continue
@@ -317,7 +317,7 @@
                 if not others:
                     left_s = earlier.held_until_s - self._parts.clock()
                     await trio.sleep(max(0.0, left_s))
-                    self._depositor.nothing_earlier()
+                    self._depositor.clear_previous_start()
                     break
                 for record in others:
                     if earlier.asks(record):
@@ -344,7 +344,9 @@
     def answer_deposit(self, question: DepositQuestion) -> DepositAnswer:
         """Tell a host that has started whether anything of it is held here."""
         left_s = self._broker.holds_until_s(question.host) - self._parts.clock()
-        return DepositAnswer(max(0, math.ceil(min(max(left_s, 0), DEPOSIT_S) * 1000)))
+        return DepositAnswer(
+            max(0, math.ceil(min(max(left_s, 0), DEPOSIT_LIFETIME_S) * 1000))
+        )
 
     def answer(self, question: PoolQuestion) -> PoolAnswer:
         """Take deposits of another host, and grant it tokens."""
@@ -355,7 +357,7 @@
             changed = {
                 shard
                 for shard in question.shards
-                if self._broker.take_deposit(
+                if self._broker.accept_deposit(
                     question.host, shard, question.base, question.stamp.at_s
                 )
             }
@@ -414,7 +416,7 @@
         now_s = self._parts.clock()
         part = base = self._base()
         if self._depositor.is_deposited(shard_of(name), now_s):
-            part = base * kept_part(limits.burst, base)
+            part = base * kept_fraction(limits.burst, base)
         local.bucket.resize(limits.rate_per_s * part, limits.burst * part)
 
     def _measure(self, interval_s: float) -> None:
@@ -547,7 +549,7 @@
         if local is None:
             return
         now_s = self._parts.clock()
-        local.add(grant.tokens, asked_at_s + TOKEN_S)
+        local.add(grant.tokens, asked_at_s + TOKEN_LIFETIME_S)
         while local.waiters and local.take(now_s):
             local.waiters.popleft().decide(admitted=True)
         if grant.tokens >= wanted:
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -265,7 +265,7 @@
         clock.now_s += STEP_S
         for number, hosts in enumerate(PARTS):
             for host in range(hosts):
-                brokers[number].take_deposit(f"{host}", shard, 1 / 65, clock())
+                brokers[number].accept_deposit(f"{host}", shard, 1 / 65, clock())
         for _ in range(_poisson(rng, asked_per_s * STEP_S)):
             waiting.append((rng.randrange(3), clock() + WAIT_AT_MOST_S))
         for item in list(waiting):
@@ -341,7 +341,7 @@
             brokers = [TokenBroker(clock) for _ in PARTS]
         for broker, hosts in zip(brokers, PARTS, strict=True):
             for host in range(hosts):
-                broker.take_deposit(f"{host}", shard, 1 / 65, clock())
+                broker.accept_deposit(f"{host}", shard, 1 / 65, clock())
             # A pause lets the buckets fill before the flood.
             if step >= 100:
                 want = TokenWant("kirk", 1_000)
--- a/tests/test_token_pool.py
+++ b/tests/test_token_pool.py
@@ -10,15 +10,15 @@
 import pytest
 
 from rattanhollow.coordination import (
-    TOKEN_S,
+    TOKEN_LIFETIME_S,
     Depositor,
     TokenBroker,
     TokenBucket,
     TokenWant,
-    kept_part,
+    kept_fraction,
     shard_of,
 )
-from rattanhollow.coordination._token_pool import DEPOSIT_S
+from rattanhollow.coordination._token_pool import DEPOSIT_LIFETIME_S
 
 ORGANISATION = "kirk"
 SHARD = shard_of(ORGANISATION)
@@ -74,7 +74,7 @@
             return True
         part = self.base
         if self.depositor.is_deposited(SHARD, now_s):
-            part *= kept_part(self.burst, self.base)
+            part *= kept_fraction(self.burst, self.base)
         self.bucket.resize(self.rate * part, self.burst * part)
         return self.bucket.take()
 
@@ -119,14 +119,14 @@
             return
         stamped_at_s = host.stamps.get(broker.name)
         if deposits and stamped_at_s is not None:
-            broker.broker.take_deposit(host.name, SHARD, host.base, stamped_at_s)
+            broker.broker.accept_deposit(host.name, SHARD, host.base, stamped_at_s)
         want = TokenWant(ORGANISATION, 10)
         grant = broker.broker.grant(want, host.rate, host.burst)
         if self.rng.random() < 0.1:
             return
         host.stamps[broker.name] = now_s
         late_s = self.rng.choice([0.0, 0.05, 0.3])
-        until_s = now_s + TOKEN_S
+        until_s = now_s + TOKEN_LIFETIME_S
         self.in_flight.append(Grant(now_s + late_s, host.name, grant.tokens, until_s))
 
     def _deliver(self) -> None:
@@ -178,8 +178,8 @@
     depositor = Depositor(started_at_s=50.0)
     assert depositor.is_deposited(SHARD, 50.1)
     assert not depositor.deposit(SHARD, "b", 50.1)
-    assert not depositor.is_deposited(SHARD, 50.0 + DEPOSIT_S)
-    assert depositor.deposit(SHARD, "b", 50.0 + DEPOSIT_S)
+    assert not depositor.is_deposited(SHARD, 50.0 + DEPOSIT_LIFETIME_S)
+    assert depositor.deposit(SHARD, "b", 50.0 + DEPOSIT_LIFETIME_S)
 
 
 def test_a_part_is_deposited_with_one_broker_at_a_time() -> None:
@@ -188,16 +188,16 @@
     assert depositor.deposit(SHARD, "one", 10.0)
     assert depositor.deposit(SHARD, "one", 10.5)
     assert not depositor.deposit(SHARD, "two", 10.6)
-    assert depositor.deposit(SHARD, "two", 10.5 + DEPOSIT_S)
+    assert depositor.deposit(SHARD, "two", 10.5 + DEPOSIT_LIFETIME_S)
 
 
 def test_tokens_of_a_deposit_end_with_it() -> None:
     """A broker hands nothing out of a deposit that its owner uses again."""
     clock = Clock()
     broker = TokenBroker(clock)
-    broker.take_deposit("h", SHARD, 1.0, clock())
+    broker.accept_deposit("h", SHARD, 1.0, clock())
     broker.refresh(ORGANISATION, RATE, BURST)
-    clock.now_s += DEPOSIT_S - 0.1
+    clock.now_s += DEPOSIT_LIFETIME_S - 0.1
     assert broker.grant(TokenWant(ORGANISATION, 5), RATE, BURST).tokens == 5
     clock.now_s += 0.2
     assert broker.grant(TokenWant(ORGANISATION, 5), RATE, BURST).tokens == 0
