Reword the token pool

Comments and docstrings in usual terms: deposits expire, brokers grant tokens. Internal names say fraction and expiry instead of part and until.

--- a/src/rattanhollow/coordination/_token_pool.py
+++ b/src/rattanhollow/coordination/_token_pool.py
@@ -1,10 +1,11 @@
-"""Sharing a rate among hosts without an owner.
-
-Every host has an equal part of each rate. It keeps some of it, and deposits the
-rest with a broker, which hands tokens out of all deposits to whoever asks. A
-deposit ends by itself; until then its depositor leaves that part alone. So the
-parts in use never add up to more than the whole, whatever is lost, whoever dies,
-and also where hosts differ on who the broker is.
+"""Distributed rate limiting through token brokers.
+
+Each host is allotted an equal fraction of every rate. It keeps some of that
+fraction and deposits the rest with a broker, which grants tokens out of all
+deposits on request. Deposits expire, and a host doesn't use a deposited fraction
+before the deposit has expired. The fractions in use therefore never exceed the
+configured rate, even if messages are lost, hosts fail, or hosts disagree on which
+host is the broker.
 """
 
 import functools
@@ -15,35 +16,35 @@
 
 from rattanhollow.flow import TokenBucket
 
-# A deposit is renewed several times before it ends. While it lasts behind its
-# broker's death, or its depositor's, hosts have only what they kept.
+# A deposit is renewed several times before it expires. After its broker or its
+# depositor has failed, hosts are limited to what they kept until it expires.
 DEPOSIT_LIFETIME_S = 1.5
-# How long behind its start a broker's buckets begin with their extra depth.
-YOUNG_S = 3.0
-# The part of its own share that a host never deposits.
+# For how long after its start a broker fills the extra depth of its buckets.
+START_CREDIT_S = 3.0
+# The fraction of its own allotment that a host never deposits.
 KEPT_FRACTION = 0.5
-# Organisations whose parts are deposited together.
+# The organisations of a shard are deposited together.
 SHARDS = 16
-# A token that wasn't used is given up: so few of them are about at any time.
+# Unused tokens expire, which limits how many are outstanding at any time.
 TOKEN_LIFETIME_S = 0.8
 
 
 class Stamp(NamedTuple):
-    """A time of the broker's clock, which shows how late a message is."""
+    """A reading of the broker's clock, by which it detects delayed messages."""
 
     broker: str
     at_s: float
 
 
 class TokenWant(NamedTuple):
-    """How many operations of an organisation a host wants to admit."""
+    """A request for tokens to admit operations of an organisation."""
 
     organisation: str
     tokens: int
 
 
 class TokenGrant(NamedTuple):
-    """How many may be admitted; ``wait_ms`` until there are more."""
+    """The tokens granted; more are available after ``wait_ms``."""
 
     organisation: str
     tokens: int
@@ -52,7 +53,7 @@
 
 class _Deposit(NamedTuple):
     base: float
-    until_s: float
+    expires_at_s: float
 
 
 @functools.cache
@@ -63,100 +64,109 @@
 
 
 def kept_fraction(burst: float, base: float) -> float:
-    """Return how much of its own part ``base`` of a rate a host keeps.
+    """Return the fraction of its allotment ``base`` that a host keeps.
 
-    Nothing where that would never make up a whole token.
+    Zero if what it keeps could never add up to a whole token.
     """
     return KEPT_FRACTION if burst * base * KEPT_FRACTION >= 1 else 0.0
 
 
 class Depositor:
-    """Which of a host's shards are deposited, and with whom.
+    """Tracks which of a host's shards are deposited, and with which broker.
 
-    An earlier start of the host may have deposited all of them.
+    At first all shards count as deposited with an unknown broker, because the host
+    may have deposited them before a restart.
     """
 
     def __init__(self, started_at_s: float) -> None:
-        self._until_s = {
+        self._expiries_s = {
             n: {"": started_at_s + DEPOSIT_LIFETIME_S} for n in range(SHARDS)
         }
 
     def clear_previous_start(self) -> None:
-        """Note that no broker holds anything of an earlier start."""
-        for brokers in self._until_s.values():
+        """Clear the assumed deposits of a previous start, once no broker holds any."""
+        for brokers in self._expiries_s.values():
             brokers.pop("", None)
 
     def is_deposited(self, shard: int, now_s: float) -> bool:
-        """Whether a host may use only what it keeps of a shard's rates."""
-        return any(until_s > now_s for until_s in self._until_s[shard].values())
+        """Whether the host is limited to what it keeps of a shard's rates."""
+        return any(expiry_s > now_s for expiry_s in self._expiries_s[shard].values())
 
     def deposit(self, shard: int, broker: str, now_s: float) -> bool:
-        """Deposit a shard's part, from now on; False while another broker has it."""
-        brokers = self._until_s[shard]
-        if any(name != broker and until > now_s for name, until in brokers.items()):
+        """Deposit a shard, or renew it; False while another broker holds it."""
+        brokers = self._expiries_s[shard]
+        if any(
+            name != broker and expiry_s > now_s for name, expiry_s in brokers.items()
+        ):
             return False
-        self._until_s[shard] = {broker: now_s + DEPOSIT_LIFETIME_S}
+        self._expiries_s[shard] = {broker: now_s + DEPOSIT_LIFETIME_S}
         return True
 
 
 class TokenBroker:
-    """Hands out tokens of the rates whose parts were deposited."""
+    """Grants tokens out of the fractions of rates that hosts deposited."""
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._deposits: dict[int, dict[str, _Deposit]] = {}
         self._buckets: dict[str, TokenBucket] = {}
-        # Parts worked out, by burst, while a shard's deposits stay the same, and
-        # a time before which none of them ends.
-        self._parts: dict[int, dict[float, float]] = {}
-        self._lasting_until_s: dict[int, float] = {}
+        # Deposited fractions per shard and burst, cached until the shard's deposits
+        # change, and a time before which none of its deposits expires.
+        self._fractions: dict[int, dict[float, float]] = {}
+        self._next_expiry_s: dict[int, float] = {}
         self._started_at_s = clock()
-        self._credited: dict[str, float] = {}
+        self._credited_fractions: dict[str, float] = {}
 
     def accept_deposit(
         self, host: str, shard: int, base: float, stamped_at_s: float
     ) -> bool:
-        """Take what a host doesn't keep of its own part ``base``.
+        """Accept a deposit of what a host doesn't keep of its allotment ``base``.
 
-        It was sent after this broker's time ``stamped_at_s``. Returns whether
-        more, or less, is deposited than before.
+        The deposit was sent after ``stamped_at_s`` on this broker's clock, and
+        expires relative to that time. Returns whether the deposited total changed.
         """
         deposits = self._deposits.setdefault(shard, {})
-        known = deposits.get(host)
+        previous = deposits.get(host)
         deposit = deposits[host] = _Deposit(base, stamped_at_s + DEPOSIT_LIFETIME_S)
-        lasting_until_s = self._lasting_until_s.get(shard, math.inf)
-        self._lasting_until_s[shard] = min(lasting_until_s, deposit.until_s)
-        if known is not None and known.base == base and known.until_s > self._clock():
+        next_expiry_s = self._next_expiry_s.get(shard, math.inf)
+        self._next_expiry_s[shard] = min(next_expiry_s, deposit.expires_at_s)
+        if (
+            previous is not None
+            and previous.base == base
+            and previous.expires_at_s > self._clock()
+        ):
             return False
-        self._parts.pop(shard, None)
+        self._fractions.pop(shard, None)
         return True
 
     def holds_until_s(self, host: str) -> float:
-        """Return until when tokens of a host's deposits may be handed out.
+        """Return when the last of a host's deposits expires.
 
-        Minus infinity where there are none.
+        Minus infinity if it has none. Until then, tokens may be granted from them.
         """
-        ends = [item[host].until_s for item in self._deposits.values() if host in item]
-        return max(ends, default=-math.inf)
+        expiries_s = [
+            item[host].expires_at_s for item in self._deposits.values() if host in item
+        ]
+        return max(expiries_s, default=-math.inf)
 
     def grant(
         self, want: TokenWant, rate_per_s: float, burst: float, extra: float = 0.0
     ) -> TokenGrant:
-        """Hand out tokens of an organisation's rate, as many as there are.
+        """Grant up to the requested number of tokens of an organisation's rate.
 
-        ``extra`` is how much deeper than ``burst`` the buckets of all brokers
-        together may be. Behind a start they begin with that much: nothing was
-        handed out for a while.
+        ``extra`` is the depth that the buckets of all brokers together may have
+        beyond ``burst``. After a broker's start its buckets begin with their
+        fraction of it filled, since no tokens were granted for a while.
         """
         bucket = self._buckets.get(want.organisation)
         if bucket is None:
             bucket = self._buckets[want.organisation] = TokenBucket(self._clock)
-        part = self._part(shard_of(want.organisation), burst)
-        bucket.resize(rate_per_s * part, (burst + extra) * part)
-        credited = self._credited.get(want.organisation, 0.0)
-        if part > credited and self._clock() - self._started_at_s < YOUNG_S:
-            self._credited[want.organisation] = part
-            bucket.add(extra * (part - credited))
+        fraction = self._deposited_fraction(shard_of(want.organisation), burst)
+        bucket.resize(rate_per_s * fraction, (burst + extra) * fraction)
+        credited = self._credited_fractions.get(want.organisation, 0.0)
+        if fraction > credited and self._clock() - self._started_at_s < START_CREDIT_S:
+            self._credited_fractions[want.organisation] = fraction
+            bucket.add(extra * (fraction - credited))
         tokens = 0
         while tokens < want.tokens and bucket.take():
             tokens += 1
@@ -166,28 +176,30 @@
     def refresh(
         self, organisation: str, rate_per_s: float, burst: float, extra: float = 0.0
     ) -> None:
-        """Bring an organisation's bucket up to the deposits that there are now."""
+        """Resize an organisation's bucket to the current deposits."""
         self.grant(TokenWant(organisation, 0), rate_per_s, burst, extra)
 
-    def _part(self, shard: int, burst: float) -> float:
-        self._end_deposits(shard)
-        parts = self._parts.setdefault(shard, {})
-        if burst not in parts:
+    def _deposited_fraction(self, shard: int, burst: float) -> float:
+        self._remove_expired_deposits(shard)
+        fractions = self._fractions.setdefault(shard, {})
+        if burst not in fractions:
             bases = [item.base for item in self._deposits.get(shard, {}).values()]
-            parts[burst] = sum(
+            fractions[burst] = sum(
                 base * (1 - kept_fraction(burst, base)) for base in bases
             )
-        return parts[burst]
+        return fractions[burst]
 
-    def _end_deposits(self, shard: int) -> None:
+    def _remove_expired_deposits(self, shard: int) -> None:
         now_s = self._clock()
-        if now_s < self._lasting_until_s.get(shard, math.inf):
+        if now_s < self._next_expiry_s.get(shard, math.inf):
             return
         deposits = self._deposits[shard]
-        ended = [host for host, item in deposits.items() if item.until_s <= now_s]
-        for host in ended:
+        expired = [
+            host for host, item in deposits.items() if item.expires_at_s <= now_s
+        ]
+        for host in expired:
             del deposits[host]
-        if ended:
-            self._parts.pop(shard, None)
-        ends = [item.until_s for item in deposits.values()]
-        self._lasting_until_s[shard] = min(ends, default=math.inf)
+        if expired:
+            self._fractions.pop(shard, None)
+        expiries_s = [item.expires_at_s for item in deposits.values()]
+        self._next_expiry_s[shard] = min(expiries_s, default=math.inf)
