--- a/src/rattanhollow/coordination/_read_index.py
+++ b/src/rattanhollow/coordination/_read_index.py
@@ -1,8 +1,8 @@
-"""The read index: how far the log of a proven primary reaches.
+"""The read index: the log end of a primary that has proven its leadership.
 
-Any number of callers ask at once; one question is in flight, and it answers
-all who asked before it was sent. The same answer confirms writes: it proves
-that enough members hold the log up to there.
+Concurrent calls share requests: only one is in flight, and its response serves
+all callers that arrived before it was sent. The response confirms writes too,
+as it proves that enough members hold the log up to the returned position.
 """
 
 import time
@@ -18,39 +18,41 @@
 from rattanhollow.verdict import Refusal
 
 READINGS_KEPT = 2_000
-READING_SPACING_S = 0.05
+MIN_READING_INTERVAL_S = 0.05
 
-Ask = Callable[[Any], Awaitable[Result[Position, Refusal]]]
+QueryLogEnd = Callable[[Any], Awaitable[Result[Position, Refusal]]]
 
 
 class IndexReading(NamedTuple):
-    """A log end that was proven at or after ``asked_at_s``, monotonic."""
+    """A log end that was proven at or after ``requested_at_s``, monotonic."""
 
-    asked_at_s: float
+    requested_at_s: float
     position: Position
 
 
-class _Round:
-    """Callers that wait for the same question."""
+class _Request:
+    """A request and the callers that wait for its response."""
 
     def __init__(self) -> None:
-        self.done = trio.Event()
-        self.answer: Result[Position, Refusal] | None = None
+        self.finished = trio.Event()
+        self.outcome: Result[Position, Refusal] | None = None
 
 
 class ReadIndex:
-    """Asks the primary of one group; one question in flight at a time.
+    """Queries the primary of one group, with one request in flight at a time.
 
-    ``ask(connection)`` puts the question over ``connection``, or over one of
-    its own choice where it is ``None``. ``proven_at_s`` is when the last answer
-    came that proved a primary, monotonic.
+    ``ask(connection)`` sends the request over ``connection``, or over one of its
+    own choice if that is ``None``. ``proven_at_s`` is the monotonic time at which
+    the last response that proved a primary was received.
     """
 
-    def __init__(self, ask: Ask, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self, ask: QueryLogEnd, clock: Callable[[], float] = time.monotonic
+    ) -> None:
         self._ask = ask
         self._clock = clock
-        self._running: _Round | None = None
-        self._next: _Round | None = None
+        self._in_flight: _Request | None = None
+        self._queued: _Request | None = None
         self._readings: list[IndexReading] = []
         self.rounds = 0
         self.proven_at_s = float("-inf")
@@ -58,56 +60,61 @@
     async def read(self, connection: Any = None) -> Result[Position, Refusal]:
         """Return a log end that was proven after this call began.
 
-        Where the primary can't prove that it leads, the answer is an ``Err``.
+        Returns an ``Err`` if the primary can't prove that it leads.
         """
         while True:
-            if self._running is None:
-                return await self._lead(connection, self._next)
-            waiting = self._next = self._next or _Round()
-            ended = self._running
-            await ended.done.wait()
-            if self._next is waiting and self._running is None:
-                return await self._lead(connection, waiting)
-            await waiting.done.wait()
-            if waiting.answer is not None:
-                return waiting.answer
-            # The leader was cancelled: ask again.
-
-    async def _lead(
-        self, connection: Any, joined: _Round | None = None
+            if self._in_flight is None:
+                return await self._send(connection, self._queued)
+            queued = self._queued = self._queued or _Request()
+            in_flight = self._in_flight
+            await in_flight.finished.wait()
+            if self._queued is queued and self._in_flight is None:
+                return await self._send(connection, queued)
+            await queued.finished.wait()
+            if queued.outcome is not None:
+                return queued.outcome
+            # The caller that sent the request was cancelled: try again.
+
+    async def _send(
+        self, connection: Any, queued: _Request | None = None
     ) -> Result[Position, Refusal]:
-        current = joined or _Round()
-        self._running = current
-        self._next = None
-        asked_at_s = self._clock()
+        current = queued or _Request()
+        self._in_flight = current
+        self._queued = None
+        requested_at_s = self._clock()
         self.rounds += 1
         try:
-            current.answer = await self._ask(connection)
-            if current.answer.is_ok():
+            current.outcome = await self._ask(connection)
+            if current.outcome.is_ok():
                 self.proven_at_s = self._clock()
-                self._remember(IndexReading(asked_at_s, current.answer.unwrap()))
+                self._add_reading(
+                    IndexReading(requested_at_s, current.outcome.unwrap())
+                )
         finally:
-            self._running = None
-            current.done.set()
-        return current.answer
+            self._in_flight = None
+            current.finished.set()
+        return current.outcome
 
     def saw(self, asked_at_s: float, position: Position) -> None:
-        """Note a log end that was proven beside this index's own questions."""
-        self._remember(IndexReading(asked_at_s, position))
+        """Record a log end that was proven by other means than ``read``."""
+        self._add_reading(IndexReading(asked_at_s, position))
 
-    def _remember(self, reading: IndexReading) -> None:
+    def _add_reading(self, reading: IndexReading) -> None:
         last = self._readings[-1] if self._readings else None
-        if last and reading.asked_at_s - last.asked_at_s < READING_SPACING_S:
+        if (
+            last
+            and reading.requested_at_s - last.requested_at_s < MIN_READING_INTERVAL_S
+        ):
             return
         self._readings.append(reading)
         if len(self._readings) > 2 * READINGS_KEPT:
             del self._readings[:READINGS_KEPT]
 
     def reading_since(self, since_s: float) -> Position | None:
-        """Return the log end at a time not before ``since_s``, monotonic.
+        """Return a log end that was proven at or after ``since_s``, monotonic.
 
-        The oldest such reading is returned: a replica that has it is no older
-        than ``since_s``, and the most replicas do.
+        Of all such readings the oldest is returned: a replica that has applied it is
+        at least as fresh as ``since_s``, and more replicas have than any later one.
         """
-        at = bisect_left(self._readings, since_s, key=attrgetter("asked_at_s"))
-        return self._readings[at].position if at < len(self._readings) else None
+        first = bisect_left(self._readings, since_s, key=attrgetter("requested_at_s"))
+        return self._readings[first].position if first < len(self._readings) else None
