--- a/src/rattanhollow/coordination/_group.py
+++ b/src/rattanhollow/coordination/_group.py
@@ -1,4 +1,4 @@
-"""The agreed state of a database group, kept as one object in the store."""
+"""The agreed state of a database group, stored as a single object."""
 
 import enum
 from typing import Any, NamedTuple
@@ -11,19 +11,19 @@
 
 
 class Succession(NamedTuple):
-    """How a term began: ``end`` is the log end that its primary started from."""
+    """The start of a term; ``end`` is the log end that its primary started from."""
 
     term: int
     end: Position
 
 
 class GroupState(NamedTuple):
-    """Who leads a group.
+    """The leadership of a group.
 
-    ``term`` and ``primary`` are what was published last; ``claimed_term`` is
-    at least as high, and belongs to the election ``claim_id``. ``members`` and
-    ``copies`` are those by which the term's commits are confirmed: a change of
-    them takes effect with an election only.
+    ``term`` and ``primary`` are those of the last published election.
+    ``claimed_term`` is at least as high, and belongs to the election ``claim_id``,
+    which may still be running. ``members`` and ``copies`` determine how the term's
+    commits are confirmed; a change of them takes effect only with an election.
     """
 
     term: int
@@ -48,15 +48,15 @@
 
 
 def group_state_spec(state: GroupState) -> dict[str, Any]:
-    """Return the state as the store keeps it."""
+    """Return the state in the form in which it is stored."""
     return to_spec(state)
 
 
 def group_state_from_spec(spec: dict[str, Any]) -> GroupState:
-    """Return a state read from the store.
+    """Return the state for an object read from the store.
 
     Raises:
-        RecordError: the object is no group state.
+        RecordError: the object is not a group state.
 
     """
     return from_spec(GroupState, spec)
@@ -67,14 +67,14 @@
 ) -> Survival:
     """Whether the log of ``proven_term`` holds the write at ``position``.
 
-    Follows the terms back from ``proven_term``, each to the log that it began
-    from. Final only where a majority holds an entry of ``proven_term``: before
-    that, a later election may still start from an older log.
+    Goes back term by term from ``proven_term``, each time to the log that the term
+    started from. The result is final only once a majority holds an entry of
+    ``proven_term``; until then, a later election may still start from an older log.
     """
-    began_from = {item.term: item.end for item in successions}
+    start_ends = {item.term: item.end for item in successions}
     term = proven_term
     while term > position.term:
-        end = began_from.get(term)
+        end = start_ends.get(term)
         if end is None:
             return Survival.UNKNOWN
         if end.term == position.term and position.offset > end.offset:
--- a/src/rattanhollow/coordination/_position.py
+++ b/src/rattanhollow/coordination/_position.py
@@ -1,10 +1,10 @@
-"""Positions in the log of a database group."""
+"""Log positions of a database group."""
 
 from typing import NamedTuple
 
 
 class Position(NamedTuple):
-    """A place in a log; ordered by ``term``, then by ``offset`` within the log."""
+    """A log position; ordered by ``term``, then by ``offset`` within the log."""
 
     term: int
     offset: int
@@ -17,13 +17,13 @@
 
 
 def parse_position(text: str) -> Position:
-    """Read ``term/offset``.
+    """Parse a position of the form ``term/offset``.
 
     Raises:
-        ValueError: the text is no position.
+        ValueError: the text is not a position.
 
     """
     term, separator, offset = text.partition("/")
     if not separator or not (term.isdigit() and offset.isdigit()):
-        raise ValueError(f"{text!r} is not a position term/offset")
+        raise ValueError(f"invalid position {text!r}: expected term/offset")
     return Position(int(term), int(offset))
--- a/src/rattanhollow/coordination/_rendezvous.py
+++ b/src/rattanhollow/coordination/_rendezvous.py
@@ -1,11 +1,11 @@
-"""Rendezvous hashing: the same ranking of hosts everywhere, without talking."""
+"""Rendezvous hashing: every host computes the same ranking without communication."""
 
 import hashlib
 from collections.abc import Iterable
 
 
 def ranked(work: str, hosts: Iterable[str]) -> list[str]:
-    """Return ``hosts`` in the order in which they should do ``work``."""
+    """Return ``hosts`` in the order of preference for the task named ``work``."""
     return sorted(hosts, key=lambda host: _weight(work, host), reverse=True)
 
 
--- a/src/rattanhollow/coordination/_shares.py
+++ b/src/rattanhollow/coordination/_shares.py
@@ -114,7 +114,7 @@
         granted = self._granted.get(host, [])
         if any(item.share == holding.share for item in granted):
             self._granted[host] = [
-                item for item in granted if item.share.number >= number
+                entry for entry in granted if entry.share.number >= number
             ]
 
     def _remove_expired(self, now_s: float) -> None:
--- a/src/rattanhollow/coordination/_suspicion.py
+++ b/src/rattanhollow/coordination/_suspicion.py
@@ -1,13 +1,13 @@
-"""When several hosts together hold a primary for dead."""
+"""The quorum of hosts that declares a primary failed."""
 
 from collections.abc import Iterable
 from typing import NamedTuple
 
-ZONES_NEEDED = 2
+MIN_SUSPECTING_ZONES = 2
 
 
 class Vote(NamedTuple):
-    """What one host in an availability zone says of a primary."""
+    """Whether one host in an availability zone suspects a primary of failure."""
 
     host: str
     zone: str
@@ -15,14 +15,15 @@
 
 
 def agreed(votes: Iterable[Vote], zones_in_fleet: int) -> bool:
-    """Whether the votes are enough to replace a primary.
+    """Whether the votes suffice to replace a primary.
 
-    More hosts must suspect than not, from two availability zones where the
-    fleet has two: one host's broken link, or one zone's, decides nothing.
+    More than half of the votes must suspect it, and they must come from two
+    availability zones if the fleet has two: a network fault of a single host or a
+    single zone must not cause a failover.
     """
-    heard = list(votes)
-    suspecting = [vote for vote in heard if vote.suspects]
-    if 2 * len(suspecting) <= len(heard):
+    received = list(votes)
+    suspecting_votes = [vote for vote in received if vote.suspects]
+    if 2 * len(suspecting_votes) <= len(received):
         return False
-    zones = {vote.zone for vote in suspecting}
-    return len(zones) >= min(ZONES_NEEDED, zones_in_fleet)
+    suspecting_zones = {vote.zone for vote in suspecting_votes}
+    return len(suspecting_zones) >= min(MIN_SUSPECTING_ZONES, zones_in_fleet)
