--- a/src/rattanhollow/coordination/__init__.py
+++ b/src/rattanhollow/coordination/__init__.py
@@ -1,7 +1,7 @@
-"""Parts for acting together, usable without the proxy.
+"""Coordination primitives that are usable without the proxy.
 
-Log positions, the read index, the state of a database group, the election of
-a new primary, and the choice of which hosts do a piece of work.
+Log positions, the read index, the state of a database group, primary election,
+leases, distributed rate limits, and the assignment of tasks to hosts.
 """
 
 from rattanhollow.coordination._election import (
