Reword the tests of the token pool and the read index

The checks and their figures are unchanged.

test_a_flood_never_exceeds_rate_and_burst -> test_overload_never_exceeds_rate_and_burst test_a_flood_gets_most_of_its_rate -> test_overload_is_admitted_close_to_its_rate test_a_restarted_host_leaves_its_earlier_deposit_alone -> test_restarted_host_does_not_use_its_previous_deposit test_a_part_is_deposited_with_one_broker_at_a_time -> test_shard_is_deposited_with_one_broker_at_a_time test_tokens_of_a_deposit_end_with_it -> test_expired_deposit_grants_no_tokens test_no_answer_is_older_than_its_question -> test_results_include_all_prior_writes test_a_cancelled_leader_leaves_nobody_waiting -> test_cancelled_sender_does_not_block_waiters test_positions_are_read_back -> test_positions_round_trip test_ranking_is_the_same_everywhere_and_spreads -> test_ranking_is_deterministic_and_spreads_tasks

--- a/tests/test_read_index.py
+++ b/tests/test_read_index.py
@@ -1,4 +1,4 @@
-"""The read index: one question in flight answers all who asked before it."""
+"""The read index, positions, write survival, votes and host ranking."""
 
 from typing import Any
 
@@ -22,69 +22,71 @@
 
 
 class Log:
-    """A log that grows, and a count of the questions about it."""
+    """A growing log that counts the requests for its end."""
 
     def __init__(self) -> None:
         self.end = 0
-        self.asked = 0
+        self.requests = 0
 
-    async def ask(self, connection: Any) -> Result[Position, Any]:
-        """Answer with the log end at the time of the question, later."""
-        self.asked += 1
+    async def read_end(self, connection: Any) -> Result[Position, Any]:
+        """Return, after a delay, the log end at the time of the request."""
+        self.requests += 1
         end = self.end
         await trio.sleep(0.01)
         return Ok(Position(1, end))
 
 
-def test_no_answer_is_older_than_its_question() -> None:
-    """Each answer covers all that was written before its question, in few rounds."""
+def test_results_include_all_prior_writes() -> None:
+    """Each result covers all prior writes, and concurrent reads share requests."""
 
     async def main() -> None:
         log = Log()
-        index = ReadIndex(log.ask)
+        index = ReadIndex(log.read_end)
 
-        async def one(number: int) -> None:
+        async def write_and_read(number: int) -> None:
             await trio.sleep(0.0007 * number)
             log.end += 1
             before = log.end
-            answer = await index.read()
-            assert answer.unwrap().offset >= before
+            outcome = await index.read()
+            assert outcome.unwrap().offset >= before
 
         async with trio.open_nursery() as nursery:
             for number in range(100):
-                nursery.start_soon(one, number)
-        assert log.asked == index.rounds < 30
+                nursery.start_soon(write_and_read, number)
+        assert log.requests == index.rounds < 30
 
     run_trio(main)
 
 
-def test_a_cancelled_leader_leaves_nobody_waiting() -> None:
-    """Those who waited for a question whose asker was cancelled ask again."""
+def test_cancelled_sender_does_not_block_waiters() -> None:
+    """Callers that wait for a request whose sender is cancelled send it again."""
 
     async def main() -> None:
         log = Log()
-        index = ReadIndex(log.ask)
-        answers: list[Any] = []
+        index = ReadIndex(log.read_end)
+        outcomes: list[Any] = []
 
-        async def one(patience_s: float) -> None:
-            with trio.move_on_after(patience_s):
-                answers.append(await index.read())
+        async def read_once(timeout_s: float) -> None:
+            with trio.move_on_after(timeout_s):
+                outcomes.append(await index.read())
 
         async with trio.open_nursery() as nursery:
             for number in range(20):
-                nursery.start_soon(one, 0.001 * (number % 4 + 1) if number % 3 else 1)
-        assert len(answers) == 7
+                nursery.start_soon(
+                    read_once, 0.001 * (number % 4 + 1) if number % 3 else 1
+                )
+        assert len(outcomes) == 7
 
     run_trio(main)
 
 
 def test_readings_by_age() -> None:
-    """The oldest reading that is not older than asked for is found."""
+    """The oldest reading that is not older than the given time is returned."""
 
     async def main() -> None:
         log = Log()
         now_s = 0.0
-        index = ReadIndex(log.ask, clock=lambda: now_s)
+        index = ReadIndex(log.read_end, clock=lambda: now_s)
         for second in range(5):
             now_s = float(second)
             log.end = second
@@ -102,8 +104,8 @@
 @seed(1)
 @settings(deadline=None, database=None)
 @given(POSITIONS)
-def test_positions_are_read_back(position: Position) -> None:
-    """The text of a position is the position."""
+def test_positions_round_trip(position: Position) -> None:
+    """Parsing the text of a position returns the same position."""
     assert parse_position(str(position)) == position
 
 
@@ -117,7 +119,7 @@
 
 
 def test_survival() -> None:
-    """A write is in a later log if the terms lead back to a log that has it."""
+    """A write survives if the terms lead back to a log that contains it."""
     cases = [
         (Position(1, 10), 2, Survival.SURVIVED),
         (Position(1, 11), 2, Survival.LOST),
@@ -135,7 +137,7 @@
 
 
 def test_votes() -> None:
-    """One host, or one zone, decides nothing where there are more."""
+    """A single host or zone can't replace a primary if the fleet has several."""
     a, b = Vote("a", "z1", True), Vote("b", "z2", True)
     assert not agreed([a], 3)
     assert not agreed([a, a._replace(host="c")], 3)
@@ -145,8 +147,8 @@
     assert not agreed([], 1)
 
 
-def test_ranking_is_the_same_everywhere_and_spreads() -> None:
-    """Every host ranks alike, and different work goes to different hosts."""
+def test_ranking_is_deterministic_and_spreads_tasks() -> None:
+    """All hosts compute the same ranking, which spreads tasks over the hosts."""
     hosts = [f"host-{number}" for number in range(9)]
     assert ranked("a", hosts) == ranked("a", reversed(hosts))
     firsts = {ranked(f"database-{number}", hosts)[0] for number in range(100)}
--- a/tests/test_token_pool.py
+++ b/tests/test_token_pool.py
@@ -1,7 +1,8 @@
-"""Rates shared by deposits: never over the whole, whatever is lost.
+"""Rates shared through token brokers never exceed their limit.
 
-No network: hosts and brokers as plain objects, simulated time, stated seeds.
-Pattern: one organisation floods; hosts and messages come and go meanwhile.
+Hosts and brokers are plain objects without a network, with simulated time and fixed
+seeds. One organisation sends more than its rate, while messages are lost or delayed
+and hosts restart.
 """
 
 import random
@@ -25,32 +26,32 @@
 RATE = 40.0
 BURST = 40.0
 STEP_S = 0.05
-ASK_S = 0.4
+REQUEST_INTERVAL_S = 0.4
 WINDOW_S = 5.0
 
 
 class Clock:
-    """Simulated time."""
+    """A simulated clock."""
 
     def __init__(self) -> None:
         self.now_s = 100.0
 
     def __call__(self) -> float:
-        """Return the time."""
+        """Return the simulated time."""
         return self.now_s
 
 
 class Grant(NamedTuple):
-    """Tokens on their way to a host."""
+    """Granted tokens, delivered to a host at ``arrives_at_s``."""
 
-    at_s: float
+    arrives_at_s: float
     host: str
     tokens: int
-    until_s: float
+    expires_at_s: float
 
 
 class SimHost:
-    """A host: its own part, what it deposited, and tokens that it fetched."""
+    """A host with its allotment, its deposits, and the tokens granted to it."""
 
     def __init__(self, name: str, base: float, clock: Clock, rate: float) -> None:
         self.name = name
@@ -62,25 +63,25 @@
         self.bucket = TokenBucket(clock)
         self.stamps: dict[str, float] = {}
         self.tokens: list[Grant] = []
-        self.asked_at_s = clock()
+        self.requested_at_s = clock()
 
-    def take(self) -> bool:
-        """Admit one operation if there is a token for it."""
+    def admit(self) -> bool:
+        """Admit one operation if a token is available."""
         now_s = self.clock()
-        self.tokens = [t for t in self.tokens if t.until_s > now_s and t.tokens]
+        self.tokens = [t for t in self.tokens if t.expires_at_s > now_s and t.tokens]
         if self.tokens:
             first = self.tokens[0]
             self.tokens[0] = first._replace(tokens=first.tokens - 1)
             return True
-        part = self.base
+        fraction = self.base
         if self.depositor.is_deposited(SHARD, now_s):
-            part *= kept_fraction(self.burst, self.base)
-        self.bucket.resize(self.rate * part, self.burst * part)
+            fraction *= kept_fraction(self.burst, self.base)
+        self.bucket.resize(self.rate * fraction, self.burst * fraction)
         return self.bucket.take()
 
 
 class Simulation:
-    """Hosts that flood, with lost and late messages, deaths and broker changes."""
+    """Overloaded hosts with lost or delayed messages, restarts and broker changes."""
 
     def __init__(
         self, seed: int, hosts: int, rate: float = RATE, restarts: bool = True
@@ -95,43 +96,45 @@
         self.restarts = restarts
 
     def run(self, steps: int) -> None:
-        """Play so many steps."""
+        """Simulate ``steps`` steps."""
         for _ in range(steps):
             self.clock.now_s += STEP_S
             for host in self.hosts:
-                if self.clock() - host.asked_at_s >= ASK_S:
-                    self._ask(host)
+                if self.clock() - host.requested_at_s >= REQUEST_INTERVAL_S:
+                    self._request_tokens(host)
                 for _ in range(self.rng.randint(0, 4)):
-                    if host.take():
+                    if host.admit():
                         self.admitted_s.append(self.clock())
             self._deliver()
             if self.restarts and self.rng.random() < 0.01:
                 self._restart(self.rng.randrange(len(self.hosts)))
 
-    def _ask(self, host: SimHost) -> None:
-        now_s = host.asked_at_s = self.clock()
-        # Hosts may differ on who the broker is.
+    def _request_tokens(self, host: SimHost) -> None:
+        now_s = host.requested_at_s = self.clock()
+        # Hosts may disagree on which host is the broker.
         broker = self.hosts[0]
         if self.rng.random() < 0.1:
             broker = self.rng.choice(self.hosts)
-        deposits = host.depositor.deposit(SHARD, broker.name, now_s)
+        deposited = host.depositor.deposit(SHARD, broker.name, now_s)
         if self.rng.random() < 0.1:
             return
         stamped_at_s = host.stamps.get(broker.name)
-        if deposits and stamped_at_s is not None:
+        if deposited and stamped_at_s is not None:
             broker.broker.accept_deposit(host.name, SHARD, host.base, stamped_at_s)
         want = TokenWant(ORGANISATION, 10)
         grant = broker.broker.grant(want, host.rate, host.burst)
         if self.rng.random() < 0.1:
             return
         host.stamps[broker.name] = now_s
-        late_s = self.rng.choice([0.0, 0.05, 0.3])
-        until_s = now_s + TOKEN_LIFETIME_S
-        self.in_flight.append(Grant(now_s + late_s, host.name, grant.tokens, until_s))
+        delay_s = self.rng.choice([0.0, 0.05, 0.3])
+        expires_at_s = now_s + TOKEN_LIFETIME_S
+        self.in_flight.append(
+            Grant(now_s + delay_s, host.name, grant.tokens, expires_at_s)
+        )
 
     def _deliver(self) -> None:
-        due = [g for g in self.in_flight if g.at_s <= self.clock()]
-        self.in_flight = [g for g in self.in_flight if g.at_s > self.clock()]
+        due = [g for g in self.in_flight if g.arrives_at_s <= self.clock()]
+        self.in_flight = [g for g in self.in_flight if g.arrives_at_s > self.clock()]
         for grant in due:
             for host in self.hosts:
                 if host.name == grant.host:
@@ -144,37 +147,40 @@
         for host in self.hosts:
             host.stamps.pop(old.name, None)
 
-    def most_in_window(self) -> int:
-        """Return the most operations admitted in any window."""
-        most = start = 0
-        for end, at_s in enumerate(self.admitted_s):
-            while at_s - self.admitted_s[start] >= WINDOW_S:
+    def max_admitted_in_window(self) -> int:
+        """Return the largest number of operations admitted in any window."""
+        largest = start = 0
+        for end, admitted_at_s in enumerate(self.admitted_s):
+            while admitted_at_s - self.admitted_s[start] >= WINDOW_S:
                 start += 1
-            most = max(most, end - start + 1)
-        return most
+            largest = max(largest, end - start + 1)
+        return largest
 
 
 @pytest.mark.parametrize("seed", range(30))
-def test_a_flood_never_exceeds_rate_and_burst(seed: int) -> None:
-    """In any window, with one answer's tokens over: the bound that users state."""
+def test_overload_never_exceeds_rate_and_burst(seed: int) -> None:
+    """Admissions in any window stay within the bound that users state.
+
+    The limit adds a margin for tokens that were granted in one response.
+    """
     rate = (40.0, 8.0, 200.0)[seed % 3]
     simulation = Simulation(seed, hosts=2 + seed % 8, rate=rate)
     simulation.run(800)
-    allowed = (rate * WINDOW_S + rate) * 1.1 + 20
-    assert simulation.most_in_window() <= allowed
+    limit = (rate * WINDOW_S + rate) * 1.1 + 20
+    assert simulation.max_admitted_in_window() <= limit
 
 
 @pytest.mark.parametrize("rate", [40.0, 11.0, 3.0])
 @pytest.mark.parametrize("seed", range(4))
-def test_a_flood_gets_most_of_its_rate(seed: int, rate: float) -> None:
-    """Without deaths the hosts together admit close to the rate, small ones too."""
+def test_overload_is_admitted_close_to_its_rate(seed: int, rate: float) -> None:
+    """Without restarts, hosts admit close to the rate in total, small rates too."""
     simulation = Simulation(seed, hosts=7, rate=rate, restarts=False)
     simulation.run(800)
     assert len(simulation.admitted_s) >= 0.7 * rate * 800 * STEP_S
 
 
-def test_a_restarted_host_leaves_its_earlier_deposit_alone() -> None:
-    """What an earlier start may have deposited isn't used a second time."""
+def test_restarted_host_does_not_use_its_previous_deposit() -> None:
+    """Rates that a previous start may have deposited are not used twice."""
     depositor = Depositor(started_at_s=50.0)
     assert depositor.is_deposited(SHARD, 50.1)
     assert not depositor.deposit(SHARD, "b", 50.1)
@@ -182,8 +188,8 @@
     assert depositor.deposit(SHARD, "b", 50.0 + DEPOSIT_LIFETIME_S)
 
 
-def test_a_part_is_deposited_with_one_broker_at_a_time() -> None:
-    """Another broker gets it only once the first one's time is over."""
+def test_shard_is_deposited_with_one_broker_at_a_time() -> None:
+    """Another broker receives the deposit only after the first one has expired."""
     depositor = Depositor(0.0)
     assert depositor.deposit(SHARD, "one", 10.0)
     assert depositor.deposit(SHARD, "one", 10.5)
@@ -191,8 +197,8 @@
     assert depositor.deposit(SHARD, "two", 10.5 + DEPOSIT_LIFETIME_S)
 
 
-def test_tokens_of_a_deposit_end_with_it() -> None:
-    """A broker hands nothing out of a deposit that its owner uses again."""
+def test_expired_deposit_grants_no_tokens() -> None:
+    """A broker grants nothing from an expired deposit, which its host uses again."""
     clock = Clock()
     broker = TokenBroker(clock)
     broker.accept_deposit("h", SHARD, 1.0, clock())
