--- a/src/rattanhollow/coordination/_election.py
+++ b/src/rattanhollow/coordination/_election.py
@@ -1,8 +1,9 @@
-"""Electing a new primary: claim, fence, promote, follow, publish.
+"""Primary election in five steps: claim, fence, promote, follow, publish.
 
-The store decides who may try in a term; the fenced members decide what the
-new primary must hold. A coordinator may stop after any step: the next one
-claims a higher term and starts over from what the members hold.
+The claim in the store determines which coordinator may run an election for a term;
+the logs of the fenced members determine what the new primary must hold. A coordinator
+may fail after any step: the next one claims a higher term and starts over from the
+state of the members.
 """
 
 import enum
@@ -37,10 +38,11 @@
 
 
 class MemberStatus(NamedTuple):
-    """What a backend server says of itself.
+    """The status that a backend server reports.
 
-    ``term`` is the term it leads or follows, ``fenced_term`` the lowest it
-    still accepts, ``end`` its log's end and ``applied`` what reads there see.
+    ``term`` is the term that it leads or follows, ``fenced_term`` the lowest term that
+    it still accepts, ``end`` the end of its log, and ``applied`` the position up to
+    which its reads see the log.
     """
 
     name: str
@@ -52,11 +54,12 @@
 
 
 class GroupControl(NamedTuple):
-    """The commands that a database group obeys; each ends within a timeout.
+    """The commands of a database group; each returns within a timeout.
 
-    ``status(member)``; ``fence(member, term)`` makes it refuse all older
-    terms; ``promote(member, term)`` makes a member fenced at exactly ``term``
-    its primary; ``follow(member, term, primary)``.
+    ``status(member)`` returns its status; ``fence(member, term)`` makes it refuse all
+    older terms; ``promote(member, term)`` makes a member that is fenced at exactly
+    ``term`` the primary of that term; ``follow(member, term, primary)`` makes it
+    replicate from that primary.
     """
 
     status: Callable[[Member], Awaitable[Result[MemberStatus, str]]]
@@ -66,13 +69,13 @@
 
 
 class ElectionFailure(NamedTuple):
-    """Why an election ended without a primary, and at which step."""
+    """The step at which an election failed, and the reason."""
 
     step: Step
     reason: str
 
 
-Finished = Callable[[Step], Awaitable[None]]
+StepHook = Callable[[Step], Awaitable[None]]
 
 
 async def elect(
@@ -82,16 +85,16 @@
     claim_id: str,
     store: ObjectStore,
     control: GroupControl,
-    finished: Finished,
+    finished: StepHook,
     fencing: bool = True,
 ) -> Result[GroupState, ElectionFailure]:
     """Replace the primary of ``dead_term`` and return the published state.
 
-    ``claim_id`` is unique to this election: by it the coordinator knows its
-    own claim when the store's answer was lost. ``finished`` is called behind
-    each step. Where another primary was published meanwhile, that state is
-    returned and nothing is done. Without ``fencing``, which only tests do,
-    members are merely asked for their status.
+    ``claim_id`` is unique to this election, so that the coordinator recognises its
+    own claim if the store's response was lost. ``finished`` is called after each
+    step. If another primary was published in the meantime, its state is returned and
+    nothing is changed. Without ``fencing``, which only tests disable, members are
+    only queried for their status.
     """
     claimed = await _claim(database, dead_term, coordinator, claim_id, store)
     if claimed.is_err():
@@ -117,8 +120,8 @@
         return Err(ElectionFailure(Step.PROMOTE, promoted.unwrap_err()))
     await finished(Step.PROMOTE)
 
-    # Published last: whoever hears of the new primary finds it able to confirm.
-    # Members that were not reached follow later, by `follow_all`.
+    # Published last, so that the new primary can confirm commits by the time that it
+    # becomes known. Members that were not reached follow later, by `follow_all`.
     reached = {status.name for status in fenced}
     await follow_all(database, term, best.name, control, reached)
     await finished(Step.FOLLOW)
@@ -134,16 +137,16 @@
 def enough_fenced(
     database: Database, state: GroupState, fenced: Collection[str]
 ) -> bool:
-    """Whether every acknowledged commit is on a fenced member.
+    """Whether every acknowledged commit is on at least one fenced member.
 
-    Commits of the published term were confirmed by its members, which need
-    not be those of ``database`` any more: enough of both must be fenced.
+    Commits of the published term were confirmed by the members of that term, which
+    may differ from those of ``database`` now: enough of both must be fenced.
     """
     names = {member.name for member in database.members}
     if len(names & set(fenced)) < len(names) - database.copies:
         return False
-    earlier = set(state.members)
-    return len(earlier & set(fenced)) >= len(earlier) - state.copies
+    previous = set(state.members)
+    return len(previous & set(fenced)) >= len(previous) - state.copies
 
 
 async def follow_all(
@@ -153,15 +156,15 @@
     control: GroupControl,
     members: Collection[str],
 ) -> None:
-    """Tell ``members`` to follow the primary of ``term``; idempotent."""
+    """Make ``members`` follow the primary of ``term``; idempotent."""
 
-    async def one(member: Member) -> None:
+    async def follow_primary(member: Member) -> None:
         await control.follow(member, term, primary)
 
     async with trio.open_nursery() as nursery:
         for member in database.members:
             if member.name in members and member.name != primary:
-                nursery.start_soon(one, member)
+                nursery.start_soon(follow_primary, member)
 
 
 async def _claim(
@@ -192,28 +195,28 @@
     fenced: list[MemberStatus] = []
     term = state.claimed_term
 
-    async def one(member: Member) -> None:
+    async def fence_member(member: Member) -> None:
         if fencing:
-            answer = await control.fence(member, term)
+            outcome = await control.fence(member, term)
         else:
-            answer = await control.status(member)
-        if answer.is_ok():
-            fenced.append(answer.unwrap())
+            outcome = await control.status(member)
+        if outcome.is_ok():
+            fenced.append(outcome.unwrap())
             if enough_fenced(database, state, {status.name for status in fenced}):
-                enough.set()
+                quorum_fenced.set()
 
-    enough = trio.Event()
+    quorum_fenced = trio.Event()
 
-    async def all_members() -> None:
+    async def fence_members() -> None:
         async with trio.open_nursery() as nursery:
             for member in database.members:
-                nursery.start_soon(one, member)
-        enough.set()
+                nursery.start_soon(fence_member, member)
+        quorum_fenced.set()
 
-    # The dead primary answers last, or never: the others are not kept waiting.
+    # The failed primary responds last, if at all: don't wait for it.
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(all_members)
-        await enough.wait()
+        nursery.start_soon(fence_members)
+        await quorum_fenced.wait()
         nursery.cancel_scope.cancel()
     return fenced
 
