Merge the wording of coordination

Renames that reach beyond the folder applied anew in rates/_pooled.py and tests/test_regions.py. The public names of the library stay.

--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -9,15 +9,15 @@
 
 from rattanhollow.configuration import Organisation
 from rattanhollow.coordination import (
-    DEPOSIT_S,
-    TOKEN_S,
+    DEPOSIT_LIFETIME_S,
+    TOKEN_LIFETIME_S,
     Depositor,
     Stamp,
     TokenBroker,
     TokenBucket,
     TokenGrant,
     TokenWant,
-    kept_part,
+    kept_fraction,
     shard_of,
 )
 from rattanhollow.membership import HostDirectory, HostRecord
@@ -316,7 +316,7 @@
         """
         previous = _PreviousDeposits(self._parts.clock())
         async with trio.open_nursery() as nursery:
-            while self._parts.clock() < previous.held_until_s + DEPOSIT_S:
+            while self._parts.clock() < previous.held_until_s + DEPOSIT_LIFETIME_S:
                 await trio.sleep(DEPOSIT_CHECK_INTERVAL_S)
                 if self._parts.clock() < self._counted_from_s:
                     continue
@@ -328,7 +328,7 @@
                 if not unresolved:
                     left_s = previous.held_until_s - self._parts.clock()
                     await trio.sleep(max(0.0, left_s))
-                    self._depositor.nothing_earlier()
+                    self._depositor.clear_previous_start()
                     break
                 for record in unresolved:
                     if previous.mark_pending(record):
@@ -359,7 +359,9 @@
     def handle_deposit_request(self, request: DepositQuestion) -> DepositAnswer:
         """Return for how long deposits of a newly started host are held here."""
         left_s = self._broker.holds_until_s(request.host) - self._parts.clock()
-        return DepositAnswer(max(0, math.ceil(min(max(left_s, 0), DEPOSIT_S) * 1000)))
+        return DepositAnswer(
+            max(0, math.ceil(min(max(left_s, 0), DEPOSIT_LIFETIME_S) * 1000))
+        )
 
     def handle_pool_request(self, request: PoolQuestion) -> PoolAnswer:
         """Accept deposits of a host and grant it tokens."""
@@ -370,7 +372,7 @@
             changed = {
                 shard
                 for shard in request.shards
-                if self._broker.take_deposit(
+                if self._broker.accept_deposit(
                     request.host, shard, request.base, request.stamp.at_s
                 )
             }
@@ -435,7 +437,7 @@
         now_s = self._parts.clock()
         share = base = self._own_share()
         if self._depositor.is_deposited(shard_of(name), now_s):
-            share = base * kept_part(limits.burst, base)
+            share = base * kept_fraction(limits.burst, base)
         state.bucket.resize(limits.rate_per_s * share, limits.burst * share)
 
     def _update_demand(self, interval_s: float) -> None:
@@ -581,7 +583,7 @@
         if state is None:
             return
         now_s = self._parts.clock()
-        state.add(grant.tokens, sent_at_s + TOKEN_S)
+        state.add(grant.tokens, sent_at_s + TOKEN_LIFETIME_S)
         while state.waiters and state.take(now_s):
             state.waiters.popleft().decide(admitted=True)
         if grant.tokens >= wanted:
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -267,7 +267,7 @@
         clock.now_s += STEP_S
         for number, hosts in enumerate(HOSTS_PER_REGION):
             for host in range(hosts):
-                brokers[number].take_deposit(f"{host}", shard, 1 / 65, clock())
+                brokers[number].accept_deposit(f"{host}", shard, 1 / 65, clock())
         for _ in range(_poisson(rng, demand_per_s * STEP_S)):
             waiting.append((rng.randrange(3), clock() + MAX_WAIT_S))
         for item in list(waiting):
@@ -349,7 +349,7 @@
             brokers = [TokenBroker(clock) for _ in HOSTS_PER_REGION]
         for broker, hosts in zip(brokers, HOSTS_PER_REGION, strict=True):
             for host in range(hosts):
-                broker.take_deposit(f"{host}", shard, 1 / 65, clock())
+                broker.accept_deposit(f"{host}", shard, 1 / 65, clock())
             # Without wants until then, the buckets fill before the flood.
             if step >= 100:
                 want = TokenWant("kirk", 1_000)
