Import trio without starting a process; stop hosts that aren't ready

Cause: while it is imported, trio asks ctypes.util.find_library for the thread library, which runs ldconfig. Mend: the dynamic linker answers until trio is imported (docs/decisions.md has what was weighed). Ruled out: a refusing audit hook, stand-ins for modules, a copy of trio.

Found by the same tests: a host or proxy that never reached the store ignored SIGTERM until it was killed, since it waited for its configuration before it waited for its end. Both now wait in a task of their own.

--- a/packaging/build.py
+++ b/packaging/build.py
@@ -1,9 +1,10 @@
-"""Builds the one-file program: ``./dev build [folder]``.
+"""Builds the one-file program: ``./dev build [folder] [--runtime-hook FILE]``.
 
 PyInstaller makes a folder; a small launcher carries it as an archive and turns
 into it. See docs/decisions.md for what was weighed.
 """
 
+import argparse
 import hashlib
 import struct
 import subprocess
@@ -18,12 +19,15 @@
 LEFT_OUT = ("tkinter", "hypothesis", "pytest", "psycopg", "mypy", "setuptools")
 
 
-def build(target: Path) -> Path:
-    """Build the program into the folder ``target`` and return its path."""
+def build(target: Path, runtime_hooks: list[Path]) -> Path:
+    """Build the program into the folder ``target`` and return its path.
+
+    Each start of the program runs the files in ``runtime_hooks`` first.
+    """
     target.mkdir(parents=True, exist_ok=True)
     with tempfile.TemporaryDirectory() as folder:
         work = Path(folder)
-        _run_pyinstaller(work)
+        _run_pyinstaller(work, runtime_hooks)
         launcher = work / "launcher"
         source = str(HERE / "launcher.c")
         subprocess.run(
@@ -36,7 +40,7 @@
     return program
 
 
-def _run_pyinstaller(work: Path) -> None:
+def _run_pyinstaller(work: Path, runtime_hooks: list[Path]) -> None:
     entry = work / "entry.py"
     entry.write_text("from rattanhollow.cli import main\n\nmain()\n")
     command = [sys.executable, "-m", "PyInstaller", "--onedir", "--name", NAME]
@@ -46,6 +50,8 @@
     command += ["--collect-submodules", "rattanhollow_standins"]
     for module in LEFT_OUT:
         command += ["--exclude-module", module]
+    for hook in runtime_hooks:
+        command += ["--runtime-hook", str(hook)]
     subprocess.run([*command, str(entry)], check=True)
 
 
@@ -64,6 +70,14 @@
     return struct.pack("<Q", len(archive)) + name
 
 
-if __name__ == "__main__":
-    built = build(Path(sys.argv[1]) if len(sys.argv) > 1 else Path("dist"))
+def _main() -> None:
+    parser = argparse.ArgumentParser(description="Build the one-file program.")
+    parser.add_argument("folder", nargs="?", type=Path, default=Path("dist"))
+    parser.add_argument("--runtime-hook", action="append", type=Path, default=[])
+    arguments = parser.parse_args()
+    built = build(arguments.folder, arguments.runtime_hook)
     print(f"{built} ({built.stat().st_size / 1e6:.0f} MB)")
+
+
+if __name__ == "__main__":
+    _main()
--- a/src/rattanhollow/__init__.py
+++ b/src/rattanhollow/__init__.py
@@ -3,6 +3,7 @@
 The coordination parts can be used without the proxy; see ``docs/library.md``.
 """
 
+from rattanhollow import _trio_import  # noqa: F401  (before any import of trio)
 from rattanhollow.coordination import (
     GroupControl,
     GroupState,
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -158,6 +158,7 @@
             rng,
             settings.configuration_ms / 1000,
         )
+        self._stopping = False
         self._stopped = trio.Event()
         self._accepting = trio.CancelScope()
         self._connections = 0
@@ -183,16 +184,20 @@
             nursery.start_soon(self.serving.run)
             nursery.start_soon(self.rates.run)
             nursery.start_soon(self._note_registration)
-            serve = partial(self._serve_caller, self._serve_parts(nursery))
-            callers = await listen_at(*settings.listen.callers)
-            await self._configurations.listed.wait()
-            await self._servers.listed.wait()
-            nursery.start_soon(self._accept, serve, callers, nursery)
-            self.ready = True
-            log_event("host.ready", host=settings.place.name)
+            nursery.start_soon(self._become_ready, nursery)
             await self._stopped.wait()
             nursery.cancel_scope.cancel()
 
+    async def _become_ready(self, nursery: trio.Nursery) -> None:
+        """Accept callers once the configuration and the servers are known."""
+        serve = partial(self._serve_caller, self._serve_parts(nursery))
+        callers = await listen_at(*self.settings.listen.callers)
+        await self._configurations.listed.wait()
+        await self._servers.listed.wait()
+        nursery.start_soon(self._accept, serve, callers, nursery)
+        self.ready = not self._stopping
+        log_event("host.ready", host=self.settings.place.name)
+
     def take_settings(self, settings: LineHostSettings) -> None:
         """Take settings that were read anew; addresses need a new start."""
         changed = [
@@ -205,6 +210,7 @@
 
     async def stop(self) -> None:
         """Leave without cutting a request, within the time of the settings."""
+        self._stopping = True
         self.ready = False
         parts = Stopping(
             sessions=self.sessions,
--- a/src/rattanhollow/proxy/_root.py
+++ b/src/rattanhollow/proxy/_root.py
@@ -127,7 +127,6 @@
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve callers until cancelled, or until `drain` is through."""
-        host = self.settings.host
         async with trio.open_nursery() as nursery:
             configurations = self._configurations
             states = Follower(GROUP_KIND, self._take_group)
@@ -148,15 +147,24 @@
             nursery.start_soon(self._watchdog.run)
             nursery.start_soon(self.peers.run, self.settings.peer.port)
             nursery.start_soon(self.registration.run)
-            # Without the configuration no key can be checked: callers that come
-            # earlier are better off at another host.
-            await configurations.listed.wait()
-            await nursery.start(self._listener.run, self._cancel)
-            log_event("proxy.ready", host=host.name, port=self.settings.listen.port)
-            task_status.started()
+            nursery.start_soon(self._become_ready, nursery, task_status)
             await self._drained.wait()
             nursery.cancel_scope.cancel()
 
+    async def _become_ready(
+        self, nursery: trio.Nursery, task_status: trio.TaskStatus[None]
+    ) -> None:
+        """Accept callers once the configuration is known.
+
+        Without it no key can be checked: callers that come earlier are better off
+        at another host.
+        """
+        await self._configurations.listed.wait()
+        await nursery.start(self._listener.run, self._cancel)
+        port = self.settings.listen.port
+        log_event("proxy.ready", host=self.settings.host.name, port=port)
+        task_status.started()
+
     async def drain(self) -> None:
         """Leave without cutting a request.
 
--- a/src/rattanhollow_standins/__init__.py
+++ b/src/rattanhollow_standins/__init__.py
@@ -2,3 +2,5 @@
 
 Never imported by the proxy.
 """
+
+import rattanhollow  # noqa: F401  (imports trio without starting a process)
--- a/tests/test_one_file.py
+++ b/tests/test_one_file.py
@@ -1,4 +1,8 @@
-"""The one-file program runs the whole path, as processes without children."""
+"""The one-file program runs the whole path, as processes without children.
+
+It is built with the guard of `test_process_creation`, which ends it with a message as
+soon as it starts a process.
+"""
 
 import subprocess
 import sys
@@ -7,6 +11,7 @@
 import pytest
 
 ROOT = Path(__file__).resolve().parent.parent
+GUARD = ROOT / "tests" / "process_guard" / "sitecustomize.py"
 LONGEST_S = 300
 
 
@@ -15,6 +20,7 @@
     """Build the program."""
     target = tmp_path_factory.mktemp("one-file")
     build = [sys.executable, str(ROOT / "packaging" / "build.py"), str(target)]
+    build += ["--runtime-hook", str(GUARD)]
     subprocess.run(build, check=True, timeout=LONGEST_S)
     return target / "rattanhollow"
 
@@ -23,7 +29,11 @@
     """The demonstration holds, and its process has no children."""
     environment = {"RATTANHOLLOW_UNPACK_IN": str(tmp_path)}
     process = subprocess.Popen(
-        [str(program), "demo"], stdout=subprocess.PIPE, text=True, env=environment
+        [str(program), "demo"],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        env=environment,
     )
     seen = []
     while process.poll() is None:
@@ -33,8 +43,9 @@
             process.wait(timeout=0.2)
         except (subprocess.TimeoutExpired, OSError):
             continue
-    assert process.returncode == 0
-    assert "every promise held" in process.stdout.read()
+    output = process.stdout.read()
+    assert process.returncode == 0, output
+    assert "every promise held" in output
     assert set(seen) == {""}
 
 
