Rates behind a restart: use what nobody used since the process began

Each bucket began empty at its first use, deposits came up to half a second behind a host's start with none of the tokens of the time before, and a region that lacked tokens asked the others only once in 0.25 s.

Deposits go out as soon as no broker holds older ones.

--- a/src/rattanhollow/__init__.py
+++ b/src/rattanhollow/__init__.py
@@ -3,7 +3,10 @@
 The coordination parts can be used without the proxy; see ``docs/library.md``.
 """
 
-from rattanhollow import _trio_import  # noqa: F401  (before any import of trio)
+from rattanhollow import (
+    _process_start,  # noqa: F401  (before anything that takes long)
+    _trio_import,  # noqa: F401  (before any other import of trio)
+)
 from rattanhollow.coordination import (
     GroupControl,
     GroupState,
--- a/src/rattanhollow/coordination/__init__.py
+++ b/src/rattanhollow/coordination/__init__.py
@@ -38,6 +38,7 @@
     TokenBroker,
     TokenGrant,
     TokenWant,
+    UnusedDeposit,
     kept_fraction,
     shard_of,
 )
@@ -72,6 +73,7 @@
     "TokenBucket",
     "TokenGrant",
     "TokenWant",
+    "UnusedDeposit",
     "Vote",
     "agreed",
     "elect",
--- a/src/rattanhollow/coordination/_token_pool.py
+++ b/src/rattanhollow/coordination/_token_pool.py
@@ -27,6 +27,9 @@
 SHARDS = 16
 # Unused tokens expire, which limits how many are outstanding at any time.
 TOKEN_LIFETIME_S = 0.8
+# How long a host that has just started leaves what it deposits unused, in order to
+# deposit it with the time for which it was unused. It covers a few lost messages.
+UNUSED_CLAIM_S = 0.5
 
 
 class Stamp(NamedTuple):
@@ -51,6 +54,13 @@
     wait_ms: int
 
 
+class UnusedDeposit(NamedTuple):
+    """A host's fraction of each rate, unused for ``unused_s`` before its deposit."""
+
+    base: float
+    unused_s: float
+
+
 class _Deposit(NamedTuple):
     base: float
     expires_at_s: float
@@ -75,23 +85,43 @@
     """Tracks which of a host's shards are deposited, and with which broker.
 
     At first all shards count as deposited with an unknown broker, because the host
-    may have deposited them before a restart.
+    may have deposited them before a restart. Nobody uses what a host deposits from
+    its start, or from the end of its previous deposits, until its first deposit.
     """
 
     def __init__(self, started_at_s: float) -> None:
         self._expiries_s = {
             n: {"": started_at_s + DEPOSIT_LIFETIME_S} for n in range(SHARDS)
         }
+        self._unused_since_s: dict[int, float] = {}
+        self._claims_end_s = -math.inf
+
+    def clear_previous_start(self, unused_since_s: float, now_s: float) -> None:
+        """Clear the assumed deposits of a previous start, once no broker holds any.
 
-    def clear_previous_start(self) -> None:
-        """Clear the assumed deposits of a previous start, once no broker holds any."""
-        for brokers in self._expiries_s.values():
-            brokers.pop("", None)
+        Nobody has used what this host deposits since ``unused_since_s``.
+        """
+        for shard, brokers in self._expiries_s.items():
+            if brokers.pop("", None) is not None:
+                self._unused_since_s[shard] = unused_since_s
+        self._claims_end_s = now_s + UNUSED_CLAIM_S
 
     def is_deposited(self, shard: int, now_s: float) -> bool:
         """Whether the host is limited to what it keeps of a shard's rates."""
+        if shard in self._unused_since_s and now_s < self._claims_end_s:
+            return True
         return any(expiry_s > now_s for expiry_s in self._expiries_s[shard].values())
 
+    def claim_unused_s(self, shard: int, now_s: float) -> float:
+        """Return for how long the deposit that is being made was unused before it.
+
+        Zero for all but the first deposit.
+        """
+        since_s = self._unused_since_s.pop(shard, None)
+        if since_s is None or now_s >= self._claims_end_s:
+            return 0.0
+        return max(0.0, now_s - since_s)
+
     def deposit(self, shard: int, broker: str, now_s: float) -> bool:
         """Deposit a shard, or renew it; False while another broker holds it."""
         brokers = self._expiries_s[shard]
@@ -139,6 +169,15 @@
         self._fractions.pop(shard, None)
         return True
 
+    def credit_unused(
+        self, organisation: str, rate_per_s: float, burst: float, deposit: UnusedDeposit
+    ) -> None:
+        """Add the tokens of the time for which a new deposit was unused before it."""
+        bucket = self._buckets.get(organisation)
+        if bucket is not None:
+            fraction = deposit.base * (1 - kept_fraction(burst, deposit.base))
+            bucket.add(rate_per_s * fraction * deposit.unused_s)
+
     def holds_until_s(self, host: str) -> float:
         """Return when the last of a host's deposits expires.
 
--- a/src/rattanhollow/host/_answer_peers.py
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -8,6 +8,7 @@
     CopyNews,
     CopyQuestion,
     DepositQuestion,
+    FirstDepositQuestion,
     FloorQuestion,
     HostAnswer,
     HostQuestion,
@@ -45,6 +46,8 @@
         return await parts.floors.respond_to_host(question.service)
     if isinstance(question, PoolQuestion):
         return parts.rates.handle_pool_request(question)
+    if isinstance(question, FirstDepositQuestion):
+        return parts.rates.handle_first_deposit(question)
     if isinstance(question, DepositQuestion):
         return parts.rates.handle_deposit_request(question)
     if isinstance(question, CopyQuestion):
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -71,6 +71,7 @@
         ends: Ends,
         rng: random.Random,
         meter: Meter,
+        process_started_at_s: float,
     ) -> None:
         place = settings.place
         self.settings = settings
@@ -123,6 +124,7 @@
                 peers=self.peers,
                 clock=now_s,
                 region_of=places.region,
+                process_started_at_s=process_started_at_s,
                 settle_s=settings.rate_settle_ms / 1000,
                 slack=settings.rate_slack,
                 meter=meter,
@@ -391,7 +393,12 @@
     ends: Ends,
     seed: int | None = None,
     meter: Meter | None = None,
+    process_started_at_s: float | None = None,
 ) -> Host:
-    """Return a host built from ``settings``, over the protocols of ``ends``."""
+    """Return a host built from ``settings``, over the protocols of ``ends``.
+
+    ``process_started_at_s`` is when its process began, where it has one to itself.
+    """
     counting = meter if meter is not None else Meter()
-    return Host(settings, ends, random.Random(seed), counting)
+    started_at_s = now_s() if process_started_at_s is None else process_started_at_s
+    return Host(settings, ends, random.Random(seed), counting, started_at_s)
--- a/src/rattanhollow/host/_run.py
+++ b/src/rattanhollow/host/_run.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from rattanhollow._process_start import PROCESS_STARTED_AT_S
 from rattanhollow.host._platform import platform_ends
 from rattanhollow.host._root import Host, build_host
 from rattanhollow.observe import Meter, kinds, log_bounded, log_event
@@ -25,7 +26,12 @@
     meter = Meter()
     meter.gauge(kinds.LINES_OMITTED, lambda: sum(log.omitted.values()))
     log_event("host.start", host=settings.place.name, zone=settings.place.zone)
-    host = build_host(settings, platform_ends(settings, meter), meter=meter)
+    host = build_host(
+        settings,
+        platform_ends(settings, meter),
+        meter=meter,
+        process_started_at_s=PROCESS_STARTED_AT_S,
+    )
     # What was imported stays for good; the collector need not look at it.
     gc.freeze()
     trio.run(_run, host, file)
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -142,6 +142,16 @@
     wants: tuple[TokenWant, ...]
 
 
+class FirstDepositQuestion(NamedTuple):
+    """A host's first deposits behind its start; answered like a `PoolQuestion`.
+
+    Nobody used what is deposited for ``unused_ms`` before.
+    """
+
+    request: PoolQuestion
+    unused_ms: int
+
+
 class PoolAnswer(NamedTuple):
     """The tokens granted, and a new stamp."""
 
@@ -274,6 +284,7 @@
     | ProofQuestion
     | ProofAnswer
     | PoolQuestion
+    | FirstDepositQuestion
     | PoolAnswer
     | DepositQuestion
     | DepositAnswer
@@ -308,6 +319,7 @@
     "proof?": ProofQuestion,
     "proof": ProofAnswer,
     "pool?": PoolQuestion,
+    "first pool?": FirstDepositQuestion,
     "pool": PoolAnswer,
     "deposit?": DepositQuestion,
     "deposit": DepositAnswer,
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -17,6 +17,7 @@
     TokenBucket,
     TokenGrant,
     TokenWant,
+    UnusedDeposit,
     kept_fraction,
     shard_of,
 )
@@ -25,6 +26,7 @@
 from rattanhollow.peer import (
     DepositAnswer,
     DepositQuestion,
+    FirstDepositQuestion,
     Peers,
     PoolAnswer,
     PoolQuestion,
@@ -70,9 +72,12 @@
 MAX_WAITERS_RATIO = 2.0
 # How long an organisation counts as over its rate after a response that said so.
 NO_TOKENS_PERIOD_S = 0.25
-# Delay before a broker that granted too few tokens is queried again. Without it,
-# a flood would send a request every REQUEST_SPACING_S.
-REQUEST_RETRY_DELAY_S = 0.1
+# Delay before the brokers of all regions are queried again that granted too few tokens
+# together. It grows with each such round to the maximum, so that a flood sends few
+# requests while a short peak finds the tokens that other regions have left.
+MIN_ROUND_DELAY_S = 0.05
+MAX_ROUND_DELAY_S = 0.25
+ROUND_DELAY_GROWTH = 1.5
 # Tokens are prefetched if at least this many are used between two requests.
 MIN_PREFETCH_TOKENS = 1.0
 DEMAND_SMOOTHING = 0.4
@@ -85,6 +90,7 @@
     """Dependencies of the rate limiter; ``clock`` also advances while suspended.
 
     ``region_of(zone)`` returns the region of an availability zone.
+    ``process_started_at_s`` is when this host's process began by ``clock``,
     ``settle_s`` is the time after its registration until all other hosts count
     a host, ``slack`` the number of operations allowed above rate and burst.
     """
@@ -95,6 +101,7 @@
     peers: Peers
     clock: Callable[[], float]
     region_of: Callable[[str], str]
+    process_started_at_s: float
     settle_s: float
     slack: int
     meter: Meter
@@ -141,6 +148,7 @@
         # shortest time until one of these regions has more.
         self.regions_tried = 0
         self.min_wait_ms = MAX_RETRY_AFTER_MS
+        self.short_rounds = 0
         self.arrivals = 0
         self.demand_per_s = 0.0
         self._batches: deque[_TokenBatch] = deque()
@@ -169,11 +177,13 @@
 class _PreviousDeposits:
     """What brokers hold from a previous start of this host.
 
-    ``held_until_s`` is when the last reported deposit ends.
+    ``held_until_s`` is when the last reported deposit ends, ``latest_report_s`` the
+    same, but minus infinity where no broker reported one.
     """
 
     def __init__(self, now_s: float) -> None:
         self.held_until_s = now_s
+        self.latest_report_s = -math.inf
         self.pending: set[str] = set()
         self._responded: set[str] = set()
         self._first_incarnation: dict[str, str] = {}
@@ -209,6 +219,8 @@
         self._region_names: dict[str, list[str]] = {}
         self._region_names_version = -1
         self._counted_from_s = math.inf
+        # Since when nobody has used what this host keeps of its share.
+        self._unused_since_s = math.inf
         # When the pending request to each broker was sent.
         self._pending_since_s: dict[str, float] = {}
         self._next_regular_at_s = 0.0
@@ -220,9 +232,15 @@
 
         Unless the record is new (``anew``), they already count a previous start.
         """
-        settle_s = self._parts.settle_s if anew else 0.0
-        at_s = self._parts.clock() + settle_s
-        self._counted_from_s = min(self._counted_from_s, at_s)
+        if self._counted_from_s < math.inf:
+            return
+        self._counted_from_s = self._parts.clock()
+        self._unused_since_s = self._parts.process_started_at_s
+        if anew:
+            self._counted_from_s += self._parts.settle_s
+            self._unused_since_s = self._counted_from_s
+        for organisation, state in self._states.items():
+            self._credit_unused(organisation, state)
 
     async def admit(self, organisation: str, target_ms: int) -> Admission:
         """Admit or refuse one operation, after a short wait for a token if needed.
@@ -328,13 +346,21 @@
                 if not unresolved:
                     left_s = previous.held_until_s - self._parts.clock()
                     await trio.sleep(max(0.0, left_s))
-                    self._depositor.clear_previous_start()
+                    self._clear_previous_start(previous)
                     break
                 for record in unresolved:
                     if previous.mark_pending(record):
                         nursery.start_soon(self._request_held_deposit, record, previous)
             nursery.cancel_scope.cancel()
 
+    def _clear_previous_start(self, previous: "_PreviousDeposits") -> None:
+        """Deposit at once what no broker holds from a previous start of this host."""
+        held_until_s = previous.latest_report_s
+        unused_since_s = max(self._unused_since_s, held_until_s)
+        self._depositor.clear_previous_start(unused_since_s, self._parts.clock())
+        self._next_regular_at_s = self._parts.clock()
+        self._wake_up.set()
+
     def _region_broker_candidates(self) -> list[HostRecord]:
         """Return the other hosts of this region that are broker candidates."""
         own = self._parts.own()
@@ -354,6 +380,8 @@
         if isinstance(response, DepositAnswer):
             until_s = self._parts.clock() + response.held_ms / 1000
             previous.record_response(record, until_s)
+            if response.held_ms:
+                previous.latest_report_s = max(previous.latest_report_s, until_s)
         previous.pending.discard(record.incarnation)
 
     def handle_deposit_request(self, request: DepositQuestion) -> DepositAnswer:
@@ -363,9 +391,19 @@
             max(0, math.ceil(min(max(left_s, 0), DEPOSIT_LIFETIME_S) * 1000))
         )
 
-    def handle_pool_request(self, request: PoolQuestion) -> PoolAnswer:
-        """Accept deposits of a host and grant it tokens."""
+    def handle_first_deposit(self, request: FirstDepositQuestion) -> PoolAnswer:
+        """Accept the first deposits of a host, with the tokens that nobody used."""
+        return self.handle_pool_request(request.request, request.unused_ms / 1000)
+
+    def handle_pool_request(
+        self, request: PoolQuestion, unused_s: float = 0.0
+    ) -> PoolAnswer:
+        """Accept deposits of a host and grant it tokens.
+
+        Nobody used the deposits for ``unused_s`` before.
+        """
         own = self._parts.own().incarnation
+        unused = UnusedDeposit(request.base, unused_s)
         organisations = self._parts.organisations()
         extra_depth = self._extra_depth()
         if request.stamp.broker == own:
@@ -381,6 +419,9 @@
                     self._broker.refresh(
                         name, limits.rate_per_s, limits.burst, extra_depth
                     )
+                    self._broker.credit_unused(
+                        name, limits.rate_per_s, limits.burst, unused
+                    )
         grants = []
         for want in request.wants:
             known = organisations.get(want.organisation)
@@ -405,11 +446,24 @@
 
     def _state_for(self, organisation: str) -> _OrganisationState:
         state = self._states.get(organisation)
-        if state is None:
-            state = self._states[organisation] = _OrganisationState(self._parts.clock)
-            state.bucket.set_initial_tokens(self._initial_tokens())
+        if state is not None:
+            return state
+        state = self._states[organisation] = _OrganisationState(self._parts.clock)
+        state.bucket.set_initial_tokens(self._initial_tokens())
+        self._credit_unused(organisation, state)
         return state
 
+    def _credit_unused(self, organisation: str, state: _OrganisationState) -> None:
+        """Fill a new bucket with what nobody used of this host's kept share so far."""
+        limits = self._parts.organisations().get(organisation)
+        unused_s = self._parts.clock() - self._unused_since_s
+        if limits is None or unused_s <= 0:
+            return
+        self._resize(organisation, state, limits)
+        share = self._own_share()
+        kept = share * kept_fraction(limits.burst, share)
+        state.bucket.add(limits.rate_per_s * kept * unused_s)
+
     def _initial_tokens(self) -> float:
         hosts = max(1, self._parts.hosts.count)
         tokens = self._parts.slack * INITIAL_TOKENS_SLACK_RATIO / hosts
@@ -460,6 +514,7 @@
         now_s = self._parts.clock()
         wants: dict[str, list[TokenWant]] = defaultdict(list)
         shards: dict[str, list[int]] = defaultdict(list)
+        unused_s: dict[str, float] = {}
         regions = self._brokers()
         if not regions:
             return
@@ -470,6 +525,8 @@
                     shards.setdefault(broker, [])
                 elif self._depositor.deposit(shard, broker, now_s):
                     shards[broker].append(shard)
+                    claimed_s = self._depositor.claim_unused_s(shard, now_s)
+                    unused_s[broker] = min(unused_s.get(broker, claimed_s), claimed_s)
         for name, state in self._states.items():
             tokens = self._tokens_to_request(state, now_s, regular)
             if tokens:
@@ -482,7 +539,11 @@
                 continue
             self._pending_since_s[broker] = now_s
             self._nursery.start_soon(
-                self._send_request, broker, tuple(shards[broker]), tuple(wants[broker])
+                self._send_request,
+                broker,
+                tuple(shards[broker]),
+                tuple(wants[broker]),
+                unused_s.get(broker, 0.0),
             )
 
     def _select_broker(
@@ -533,21 +594,30 @@
         return tokens
 
     async def _send_request(
-        self, broker: str, shards: tuple[int, ...], wants: tuple[TokenWant, ...]
+        self,
+        broker: str,
+        shards: tuple[int, ...],
+        wants: tuple[TokenWant, ...],
+        unused_s: float,
     ) -> None:
         own = self._parts.own()
         sent_at_s = self._parts.clock()
         stamp = self._stamps.get(broker, Stamp("", 0.0))
         request = PoolQuestion(own.name, stamp, self._own_share(), shards, wants)
+        unused_ms = int(unused_s * 1000)
         response: object = None
         try:
             if broker == own.name:
-                response = self.handle_pool_request(request)
+                response = self.handle_pool_request(request, unused_s)
             else:
                 record = self._parts.hosts.find(broker)
                 if record is not None:
                     reply = await self._parts.peers.ask(
-                        record.peer, request, REQUEST_TIMEOUT_MS
+                        record.peer,
+                        FirstDepositQuestion(request, unused_ms)
+                        if unused_ms
+                        else request,
+                        REQUEST_TIMEOUT_MS,
                     )
                     response = reply.ok()
         finally:
@@ -570,9 +640,8 @@
         state = self._states.get(organisation)
         if state is None or not state.waiters:
             return True
-        was_empty = self._parts.clock() < state.empty_until_s
         state.regions_tried += 1
-        if was_empty or state.regions_tried >= len(self._names_by_region()):
+        if state.regions_tried >= len(self._names_by_region()):
             state.regions_tried = 0
             return False
         self._wake_up.set()
@@ -588,13 +657,16 @@
             state.waiters.popleft().decide(admitted=True)
         if grant.tokens >= wanted:
             state.regions_tried = 0
+            state.short_rounds = 0
             state.min_wait_ms = MAX_RETRY_AFTER_MS
             return
         state.min_wait_ms = min(state.min_wait_ms, grant.wait_ms)
         if self._try_next_region(grant.organisation):
             return
         state.empty_until_s = now_s + NO_TOKENS_PERIOD_S
-        state.next_request_at_s = now_s + REQUEST_RETRY_DELAY_S
+        delay_s = MIN_ROUND_DELAY_S * ROUND_DELAY_GROWTH**state.short_rounds
+        state.next_request_at_s = now_s + min(MAX_ROUND_DELAY_S, delay_s)
+        state.short_rounds += 1
         state.wait_ms, state.min_wait_ms = state.min_wait_ms, MAX_RETRY_AFTER_MS
         own_ms = state.bucket.time_to_next_token_s() * 1000
         wait_too_long = min(own_ms, state.wait_ms) > MAX_WAIT_S * 1000
--- a/tests/test_rates_restart.py
+++ b/tests/test_rates_restart.py
@@ -20,6 +20,7 @@
 from rattanhollow.peer import (
     AskFailure,
     DepositQuestion,
+    FirstDepositQuestion,
     Message,
     PeerAddress,
     PoolQuestion,
@@ -73,6 +74,7 @@
                 peers=_Connections(self, record),  # type: ignore[arg-type]
                 clock=trio.current_time,
                 region_of=lambda zone: zone,
+                process_started_at_s=trio.current_time(),
                 settle_s=1.5,
                 slack=SLACK,
                 meter=Meter(),
@@ -132,6 +134,8 @@
         response: Any
         if isinstance(request, DepositQuestion):
             response = responder.handle_deposit_request(request)
+        elif isinstance(request, FirstDepositQuestion):
+            response = responder.handle_first_deposit(request)
         else:
             assert isinstance(request, PoolQuestion)
             response = responder.handle_pool_request(request)
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -30,6 +30,7 @@
 from rattanhollow.peer import (
     DepositAnswer,
     DepositQuestion,
+    FirstDepositQuestion,
     FloorAnswer,
     PeerAddress,
     PoolAnswer,
@@ -376,6 +377,8 @@
         await trio.sleep(0.01)
         if isinstance(request, DepositQuestion):
             return Ok(DepositAnswer(0))
+        if isinstance(request, FirstDepositQuestion):
+            request = request.request
         self.request_count += bool(request.wants)
         grants = tuple(TokenGrant(w.organisation, 0, 10) for w in request.wants)
         return Ok(PoolAnswer(Stamp(peer.name, 0.0), grants))
@@ -403,6 +406,7 @@
                 peers=brokers,  # type: ignore[arg-type]
                 clock=trio.current_time,
                 region_of=lambda zone: zone.removesuffix("-a"),
+                process_started_at_s=trio.current_time(),
                 settle_s=0.0,
                 slack=SLACK,
                 meter=Meter(),
