Take over a backend server: room for a successor, and leave what is out of reach

Now idle connections are closed while a pool has more than its limit less three for each slot of the server; at the server's limit one attempt each 0.1 s finds out about room, an idle connection of another organisation makes room, and work that only this server can do waits for it, while reads go elsewhere at once.

--- a/src/rattanhollow/serving/_connections.py
+++ b/src/rattanhollow/serving/_connections.py
@@ -38,12 +38,17 @@
 class ConnectionPool:
     """Holds at most ``limit`` connections and evicts the longest idle one.
 
-    Each connection is either idle or lent to work, which returns or closes it.
+    Each connection is either idle or lent to work, which returns or closes it. Idle
+    ones are closed while there are more than ``kept`` connections.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, kept: int) -> None:
         self._limit = limit
-        self._opening_paused_until_s = float("-inf")
+        self._kept = kept
+        # The number of connections at which the server last refused another one, and
+        # when the next attempt to open more is due.
+        self._refused_at: int | None = None
+        self._next_attempt_at_s = 0.0
         self._idle: OrderedDict[ServerConnection, None] = OrderedDict()
         self._lent: set[ServerConnection] = set()
         self._opening = 0
@@ -79,6 +84,8 @@
         self._lent.remove(connection)
         connection.idle_since_s = now_s
         self._idle[connection] = None
+        if sum(self.counts) > self._kept:
+            self.close(next(iter(self._idle)))
 
     def is_lent(self, connection: ServerConnection) -> bool:
         """Whether a connection is lent and has not been closed since."""
@@ -86,27 +93,46 @@
 
     def can_provide(self, now_s: float) -> bool:
         """Whether a connection is idle or another one may be opened."""
-        full = sum(self.counts) >= self._limit or now_s < self._opening_paused_until_s
-        return not full or bool(self._idle)
+        return bool(self._idle) or self.may_open(now_s)
+
+    @property
+    def at_server_limit(self) -> bool:
+        """Whether the server refused another connection at the present number."""
+        return self._refused_at is not None and sum(self.counts) >= self._refused_at
 
-    def pause_opening(self, until_s: float) -> None:
-        """Open no connections until a time, as the server is at its limit."""
-        self._opening_paused_until_s = until_s
+    def may_open(self, now_s: float) -> bool:
+        """Whether another connection may be opened in addition to all others.
 
-    def reserve_opening(self) -> None:
+        At the server's limit, one attempt at a time finds out whether it has room.
+        """
+        if sum(self.counts) >= self._limit:
+            return False
+        due = not self._opening and now_s >= self._next_attempt_at_s
+        return due or not self.at_server_limit
+
+    def reserve_opening(self, now_s: float) -> None:
         """Count a connection that is about to be opened.
 
-        Closes the longest idle connection if the pool is full.
+        Closes the longest idle connection if there is no room for another one.
         """
-        if sum(self.counts) >= self._limit and self._idle:
+        crowded = sum(self.counts) >= self._kept or not self.may_open(now_s)
+        if crowded and self._idle:
             self.close(next(iter(self._idle)))
         self._opening += 1
 
     def finish_opening(self, opened: ServerConnection | None) -> None:
         """End a reserved opening and lend the connection if it was opened."""
         self._opening -= 1
-        if opened is not None:
-            self._lent.add(opened)
+        if opened is None:
+            return
+        if self.at_server_limit:
+            self._refused_at = None
+        self._lent.add(opened)
+
+    def record_refusal(self, next_attempt_at_s: float) -> None:
+        """Record that the server had no room for another connection."""
+        self._refused_at = sum(self.counts)
+        self._next_attempt_at_s = next_attempt_at_s
 
     def close(self, connection: ServerConnection) -> None:
         """Close an idle or lent connection at once; may be called repeatedly."""
--- a/src/rattanhollow/serving/_served_backend.py
+++ b/src/rattanhollow/serving/_served_backend.py
@@ -44,16 +44,24 @@
 # Opening a connection waits for a slot of the server and then occupies it for tens
 # of milliseconds.
 OPEN_TIMEOUT_S = 0.8
+# A server that is suspected to be silent gets less: nothing is known to keep its slots
+# busy, and until the probe ends all work for it waits.
+PROBE_OPEN_TIMEOUT_S = 0.5
+# An open connection may be the only part that is silent, so a new one is tried as well.
+NEW_PROBE_DELAY_S = 0.1
 CONNECTION_POLL_INTERVAL_S = 0.02
 # A server that sends nothing for this long while an exchange is pending is probed.
 SILENT_AFTER_S = 0.4
 SILENCE_CHECK_INTERVAL_S = 0.1
 UNREACHABLE_PROBE_INTERVAL_S = 0.25
-# How long no connection is opened after the server reported its limit: hosts that
+# How often more connections are tried after the server reported its limit: hosts that
 # served it previously may hold connections for a while longer.
-CONNECTION_LIMIT_PAUSE_S = 1.0
+CONNECTION_LIMIT_RETRY_S = 0.1
 # Connections left for hosts that check the server without serving it.
 RESERVED_CONNECTIONS = 2
+# Connections for each slot of the server that are left for a successor: it needs some
+# while those of a host that lost power still count.
+SUCCESSOR_CONNECTIONS_PER_SLOT = 3
 # How long a position that the log lacked is assumed to be missing still: replicas
 # lag for seconds at a time, and each attempt occupies one of their slots.
 LAG_RETRY_INTERVAL_S = 0.1
@@ -121,6 +129,10 @@
         self.result = result
 
 
+class _ServerFull(_WorkStopped):
+    """The server has no room for another connection."""
+
+
 class ServedBackend:
     """Runs work at one backend server.
 
@@ -139,13 +151,15 @@
         self._lagging_since_s: float | None = None
         self._missing_position: tuple[Position, float] | None = None
         self._parts = parts
-        self._pool = ConnectionPool(max(1, connections - RESERVED_CONNECTIONS))
+        limit = max(1, connections - RESERVED_CONNECTIONS)
+        successor = SUCCESSOR_CONNECTIONS_PER_SLOT * server.slots
+        self._pool = ConnectionPool(limit, kept=max(1, limit // 2, limit - successor))
         self._slots: SlotQueue[_SlotRequest] = SlotQueue(server.slots)
         self._health = Health()
         self._transactions: dict[str, _Transaction] = {}
         self._exchanges_started_at_s: dict[ServerConnection, float] = {}
         self._writes_started_at_s: dict[ServerConnection, float] = {}
-        self._exchange_started = trio.Event()
+        self._watch_needed = trio.Event()
         self._last_reply_at_s = parts.clock()
         self._watch_scope = trio.CancelScope()
         self._closed = False
@@ -293,8 +307,8 @@
         with self._watch_scope:
             while True:
                 if self.reachable and not self._exchanges_started_at_s:
-                    self._exchange_started = trio.Event()
-                    await self._exchange_started.wait()
+                    self._watch_needed = trio.Event()
+                    await self._watch_needed.wait()
                 await trio.sleep(
                     SILENCE_CHECK_INTERVAL_S
                     if self.reachable
@@ -325,16 +339,29 @@
     async def _run(self, work: Work, transaction: _Transaction | None) -> WorkResult:
         deadline_s = self._parts.clock() + work.budget_ms / 1000
         while True:
-            queued_at_s = self._parts.clock()
-            estimate_ms = self._slots.wait_ms(work.priority)
-            await self._take_slot(work, deadline_s)
-            waited_ms = (self._parts.clock() - queued_at_s) * 1000
-            self._parts.meter.time(kinds.QUEUE_WAIT_MS, waited_ms, self.server.id)
-            self._parts.meter.time(kinds.QUEUE_ESTIMATE_MS, estimate_ms, self.server.id)
-            if transaction is not None or self._connection_available():
-                break
-            self._free_slot(None)
-            await self._wait_for_connection(deadline_s)
+            await self._await_slot(work, deadline_s)
+            if transaction is None and not self._connection_available():
+                self._free_slot(None)
+                await self._wait_for_connection(work, deadline_s)
+                continue
+            try:
+                return await self._run_in_slot(work, transaction, deadline_s)
+            except _ServerFull:
+                if work.movable:
+                    raise
+
+    async def _await_slot(self, work: Work, deadline_s: float) -> None:
+        queued_at_s = self._parts.clock()
+        estimate_ms = self._slots.wait_ms(work.priority)
+        await self._take_slot(work, deadline_s)
+        waited_ms = (self._parts.clock() - queued_at_s) * 1000
+        self._parts.meter.time(kinds.QUEUE_WAIT_MS, waited_ms, self.server.id)
+        self._parts.meter.time(kinds.QUEUE_ESTIMATE_MS, estimate_ms, self.server.id)
+
+    async def _run_in_slot(
+        self, work: Work, transaction: _Transaction | None, deadline_s: float
+    ) -> WorkResult:
+        """Run work that has a slot, and free the slot."""
         started_at_s = self._parts.clock()
         replied = False
         try:
@@ -428,9 +455,10 @@
     def _connection_available(self) -> bool:
         return self._pool.can_provide(self._parts.clock())
 
-    async def _wait_for_connection(self, deadline_s: float) -> None:
+    async def _wait_for_connection(self, work: Work, deadline_s: float) -> None:
         while not self._connection_available():
-            if self._parts.clock() >= deadline_s:
+            movable = work.movable and self._pool.at_server_limit
+            if movable or self._parts.clock() >= deadline_s:
                 counts = self._pool.counts
                 detail = (
                     f"no connection is free: idle={counts.idle} lent={counts.lent}"
@@ -460,13 +488,18 @@
         idle_s = self._parts.clock() - connection.idle_since_s
         if idle_s < PROBE_AFTER_IDLE_S:
             return True
+        return await self._is_responsive(connection)
+
+    async def _is_responsive(self, connection: ServerConnection) -> bool:
+        """Whether the server responds on a lent connection; closes it otherwise."""
         probe = [Command(CommandKind.BEGIN_READ_ONLY), Command(CommandKind.ROLLBACK)]
         return (await self._exchange(connection, probe, PROBE_TIMEOUT_S)).is_ok()
 
     async def _open_connection(
         self, organisation: str, timeout_s: float
     ) -> ServerConnection:
-        self._pool.reserve_opening()
+        started_at_s = self._parts.clock()
+        self._pool.reserve_opening(started_at_s)
         opened = None
         connection = None
         try:
@@ -494,17 +527,31 @@
         failure = OpenFailure.UNREACHABLE if opened is None else opened.unwrap_err()
         log_event("server.not_opened", server=self.server.id, reason=failure.value)
         if failure is OpenFailure.TOO_MANY:
-            self._pool.pause_opening(self._parts.clock() + CONNECTION_LIMIT_PAUSE_S)
-        overloaded = failure in (OpenFailure.TOO_MANY, OpenFailure.BUSY)
+            self._pool.record_refusal(self._parts.clock() + CONNECTION_LIMIT_RETRY_S)
+            raise _ServerFull(not_run(Blocker.OVERLOADED, failure.value))
+        if failure is OpenFailure.UNREACHABLE:
+            self._note_failed_opening(started_at_s)
+        overloaded = failure is OpenFailure.BUSY
         blocker = Blocker.OVERLOADED if overloaded else Blocker.NOT_SERVED
         raise _WorkStopped(not_run(blocker, failure.value))
 
+    def _note_failed_opening(self, started_at_s: float) -> None:
+        """Stop using a server to which no connection exists or can be opened.
+
+        Otherwise each opening would occupy a slot until its timeout, and all other
+        work would wait for these slots until its deadline.
+        """
+        counts = self._pool.counts
+        connected = counts.idle + counts.lent > 0
+        if not connected and self.reachable and self._last_reply_at_s <= started_at_s:
+            self._mark_unreachable()
+
     async def _exchange(
         self, connection: ServerConnection, commands: list[Command], timeout_s: float
     ) -> Result[list[Reply], ExchangeFailure]:
         """Run commands; on an ``Err`` the connection has been closed."""
         self._exchanges_started_at_s[connection] = self._parts.clock()
-        self._exchange_started.set()
+        self._watch_needed.set()
         exchanged: Result[list[Reply], ExchangeFailure] = Err(
             ExchangeFailure("no response in time")
         )
@@ -693,18 +740,32 @@
             self._mark_unreachable()
 
     async def _probe_server(self) -> bool:
+        """Whether the server responds, on an open connection or on a new one."""
         connection = self._pool.lend_most_recent()
-        if connection is not None:
-            probe = [
-                Command(CommandKind.BEGIN_READ_ONLY),
-                Command(CommandKind.ROLLBACK),
-            ]
-            exchanged = await self._exchange(connection, probe, PROBE_TIMEOUT_S)
-            if exchanged.is_ok():
+        if connection is None:
+            return await self._probe_new_connection()
+        responds = False
+
+        async def probe_open() -> None:
+            nonlocal responds
+            if await self._is_responsive(connection):
                 self._return_connection(connection)
-                return True
+                responds = True
+                nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(probe_open)
+            await trio.sleep(NEW_PROBE_DELAY_S)
+            if await self._probe_new_connection():
+                responds = True
+                nursery.cancel_scope.cancel()
+        return responds
+
+    async def _probe_new_connection(self) -> bool:
         try:
-            connection = await self._open_connection(NO_ORGANISATION, OPEN_TIMEOUT_S)
+            connection = await self._open_connection(
+                NO_ORGANISATION, PROBE_OPEN_TIMEOUT_S
+            )
         except _WorkStopped as stopped:
             return stopped.result.blocker is Blocker.OVERLOADED
         self._return_connection(connection)
@@ -713,6 +774,7 @@
     def _mark_unreachable(self) -> None:
         """Stop using a server that does not respond, until a probe succeeds."""
         self.reachable = False
+        self._watch_needed.set()
         self._unreachable_since_s = self._parts.clock()
         log_event(
             "server.unreachable",
--- a/src/rattanhollow_standins/platform/_group.py
+++ b/src/rattanhollow_standins/platform/_group.py
@@ -62,6 +62,7 @@
         self.open_s = 0.0
         self.max_connections = 20
         self.connections = 0
+        self.refused = 0
         self.opened = 0
         self.most_at_once = 0
         self.dark = False
--- a/src/rattanhollow_standins/platform/_memory.py
+++ b/src/rattanhollow_standins/platform/_memory.py
@@ -93,6 +93,7 @@
         if database.dark:
             await trio.sleep_forever()
         if database.connections >= database.max_connections:
+            database.refused += 1
             return Err(OpenFailure.TOO_MANY)
         database.connections += 1
         database.opened += 1
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -362,10 +362,10 @@
 
 def test_a_pool_prefers_the_connection_that_fits() -> None:
     """Equal values are preferred, then values that only need additions."""
-    pool = ConnectionPool(4)
+    pool = ConnectionPool(4, kept=4)
     session: Any = None
     for values in ({}, {"v": "1"}, {"w": "2"}):
-        pool.reserve_opening()
+        pool.reserve_opening(0.0)
         connection = ServerConnection(session, "kirk")
         connection.values = values
         pool.finish_opening(connection)
