Split the served backend by its concerns; the same behaviour

Never used: ServedBackend.failure_ratio, Health.failure_ratio, Router._avoided_until_s; removed. Ruled out a change of behaviour: the network-free tests of serving, routing and succession pass on both sides, log events and keys are the same.

--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -154,7 +154,6 @@
     def __init__(self, dependencies: RouterDependencies) -> None:
         self._dependencies = dependencies
         self._recent_wait_ms: dict[str, tuple[float, float]] = {}
-        self._avoided_until_s: dict[str, float] = {}
         self._refreshing: set[str] = set()
         self._attempt_numbers = itertools.count(1)
         # Limits hedged reads, so that they do not aggravate an overload.
--- a/src/rattanhollow/serving/__init__.py
+++ b/src/rattanhollow/serving/__init__.py
@@ -11,8 +11,9 @@
     Reply,
     ServerStatus,
 )
+from rattanhollow.serving._connector import ServingParts
 from rattanhollow.serving._fair_queue import FairQueue
-from rattanhollow.serving._served_backend import ServedBackend, ServingParts
+from rattanhollow.serving._served_backend import ServedBackend
 from rattanhollow.serving._serving import Serving
 from rattanhollow.serving._work import (
     Blocker,
--- a/src/rattanhollow/serving/_health.py
+++ b/src/rattanhollow/serving/_health.py
@@ -48,12 +48,6 @@
         self._last_probe_at_s = now_s
         return False
 
-    def failure_ratio(self, now_s: float) -> float:
-        """Return the fraction of recent work that failed, 0 below `MIN_OUTCOMES`."""
-        self._drop_old_outcomes(now_s)
-        count = len(self._outcomes)
-        return self._failures / count if count >= MIN_OUTCOMES else 0.0
-
     def _drop_old_outcomes(self, now_s: float) -> None:
         while self._outcomes and now_s - self._outcomes[0][0] > WINDOW_S:
             self._failures -= self._outcomes.popleft()[1]
--- a/src/rattanhollow/serving/_serving.py
+++ b/src/rattanhollow/serving/_serving.py
@@ -6,7 +6,8 @@
 
 from rattanhollow.observe import Meter
 from rattanhollow.serving._backend_protocol import BackendAdapter, BackendServer
-from rattanhollow.serving._served_backend import ServedBackend, ServingParts
+from rattanhollow.serving._connector import ServingParts
+from rattanhollow.serving._served_backend import ServedBackend
 from rattanhollow.serving._work import (
     Blocker,
     ProofAnswer,
