Serve a backend server only once its connection limit is known

A host now says that it doesn't serve the server until it knows the limit, so that another host does, and a limit that changes with the configuration is applied. Ruled out: the pause after a refusal (no opening was refused after 37 s), two hosts that serve the server at once (only one did). tests/test_takeover.py: the new test fails with a default limit of one connection.

--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -297,9 +297,9 @@
     def _own(self) -> HostRecord:
         return self.registration.record
 
-    def _connections_of(self, service: str) -> int:
+    def _connections_of(self, service: str) -> int | None:
         known = self.routes.services.get(service)
-        return known.connections if known is not None else 1
+        return known.connections if known is not None else None
 
     async def _prove(self, service: str) -> ProofAnswer:
         leader = self.directory.leader(service)
--- a/src/rattanhollow/serving/_connections.py
+++ b/src/rattanhollow/serving/_connections.py
@@ -43,8 +43,7 @@
     """
 
     def __init__(self, limit: int, kept: int) -> None:
-        self._limit = limit
-        self._kept = kept
+        self.resize(limit, kept)
         # The number of connections at which the server last refused another one, and
         # when the next attempt to open more is due.
         self._refused_at: int | None = None
@@ -53,6 +52,11 @@
         self._lent: set[ServerConnection] = set()
         self._opening = 0
 
+    def resize(self, limit: int, kept: int) -> None:
+        """Change the limits; what is too many is closed as it becomes idle."""
+        self._limit = limit
+        self._kept = kept
+
     @property
     def counts(self) -> PoolCounts:
         """The number of connections in each state."""
--- a/src/rattanhollow/serving/_connector.py
+++ b/src/rattanhollow/serving/_connector.py
@@ -76,11 +76,13 @@
         self._parts = parts
         self._on_exchange = on_exchange
         self._on_no_answer = on_no_answer
-        limit = max(1, connections - RESERVED_CONNECTIONS)
-        successor = SUCCESSOR_CONNECTIONS_PER_SLOT * server.slots
-        self._pool = ConnectionPool(limit, kept=max(1, limit // 2, limit - successor))
+        self._pool = ConnectionPool(*_pool_sizes(connections, server.slots))
         self._exchanges_started_at_s: dict[ServerConnection, float] = {}
 
+    def set_limit(self, connections: int) -> None:
+        """Use at most so many of the server's connections as the operators allow."""
+        self._pool.resize(*_pool_sizes(connections, self.server.slots))
+
     @property
     def counts(self) -> PoolCounts:
         """The number of connections in each state."""
@@ -263,3 +265,10 @@
             return False
         idle_s = self._parts.clock() - connection.idle_since_s
         return idle_s < PROBE_AFTER_IDLE_S or await self.is_responsive(connection)
+
+
+def _pool_sizes(connections: int, slots: int) -> tuple[int, int]:
+    """Return the pool's limit and how many connections it keeps."""
+    limit = max(1, connections - RESERVED_CONNECTIONS)
+    successor = SUCCESSOR_CONNECTIONS_PER_SLOT * slots
+    return limit, max(1, limit // 2, limit - successor)
--- a/src/rattanhollow/serving/_served_backend.py
+++ b/src/rattanhollow/serving/_served_backend.py
@@ -67,9 +67,10 @@
         """The server's newest description."""
         return self._connector.server
 
-    @server.setter
-    def server(self, server: BackendServer) -> None:
+    def update(self, server: BackendServer, connections: int) -> None:
+        """Use a newer description and connection limit of the same server."""
         self._connector.server = server
+        self._connector.set_limit(connections)
 
     @property
     def reachable(self) -> bool:
--- a/src/rattanhollow/serving/_serving.py
+++ b/src/rattanhollow/serving/_serving.py
@@ -32,8 +32,9 @@
 
     ``is_first(server)`` returns whether this host is the server's first choice of
     serving host, ``find(id)`` the server as described in the store,
-    ``connections(service)`` the connection limit of each server of the service, and
-    ``idle_ms()`` how long a transaction may stay idle.
+    ``connections(service)`` the connection limit of each server of the service, None
+    if the configuration does not have the service, and ``idle_ms()`` how long a
+    transaction may stay idle.
     """
 
     def __init__(
@@ -41,7 +42,7 @@
         backend: BackendAdapter,
         is_first: Callable[[BackendServer], bool],
         find: Callable[[str], BackendServer | None],
-        connections: Callable[[str], int],
+        connections: Callable[[str], int | None],
         idle_ms: Callable[[], int],
         clock: Callable[[], float],
         meter: Meter,
@@ -93,8 +94,10 @@
                 continue
             if known is None or known.born_ms != served.server.born_ms:
                 self._stop_serving(server_id)
-            else:
-                served.server = known
+                continue
+            limit = self._connection_limit(known.service)
+            if limit is not None:
+                served.update(known, limit)
 
     async def run_work(self, work: Work) -> WorkResult:
         """Run work at the backend server named in it."""
@@ -116,7 +119,11 @@
         return await served.prove()
 
     def serve(self, server_id: str) -> ServedBackend | None:
-        """Return a server, starting to serve it if it is known."""
+        """Return a server, starting to serve it if it is known.
+
+        A host that has just started knows servers before it knows how many connections
+        they allow; others serve them until then.
+        """
         served = self._served.get(server_id)
         known = self._find_server(server_id)
         if served is not None:
@@ -125,8 +132,11 @@
             self._stop_serving(server_id)
         if known is None or self._nursery is None:
             return None
+        limit = self._connection_limit(known.service)
+        if limit is None:
+            return None
         parts = ServingParts(self._backend, self._nursery, self._clock, self._meter)
-        served = ServedBackend(known, self._connection_limit(known.service), parts)
+        served = ServedBackend(known, limit, parts)
         self._served[server_id] = served
         self._nursery.start_soon(served.watch)
         return served
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,16 +1,17 @@
 """A host takes over a backend server from one that lost power or was cut off.
 
 The connections of a host that lost power count at the server for some seconds more, so
-the new serving host finds little room. And a host that begins to serve a server which
-it can't reach must find that out before its callers' deadlines. Uses stand-in databases
-in memory and simulated time, no network.
+the new serving host finds little room. A host that begins to serve a server which it
+can't reach must find that out before its callers' deadlines. And a host that has just
+started is asked before it knows how many connections the server allows. Uses stand-in
+databases in memory and simulated time, no network.
 """
 
 from functools import partial
 
 import trio
 
-from rattanhollow.serving import Blocker, WorkOutcome, WorkResult
+from rattanhollow.serving import Blocker, Serving, WorkOutcome, WorkResult
 from test_serving import Stage, on_stage, work
 
 LIMIT = 21
@@ -118,3 +119,35 @@
         assert (await stage.primary.run(work())).outcome is WorkOutcome.DONE
 
     on_stage(scenario)
+
+
+def test_a_host_serves_with_all_connections_once_it_knows_how_many() -> None:
+    """Work that comes before the configuration neither runs nor limits later work."""
+
+    async def scenario(stage: Stage) -> None:
+        limits: dict[str, int] = {}
+        known = stage.primary.server
+        serving = Serving(
+            stage.parts.backend,
+            lambda server: True,
+            lambda server_id: known,
+            limits.get,
+            lambda: 1_000,
+            trio.current_time,
+            stage.parts.meter,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serving.run)
+            await trio.sleep(0.01)
+            early = await serving.run_work(work())
+            assert early.blocker is Blocker.NOT_SERVED
+            limits[known.service] = LIMIT
+            stage.databases[0].work_s = 0.05
+            async with trio.open_nursery() as callers:
+                for number in range(SLOTS):
+                    item = work(organisation=f"o{number}")
+                    callers.start_soon(serving.run_work, item)
+            assert stage.databases[0].most_at_once == SLOTS
+            nursery.cancel_scope.cancel()
+
+    on_stage(scenario)
