Operations wait for tokens a fifth of their target again

Where an organisation asks for more than its rate, a longer queue only makes late what would have been served in time.

--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -49,8 +49,8 @@
 DEPOSIT_CHECK_INTERVAL_S = 0.1
 # Maximum time an operation waits for a token: two requests to another region, and
 # at most this fraction of the latency that the caller expects.
-MAX_WAIT_S = 0.5
-WAIT_TARGET_RATIO = 0.5
+MAX_WAIT_S = 0.25
+WAIT_TARGET_RATIO = 0.2
 # Longer limits after this host's start, while brokers that started with it hold few
 # deposits or none: a refused caller would use up its retries before any tokens
 # exist. The rest of the expected latency is left for the statement itself.
@@ -66,7 +66,7 @@
 EXTRA_DEPTH_RATIO = 0.4
 # Maximum number of waiting operations, relative to what an equal share yields during
 # the wait: some hosts receive more operations than others.
-MAX_WAITERS_RATIO = 4.0
+MAX_WAITERS_RATIO = 2.0
 # How long an organisation counts as over its rate after a response that said so.
 NO_TOKENS_PERIOD_S = 0.25
 # Delay before the brokers of all regions are queried again that granted too few tokens
