--- a/src/rattanhollow/coordination/_token_pool.py
+++ b/src/rattanhollow/coordination/_token_pool.py
@@ -22,7 +22,7 @@
 # For how long after its start a broker fills the extra depth of its buckets.
 START_CREDIT_S = 3.0
 # The fraction of its own allotment that a host never deposits.
-KEPT_FRACTION = 0.25
+KEPT_FRACTION = 0.5
 # The organisations of a shard are deposited together.
 SHARDS = 16
 # Unused tokens expire, which limits how many are outstanding at any time.
