--- a/src/rattanhollow/host/_answer_peers.py
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -18,7 +18,7 @@
     ReachAnswer,
     ReachQuestion,
 )
-from rattanhollow.rates import PooledRateLimiter
+from rattanhollow.rates import BrokerService
 from rattanhollow.routing import FloorCache, ServerDirectory
 from rattanhollow.serving import ProofQuestion, Serving, Work
 
@@ -28,7 +28,7 @@
 
     serving: Serving
     neighbours: NeighbourWatch
-    rates: PooledRateLimiter
+    broker: BrokerService
     gossip: Gossip
     directory: ServerDirectory
     floors: FloorCache
@@ -45,11 +45,11 @@
     if isinstance(question, FloorQuestion):
         return await parts.floors.respond_to_host(question.service)
     if isinstance(question, PoolQuestion):
-        return parts.rates.handle_pool_request(question)
+        return parts.broker.handle_pool_request(question)
     if isinstance(question, FirstDepositQuestion):
-        return parts.rates.handle_first_deposit(question)
+        return parts.broker.handle_first_deposit(question)
     if isinstance(question, DepositQuestion):
-        return parts.rates.handle_deposit_request(question)
+        return parts.broker.handle_deposit_request(question)
     if isinstance(question, CopyQuestion):
         return parts.gossip.comparison_response(question)
     if isinstance(question, CopyNews):
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -380,7 +380,7 @@
         parts = Answerers(
             self.serving,
             self._neighbours,
-            self.rates,
+            self.rates.broker,
             self.gossip,
             self.directory,
             self.floors,
--- a/src/rattanhollow/rates/__init__.py
+++ b/src/rattanhollow/rates/__init__.py
@@ -1,5 +1,6 @@
 """Fleet-wide rate limits of organisations."""
 
+from rattanhollow.rates._broker_service import BrokerService
 from rattanhollow.rates._brokers import broker_candidates, brokers_by_region
 from rattanhollow.rates._leased import (
     LeasedRateLimiter,
@@ -13,6 +14,7 @@
 
 __all__ = [
     "Admission",
+    "BrokerService",
     "LeasedRateLimiter",
     "LeasedRateLimiterParts",
     "PooledRateLimiter",
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -222,7 +222,7 @@
 
 def _respond(responder: PooledRateLimiter, request: Any) -> Any:
     if isinstance(request, DepositQuestion):
-        return responder.handle_deposit_request(request)
+        return responder.broker.handle_deposit_request(request)
     if isinstance(request, FirstDepositQuestion):
-        return responder.handle_first_deposit(request)
-    return responder.handle_pool_request(request)
+        return responder.broker.handle_first_deposit(request)
+    return responder.broker.handle_pool_request(request)
--- a/tests/test_rates_reconnect.py
+++ b/tests/test_rates_reconnect.py
@@ -110,3 +110,31 @@
     """The bound rests on the claimed time: with three more seconds it breaks."""
     fleet = _restart_in_series(0, slack=0, ahead_s=3.0)
     assert any(fleet.largest_excess(name) > 0 for name in fleet.organisations)
+
+
+def test_an_organisation_that_returns_finds_no_more_than_it_left() -> None:
+    """Its keys are withdrawn and given again; the bucket was used in between."""
+    fleet = RateFleet(random.Random(0), 1, (5.0,), slack=0)
+    known = {"o0": fleet.organisations["o0"]._replace(burst=40)}
+    fleet.organisations.update(known)
+
+    async def admit_all() -> None:
+        while (await fleet.running["h0"].admit("o0", 0)).admitted:
+            fleet.admitted["o0"].append(trio.current_time())
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.run_host, "h0", 0.0)
+            await trio.sleep(3)
+            for _ in range(12):
+                await admit_all()
+                fleet.organisations.clear()
+                await trio.sleep(0.5)
+                fleet.organisations.update(known)
+                await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+
+    run_jumping(main)
+    assert fleet.admitted["o0"]
+    fleet.organisations.update(known)
+    assert fleet.largest_excess("o0") <= 0
--- a/tests/test_rates_restart.py
+++ b/tests/test_rates_restart.py
@@ -133,12 +133,12 @@
         await trio.sleep(LATENCY_S[same_region])
         response: Any
         if isinstance(request, DepositQuestion):
-            response = responder.handle_deposit_request(request)
+            response = responder.broker.handle_deposit_request(request)
         elif isinstance(request, FirstDepositQuestion):
-            response = responder.handle_first_deposit(request)
+            response = responder.broker.handle_first_deposit(request)
         else:
             assert isinstance(request, PoolQuestion)
-            response = responder.handle_pool_request(request)
+            response = responder.broker.handle_pool_request(request)
         return Ok(response)
 
 
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -41,7 +41,8 @@
     broker_candidates,
     brokers_by_region,
 )
-from rattanhollow.rates._pooled import EXTRA_DEPTH_RATIO, MAX_WAIT_S
+from rattanhollow.rates._broker_service import EXTRA_DEPTH_RATIO
+from rattanhollow.rates._pooled import MAX_WAIT_S
 from rattanhollow.routing import FloorCache
 from rattanhollow.serving import ProofAnswer
 from rattanhollow.store import Stored
