--- a/src/rattanhollow/host/_watch_primaries.py
+++ b/src/rattanhollow/host/_watch_primaries.py
@@ -27,7 +27,8 @@
     ReplaceParts,
 )
 
-REACH_TIMEOUT_MS = 1_500
+# A host that has no connection to the server tries for half a second to open one.
+REACH_TIMEOUT_MS = 800
 ASKED_IN_A_ZONE = 2
 
 
@@ -77,7 +78,11 @@
 
     def suspicion_s(server: BackendServer) -> float:
         found = served(server)
-        return found.unreachable_s if found is not None else 0.0
+        return found.suspected_s if found is not None else 0.0
+
+    def unreachable(server: BackendServer) -> bool:
+        found = served(server)
+        return found is not None and not found.reachable
 
     def stuck_s(server: BackendServer) -> float:
         found = served(server)
@@ -131,7 +136,8 @@
             servers=parts.directory.list_servers,
             leader=parts.directory.leader,
             is_responsible=is_mine,
-            unresponsive_s=suspicion_s,
+            suspected_s=suspicion_s,
+            is_unreachable=unreachable,
             oldest_commit_wait_s=stuck_s,
             lagging_replicas=behind,
             query_reachability=others_reach,
--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -33,16 +33,22 @@
 # Added to the cost of a server that fails its work. Like all wait estimates, it
 # expires within a second.
 FAILURE_PENALTY_MS = 1_000.0
+# Added to the cost of a server that no host reaches; expires likewise.
+UNREACHABLE_PENALTY_MS = 1_000.0
 # Cost of a server whose log lags the position that all readers must see; expires
 # likewise.
 LAG_PENALTY_MS = 400.0
+# Added to the cost of the primary, which alone can do other work. Reads go there while
+# all replicas lag, are out of reach, or have queues so much longer.
+PRIMARY_PENALTY_MS = 300.0
 # Retries of a failed read that only the primary may serve.
 MAX_PRIMARY_READ_RETRIES = 2
 # A read without a response after this fraction of the latency that its caller expects
-# is hedged: also sent to another server. The rate of hedged reads is limited to at
-# most a tenth of the reads of a busy host.
+# is hedged: also sent to another server. At most this fraction of a host's reads is
+# hedged, after a burst of a few, so that hedging does not aggravate an overload.
 HEDGE_AFTER_FRACTION = 0.35
-HEDGED_READS_PER_S = 4.0
+HEDGED_READ_RATIO = 0.1
+HEDGED_READ_BURST = 4.0
 # With less time left before the deadline, another attempt is not worthwhile.
 MIN_ATTEMPT_MS = 20
 
@@ -156,9 +162,9 @@
         self._recent_wait_ms: dict[str, tuple[float, float]] = {}
         self._refreshing: set[str] = set()
         self._attempt_numbers = itertools.count(1)
-        # Limits hedged reads, so that they do not aggravate an overload.
         self._hedge_bucket = TokenBucket(dependencies.clock)
-        self._hedge_bucket.resize(HEDGED_READS_PER_S, HEDGED_READS_PER_S)
+        self._hedge_bucket.resize(0.0, HEDGED_READ_BURST)
+        self._hedge_bucket.set_initial_tokens(HEDGED_READ_BURST)
 
     async def read(self, statement: StatementRequest) -> Outcome:
         """Run a read outside a transaction."""
@@ -230,7 +236,15 @@
                 skipped.clear()
                 await self._dependencies.directory.wait_for_change(RETRY_PAUSE_S)
                 continue
-            dispatched = await self._attempt(statement, server, scope, None, budget_ms)
+            if scope is Scope.PROVEN:
+                # The primary itself is asked again: one answer may have been lost.
+                dispatched, _ = await self._hedged_read(
+                    statement, server, server, scope, None, budget_ms
+                )
+            else:
+                dispatched = await self._attempt(
+                    statement, server, scope, None, budget_ms
+                )
             result = last = dispatched.result
             if result.outcome is WorkOutcome.DONE:
                 committed = result.position if scope is Scope.ALONE else None
@@ -254,20 +268,27 @@
     async def _run_on_any_server(
         self, statement: StatementRequest, scope: Scope
     ) -> Outcome:
-        """Run a read on any server whose log has reached the required position."""
+        """Run a read on any server whose log has reached the required position.
+
+        It is refused at once if the queues of all servers exceed its deadline.
+        """
         floor = await self._required_position(statement)
         if floor is None:
             detail = "no primary proved its current log position"
             return Outcome(Refused(Reason.BUSY, detail))
         skipped: set[str] = set()
         last: WorkResult | None = None
+        hopeless = True
         while True:
             budget_ms = self._budget_ms(statement)
             if budget_ms < MIN_ATTEMPT_MS:
                 return Outcome(_busy_refusal(last))
             server = self._select_reader(statement.route.service, skipped)
+            if server is None and skipped and hopeless:
+                return Outcome(_busy_refusal(last))
             if server is None:
                 skipped.clear()
+                hopeless = True
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
             other = self._select_reader(statement.route.service, {*skipped, server.id})
@@ -287,6 +308,7 @@
             if result.reason is Reason.FAILED and movable:
                 # The read had no effect; another server may succeed.
                 skipped.add(server.id)
+                hopeless = False
                 continue
             if not _may_retry(result, repeatable=True):
                 return Outcome(_standalone_refusal(result, reads=True))
@@ -297,6 +319,7 @@
                     LAG_PENALTY_MS,
                 )
             skipped.add(server.id)
+            hopeless = hopeless and _queue_exceeds(result, budget_ms)
 
     async def _hedged_read(
         self,
@@ -304,20 +327,25 @@
         server: BackendServer,
         other: BackendServer | None,
         scope: Scope,
-        floor: Position,
+        floor: Position | None,
         budget_ms: int,
     ) -> tuple[DispatchResult, BackendServer]:
         """Read from a server, and from ``other`` too if the first is slow to respond.
 
         Returns the result to use and the server that it came from.
         """
-        movable = other is not None
-        if other is None or scope is not Scope.ALONE:
+        movable = other is not None and other.id != server.id
+        if other is None or scope is Scope.BEGIN_READ_ONLY:
             dispatched = await self._attempt(
                 statement, server, scope, floor, budget_ms, movable
             )
             return dispatched, server
-        first = self._start_read(statement, server, floor, budget_ms)
+
+        def start(at: BackendServer, within_ms: int) -> _PendingRead:
+            return self._start_read(statement, at, scope, floor, within_ms, movable)
+
+        self._hedge_bucket.add(HEDGED_READ_RATIO)
+        first = start(server, budget_ms)
         with trio.move_on_after(
             statement.route.target_ms / 1000 * HEDGE_AFTER_FRACTION
         ):
@@ -328,15 +356,17 @@
             await first.finished.wait()
             assert first.dispatched is not None
             return first.dispatched, server
-        second = self._start_read(statement, other, floor, left_ms)
+        second = start(other, left_ms)
         return await _first_success(first, server, second, other)
 
     def _start_read(
         self,
         statement: StatementRequest,
         server: BackendServer,
-        floor: Position,
+        scope: Scope,
+        floor: Position | None,
         budget_ms: int,
+        movable: bool,
     ) -> _PendingRead:
         """Start a read that continues even if no caller waits for it any longer.
 
@@ -346,7 +376,7 @@
 
         async def run() -> None:
             read.dispatched = await self._attempt(
-                statement, server, Scope.ALONE, floor, budget_ms, movable=True
+                statement, server, scope, floor, budget_ms, movable
             )
             read.finished.set()
 
@@ -409,6 +439,8 @@
         wait_ms = float(result.wait_ms)
         if result.reason is Reason.FAILED or result.blocker is Blocker.FAILING:
             wait_ms += FAILURE_PENALTY_MS
+        if result.blocker is Blocker.NOT_SERVED:
+            wait_ms += UNREACHABLE_PENALTY_MS
         self._recent_wait_ms[server.id] = (self._dependencies.clock(), wait_ms)
 
     async def _required_position(self, statement: StatementRequest) -> Position | None:
@@ -478,8 +510,8 @@
     def _select_reader(self, service: str, skipped: set[str]) -> BackendServer | None:
         """Return the server with the lowest expected cost of a read, or None.
 
-        Replicas are preferred to the leader. The cost is the distance of the server
-        and its recent wait, which fades out within a second.
+        The cost is the distance of the server and its recent wait, which fades out
+        within a second; the leader has an additional cost.
         """
         leader = self._dependencies.directory.leader(service)
         leader_id = leader.id if leader is not None else ""
@@ -489,13 +521,13 @@
             if server.id not in skipped and not self._is_leaving(server)
         ]
 
-        def cost(server: BackendServer) -> tuple[bool, float, str]:
-            distance = self._dependencies.topology.distance(
-                self._dependencies.topology.zone, server.zone
-            )
+        def cost(server: BackendServer) -> tuple[float, str]:
+            topology = self._dependencies.topology
+            distance_ms = 20 * topology.distance(topology.zone, server.zone)
             seen_s, wait_ms = self._recent_wait_ms.get(server.id, (0.0, 0.0))
             faded = max(0.0, 1.0 - (self._dependencies.clock() - seen_s))
-            return server.id == leader_id, distance * 20 + wait_ms * faded, server.id
+            penalty_ms = PRIMARY_PENALTY_MS if server.id == leader_id else 0.0
+            return distance_ms + wait_ms * faded + penalty_ms, server.id
 
         return min(usable, key=cost, default=None)
 
@@ -516,6 +548,11 @@
     return repeatable
 
 
+def _queue_exceeds(result: WorkResult, budget_ms: int) -> bool:
+    """Whether the server has more work queued than it can do in the budget."""
+    return result.blocker is Blocker.OVERLOADED and result.retry_after_ms >= budget_ms
+
+
 def _busy_refusal(last: WorkResult | None) -> Refused:
     detail = last.detail if last is not None else "no backend server available"
     retry_after_ms = last.retry_after_ms if last is not None else 0
--- a/src/rattanhollow/serving/_connector.py
+++ b/src/rattanhollow/serving/_connector.py
@@ -58,8 +58,9 @@
 class Connector:
     """The connections of this host to one backend server.
 
-    ``on_exchange()`` is called when an exchange begins, and ``on_no_answer(since_s)``
-    when an attempt to open a connection, begun at ``since_s``, got no answer.
+    ``on_request()`` is called when a reply begins to be awaited, and
+    ``on_no_answer(since_s)`` when an attempt to open a connection, begun at
+    ``since_s``, got no answer.
     """
 
     def __init__(
@@ -67,17 +68,18 @@
         server: BackendServer,
         connections: int,
         parts: ServingParts,
-        on_exchange: Callable[[], None],
+        on_request: Callable[[], None],
         on_no_answer: Callable[[float], None],
     ) -> None:
         self.server = server
         self.closed = False
         self.last_reply_at_s = parts.clock()
         self._parts = parts
-        self._on_exchange = on_exchange
+        self._on_request = on_request
         self._on_no_answer = on_no_answer
         self._pool = ConnectionPool(*_pool_sizes(connections, server.slots))
         self._exchanges_started_at_s: dict[ServerConnection, float] = {}
+        self._openings_started_at_s: list[float] = []
 
     def set_limit(self, connections: int) -> None:
         """Use at most so many of the server's connections as the operators allow."""
@@ -94,9 +96,18 @@
         return len(self._exchanges_started_at_s)
 
     @property
-    def oldest_exchange_at_s(self) -> float | None:
-        """When the oldest exchange under way began, None if there is none."""
-        return min(self._exchanges_started_at_s.values(), default=None)
+    def silent_s(self) -> float:
+        """Seconds for which the server has left exchanges or openings unanswered."""
+        started_at_s = [*self._exchanges_started_at_s.values()]
+        started_at_s += self._openings_started_at_s
+        if not started_at_s:
+            return 0.0
+        return self._parts.clock() - max(min(started_at_s), self.last_reply_at_s)
+
+    @property
+    def pending(self) -> bool:
+        """Whether a reply of the server is awaited."""
+        return bool(self._exchanges_started_at_s or self._openings_started_at_s)
 
     def is_lent(self, connection: ServerConnection) -> bool:
         """Whether a connection is lent and has not been closed since."""
@@ -168,6 +179,8 @@
         """
         started_at_s = self._parts.clock()
         self._pool.reserve_opening(started_at_s)
+        self._openings_started_at_s.append(started_at_s)
+        self._on_request()
         opened = None
         connection = None
         try:
@@ -176,6 +189,7 @@
             if opened is not None and opened.is_ok():
                 connection = ServerConnection(opened.unwrap(), organisation)
         finally:
+            self._openings_started_at_s.remove(started_at_s)
             self._pool.finish_opening(connection)
         outcome = "no answer"
         if opened is not None:
@@ -208,7 +222,7 @@
     ) -> Result[list[Reply], ExchangeFailure]:
         """Run commands; on an ``Err`` the connection has been closed."""
         self._exchanges_started_at_s[connection] = self._parts.clock()
-        self._on_exchange()
+        self._on_request()
         exchanged: Result[list[Reply], ExchangeFailure] = Err(
             ExchangeFailure("no response in time")
         )
--- a/src/rattanhollow/serving/_reachability.py
+++ b/src/rattanhollow/serving/_reachability.py
@@ -9,7 +9,7 @@
 from rattanhollow.serving._stopped import WorkStopped
 from rattanhollow.serving._work import Blocker
 
-# A server that sends nothing for this long while an exchange is pending is probed.
+# A server that sends nothing for this long while a reply is awaited is probed.
 SILENT_AFTER_S = 0.4
 SILENCE_CHECK_INTERVAL_S = 0.1
 UNREACHABLE_PROBE_INTERVAL_S = 0.25
@@ -41,8 +41,8 @@
         """Seconds since the server became unreachable, 0 while it is reachable."""
         return 0.0 if self.reachable else self._clock() - self._since_s
 
-    def note_exchange(self) -> None:
-        """Watch the server, as an exchange with it has begun."""
+    def note_request(self) -> None:
+        """Watch the server, as a reply of it is awaited."""
         self._watch_needed.set()
 
     def note_failed_opening(self, connector: Connector, started_at_s: float) -> None:
@@ -57,10 +57,10 @@
             self._mark_unreachable()
 
     async def watch(self, connector: Connector) -> None:
-        """Check for silence while exchanges are pending, until stopped."""
+        """Check for silence while replies are awaited, until stopped."""
         with self._watch_scope:
             while True:
-                if self.reachable and not connector.exchanges:
+                if self.reachable and not connector.pending:
                     self._watch_needed = trio.Event()
                     await self._watch_needed.wait()
                 await trio.sleep(
@@ -106,12 +106,8 @@
 
     async def _check(self, connector: Connector) -> None:
         """Probe a silent or unreachable server."""
-        now_s = self._clock()
-        if self.reachable:
-            oldest_s = connector.oldest_exchange_at_s
-            oldest_s = now_s if oldest_s is None else oldest_s
-            if now_s - max(oldest_s, connector.last_reply_at_s) < SILENT_AFTER_S:
-                return
+        if self.reachable and connector.silent_s < SILENT_AFTER_S:
+            return
         responds = await self.probe(connector)
         if responds and not self.reachable:
             self.reachable = True
--- a/src/rattanhollow/serving/_served_backend.py
+++ b/src/rattanhollow/serving/_served_backend.py
@@ -18,7 +18,7 @@
 from rattanhollow.serving._connector import PROBE_TIMEOUT_S, Connector, ServingParts
 from rattanhollow.serving._health import Health
 from rattanhollow.serving._lag import Lag
-from rattanhollow.serving._reachability import Reachability
+from rattanhollow.serving._reachability import SILENT_AFTER_S, Reachability
 from rattanhollow.serving._slot_waits import SlotWaits
 from rattanhollow.serving._stopped import ServerFull, WorkStopped
 from rattanhollow.serving._transactions import Transaction, Transactions
@@ -53,7 +53,7 @@
             server,
             connections,
             parts,
-            self._reachability.note_exchange,
+            self._reachability.note_request,
             self._note_failed_opening,
         )
         self._slots = SlotWaits(server.slots, server.id, parts.clock, parts.meter)
@@ -99,6 +99,16 @@
         """Seconds since the server became unreachable, 0 while it is reachable."""
         return self._reachability.unreachable_s
 
+    @property
+    def suspected_s(self) -> float:
+        """Seconds since the server is suspected of not responding, 0 if it is not.
+
+        It is unreachable only once a probe has failed.
+        """
+        if not self.reachable:
+            return self.unreachable_s
+        return max(0.0, self._connector.silent_s - SILENT_AFTER_S)
+
     @property
     def lagging_s(self) -> float:
         """Seconds for which the server has lacked every position required of it."""
--- a/src/rattanhollow/succession/_guardian.py
+++ b/src/rattanhollow/succession/_guardian.py
@@ -18,8 +18,10 @@
 CHECK_INTERVAL_S = 0.1
 # Check interval of a host that is responsible for no service.
 IDLE_CHECK_INTERVAL_S = 0.5
-# A primary must be unresponsive here for this long before other hosts are queried.
+# A primary must be suspected here for this long before other hosts are queried.
 SUSPECT_AFTER_S = 0.1
+# How long a probe of this host may last longer than those of the other hosts.
+OWN_PROBE_S = 0.4
 # How long a service without a known primary waits for a server to report as one.
 NO_LEADER_TIMEOUT_S = 1.5
 # A commit pending for longer, while the primary itself responds, means that no
@@ -47,7 +49,8 @@
     servers, ``leader(service)`` the server believed to lead.
     ``is_missing(server)`` is true when the store no longer describes the server,
     ``is_responsible(service)`` when this host must act for the service.
-    ``unresponsive_s(server)`` is how long a served server has not responded,
+    ``suspected_s(server)`` is how long a served server has been suspected of not
+    responding, and ``is_unreachable(server)`` is true once a probe of it failed.
     ``oldest_commit_wait_s(server)`` how long its oldest commit has been pending.
     ``lagging_replicas()`` returns served replicas and how long each has lacked
     every requested position.
@@ -62,7 +65,8 @@
     leader: Callable[[str], BackendServer | None]
     is_missing: Callable[[BackendServer], bool]
     is_responsible: Callable[[str], bool]
-    unresponsive_s: Callable[[BackendServer], float]
+    suspected_s: Callable[[BackendServer], float]
+    is_unreachable: Callable[[BackendServer], bool]
     oldest_commit_wait_s: Callable[[BackendServer], float]
     lagging_replicas: Callable[[], list[tuple[BackendServer, float]]]
     query_reachability: Callable[[BackendServer], Awaitable[bool | None]]
@@ -146,7 +150,7 @@
                 return None
             return ReplacementTrigger("no primary is known", reachable=False)
         state.leaderless_since_s = None
-        silent_s = self._parts.unresponsive_s(leader)
+        silent_s = self._parts.suspected_s(leader)
         if leader.draining:
             return ReplacementTrigger(
                 "the primary is draining", reachable=silent_s <= 0
@@ -166,32 +170,47 @@
     async def _attempt_replacement(
         self, service: str, state: _ServiceState, trigger: ReplacementTrigger
     ) -> None:
+        delay_s = RETRY_DELAY_S
         try:
-            succeeded = await self._replace_if_agreed(service, trigger)
+            if await self._is_agreed(service, trigger):
+                succeeded = await self._replace(service, trigger)
+                state.failures = 0 if succeeded else state.failures + 1
+                delay_s *= 2 ** max(0, state.failures - 1)
         finally:
             state.replacing = False
-            state.not_before_s = self._parts.clock() + RETRY_DELAY_S
-        if succeeded:
-            state.failures = 0
-        else:
-            state.failures += 1
-            delay_s = min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * 2**state.failures)
-            state.not_before_s = self._parts.clock() + delay_s
-
-    async def _replace_if_agreed(
-        self, service: str, trigger: ReplacementTrigger
-    ) -> bool:
+            state.not_before_s = self._parts.clock() + min(MAX_RETRY_DELAY_S, delay_s)
+
+    async def _is_agreed(self, service: str, trigger: ReplacementTrigger) -> bool:
+        """Whether other hosts agree that an unresponsive primary is unreachable.
+
+        They are queried while this host still probes it.
+        """
+        leader = self._parts.leader(service)
+        if leader is None or trigger.reachable or leader.draining:
+            return True
+        reached = await self._parts.query_reachability(leader)
+        if reached is False:
+            until_s = self._parts.clock() + OWN_PROBE_S
+            while self._is_suspected(leader) and self._parts.clock() < until_s:
+                await trio.sleep(CHECK_INTERVAL_S / 2)
+            if self._parts.is_unreachable(leader):
+                return True
+        log_event(
+            "succession.not_agreed",
+            service=service,
+            leader=leader.id,
+            others_reach_it=reached,
+        )
+        return False
+
+    def _is_suspected(self, server: BackendServer) -> bool:
+        """Whether a probe of this host has yet to tell if it reaches a server."""
+        unreachable = self._parts.is_unreachable(server)
+        return not unreachable and self._parts.suspected_s(server) > 0
+
+    async def _replace(self, service: str, trigger: ReplacementTrigger) -> bool:
+        """Replace the primary and return whether that succeeded."""
         leader = self._parts.leader(service)
-        if leader is not None and not trigger.reachable and not leader.draining:
-            reached = await self._parts.query_reachability(leader)
-            if reached is not False:
-                log_event(
-                    "succession.not_agreed",
-                    service=service,
-                    leader=leader.id,
-                    others_reach_it=reached,
-                )
-                return False
         log_event(
             "succession.begin",
             service=service,
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -298,6 +298,29 @@
     run_scenario(script, scenario)
 
 
+def test_a_lost_answer_of_the_primary_is_hedged_there() -> None:
+    """A read that only the primary may serve doesn't wait for its deadline."""
+
+    async def script(server: str, work: Work) -> WorkResult:
+        if len(attempts) == 1:
+            await trio.sleep(5)
+        return await succeed(server, work)
+
+    async def scenario(harness: RouterHarness) -> None:
+        nonlocal attempts
+        attempts = harness.attempts
+        outcome = await harness.router.read(
+            make_request(consistency=Consistency.NEWEST)
+        )
+        assert isinstance(outcome.answer, Completed)
+        assert harness.servers == ["i-0", "i-0"]
+        assert {work.scope for _, work in attempts} == {Scope.PROVEN}
+        assert trio.current_time() < 0.5
+
+    attempts: list[tuple[str, Work]] = []
+    run_scenario(script, scenario)
+
+
 def test_a_slow_success_is_returned_if_the_hedged_read_fails() -> None:
     """The failure of the second server must not hide the result of the first."""
 
