Watchers delete only the record of the start that they found silent

A host that is silent is asked about at another watcher; if it started again meanwhile, the record of its new start was deleted with the version just read, and the host does not write it again. Cause: the decision was about one start, the deletion took whatever was there. tests/test_hosts.py::test_the_record_of_a_later_start_is_not_deleted failed before (its record was gone), passes now.

--- a/src/rattanhollow/membership/_hosts.py
+++ b/src/rattanhollow/membership/_hosts.py
@@ -284,7 +284,11 @@
 
     async def _delete_record(self, record: HostRecord) -> None:
         stored = self._hosts.follower.items.get(record.name)
-        if stored is None:
+        current = self._hosts.find(record.name)
+        if stored is None or current is None:
+            return
+        if current.incarnation != record.incarnation:
+            # The host has started again since it was found silent.
             return
         deleted = await self._store.delete(HOST_KIND, record.name, stored.version)
         log_event("host.silent", host=record.name, deleted=deleted.is_ok())
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -3,11 +3,22 @@
 from typing import Any
 
 import trio
-
-from rattanhollow.membership import HOST_KIND, HostRecord
+from result import Err, Ok, Result
+
+from rattanhollow.membership import (
+    HOST_KIND,
+    HostDirectory,
+    HostRecord,
+    NeighbourWatch,
+)
+from rattanhollow.peer import AskFailure, HostAnswer, Message, PeerAddress
 from rattanhollow.proxy._watch_all import watchers_of
+from rattanhollow.records import to_spec
+from rattanhollow.settings import MembershipSettings
+from rattanhollow.store import Listing, Stored
 from rattanhollow_standins.client import connect
 from rattanhollow_standins.fleet import Fleet
+from rattanhollow_standins.store import ObjectTable, local_store
 
 SHORT_INTERVALS = {
     "membership": {
@@ -65,6 +76,52 @@
     with_fleet(scenario, proxies=4, overrides=SHORT_INTERVALS)
 
 
+def test_the_record_of_a_later_start_is_not_deleted() -> None:
+    """A host that was found silent starts again while another one is asked about it."""
+    table = ObjectTable()
+    directory = HostDirectory(lambda: None)
+    own, silent, other = hosts(3)
+
+    def take(record: HostRecord) -> None:
+        known = table.get(HOST_KIND, record.name)
+        if known is not None:
+            table.delete(HOST_KIND, record.name, known.version)
+        entry = table.create(HOST_KIND, record.name, to_spec(record))
+        assert entry is not None
+        directory.follower.offer(
+            Stored(HOST_KIND, record.name, entry.version, dict(entry.spec))
+        )
+
+    class RestartingPeers:
+        """Links over which ``silent`` never answers, and restarts when asked about."""
+
+        async def ask(
+            self, peer: PeerAddress, question: Message, timeout_ms: int
+        ) -> Result[Message, AskFailure]:
+            if peer.name == silent.name:
+                return Err(AskFailure("silent", sent=True))
+            if peer.name == other.name and question.host == silent.name:  # type: ignore[union-attr]
+                take(silent._replace(incarnation="i2"))
+            return Ok(HostAnswer(silent=True))
+
+    async def main() -> None:
+        directory.follower.take_list(Listing(0, []))
+        for record in (own, silent, other):
+            take(record)
+        settings = MembershipSettings(
+            ask_interval_ms=10, ask_timeout_ms=10, silent_after_ms=0
+        )
+        peers: Any = RestartingPeers()
+        watch = NeighbourWatch(
+            lambda: own, directory, peers, local_store(table), settings
+        )
+        await watch._query(silent)
+        record = table.get(HOST_KIND, silent.name)
+        assert record is not None and record.spec["incarnation"] == "i2"
+
+    trio.run(main)
+
+
 def test_a_deleted_record_of_a_running_host_is_restored(with_fleet: Any) -> None:
     """A host whose record was deleted by mistake writes it again."""
 
