An agreement that a primary is dead counts for that primary only

Hosts ask others for up to a second whether they reach a silent primary; then they replaced whichever server led by that time, as unreachable. If another host had promoted one meanwhile, the healthy new primary was replaced. tests/test_failure_detection.py::test_an_agreement_counts_only_for_the_primary_asked_about failed before (promotions i-1, i-0), passes now. The log says succession.outdated.

--- a/src/rattanhollow/succession/_guardian.py
+++ b/src/rattanhollow/succession/_guardian.py
@@ -36,10 +36,19 @@
 
 
 class ReplacementTrigger(NamedTuple):
-    """Why a primary must be replaced; ``reachable`` is true if it responds."""
+    """Why a primary must be replaced; ``reachable`` is true if it responds.
+
+    ``leader`` is the server that was believed to lead, None if none was.
+    """
 
     reason: str
     reachable: bool
+    leader: BackendServer | None = None
+
+    @property
+    def leader_id(self) -> str:
+        """The identifier of ``leader``, empty if there is none."""
+        return self.leader.id if self.leader is not None else ""
 
 
 class PrimaryMonitorParts(NamedTuple):
@@ -148,23 +157,19 @@
             leaderless_s = now_s - state.leaderless_since_s
             if leaderless_s < NO_LEADER_TIMEOUT_S:
                 return None
-            return ReplacementTrigger("no primary is known", reachable=False)
+            return ReplacementTrigger("no primary is known", False)
         state.leaderless_since_s = None
         silent_s = self._parts.suspected_s(leader)
         if leader.draining:
-            return ReplacementTrigger(
-                "the primary is draining", reachable=silent_s <= 0
-            )
+            return ReplacementTrigger("the primary is draining", silent_s <= 0, leader)
         if self._parts.is_missing(leader):
-            return ReplacementTrigger(
-                "the store no longer describes the primary", reachable=silent_s <= 0
-            )
+            reason = "the store no longer describes the primary"
+            return ReplacementTrigger(reason, silent_s <= 0, leader)
         if silent_s > SUSPECT_AFTER_S:
-            return ReplacementTrigger("the primary does not respond", reachable=False)
+            return ReplacementTrigger("the primary does not respond", False, leader)
         if self._parts.oldest_commit_wait_s(leader) > COMMIT_TIMEOUT_S:
-            return ReplacementTrigger(
-                "the primary's commits are not acknowledged", reachable=True
-            )
+            reason = "the primary's commits are not acknowledged"
+            return ReplacementTrigger(reason, True, leader)
         return None
 
     async def _attempt_replacement(
@@ -172,7 +177,8 @@
     ) -> None:
         delay_s = RETRY_DELAY_S
         try:
-            if await self._is_agreed(service, trigger):
+            agreed = await self._is_agreed(service, trigger)
+            if agreed and self._still_leads(service, trigger):
                 succeeded = await self._replace(service, trigger)
                 state.failures = 0 if succeeded else state.failures + 1
                 delay_s *= 2 ** max(0, state.failures - 1)
@@ -185,7 +191,7 @@
 
         They are queried while this host still probes it.
         """
-        leader = self._parts.leader(service)
+        leader = trigger.leader
         if leader is None or trigger.reachable or leader.draining:
             return True
         reached = await self._parts.query_reachability(leader)
@@ -203,6 +209,25 @@
         )
         return False
 
+    def _still_leads(self, service: str, trigger: ReplacementTrigger) -> bool:
+        """Whether the primary of the trigger is still the one believed to lead.
+
+        Other hosts may have replaced it while they were queried; the trigger says
+        nothing about the next primary.
+        """
+        leader = self._parts.leader(service)
+        leader_id = leader.id if leader is not None else ""
+        if leader_id == trigger.leader_id:
+            return True
+        log_event(
+            "succession.outdated",
+            service=service,
+            leader=leader_id,
+            old_leader=trigger.leader_id,
+            reason=trigger.reason,
+        )
+        return False
+
     def _is_suspected(self, server: BackendServer) -> bool:
         """Whether a probe of this host has yet to tell if it reaches a server."""
         unreachable = self._parts.is_unreachable(server)
--- a/tests/test_failure_detection.py
+++ b/tests/test_failure_detection.py
@@ -39,7 +39,7 @@
         self.served = ServedBackend(server(self.databases[0]), 20, self.serving)
         self.questions = 0
         self.replaced_at_s: float | None = None
-        self._others_reach = others_reach
+        self.others_reach = others_reach
 
     def start(self) -> None:
         """Monitor the group."""
@@ -56,7 +56,7 @@
         async def query(asked: BackendServer) -> bool | None:
             self.questions += 1
             await trio.sleep(OTHERS_PROBE_S)
-            return self._others_reach()
+            return self.others_reach()
 
         async def announce(leader: BackendServer) -> None:
             self.replaced_at_s = trio.current_time()
@@ -155,3 +155,24 @@
 
     primary: list[DatabaseServer] = []
     run_monitored(scenario, lambda: not primary[0].dark)
+
+
+def test_an_agreement_counts_only_for_the_primary_asked_about() -> None:
+    """Another host replaces it while the others are asked (found beside review/1)."""
+
+    async def scenario(cluster: MonitoredCluster) -> None:
+        def replace_meanwhile() -> bool:
+            cluster.databases[0].dark = False
+            if cluster.replaced_at_s is None:
+                cluster.group.promote_now(cluster.databases[1])
+                cluster.replaced_at_s = trio.current_time()
+            return False
+
+        cluster.others_reach = replace_meanwhile
+        cluster.start()
+        cluster.nursery.start_soon(cluster.use)
+        cluster.databases[0].dark = True
+        await trio.sleep(8)
+        assert cluster.group.promotions == ["i-1"]
+
+    run_monitored(scenario, lambda: False)
