A replacement on outdated knowledge no longer deposes the next primary

Cause: a coordinator that was frozen before its claim was granted it after another one had finished, acted on the primary it knew before, took a replica's answer for that of a stopped primary and had a second server promoted.

Now the record keeps the primary that the last replacement left and claims against another are rejected; servers are asked who leads before any is stopped; and a server counts as the stopped primary only where it led the newest term or the record names it. Ruled out: fencing tokens (they rose), late orders (none was lost).

The stored record has a new field with a default: what wrote is read as before (tests/test_recorded_formats.py).

--- a/src/rattanhollow/host/_watch_primaries.py
+++ b/src/rattanhollow/host/_watch_primaries.py
@@ -129,6 +129,10 @@
     def saw_claim(service: str, claim_id: str) -> None:
         guardian.note_competing_claim(service, claim_id)
 
+    def note_replaced(service: str, old_leader: str, leader: str) -> None:
+        parts.directory.record_leader_denial(old_leader)
+        parts.directory.record_leader_proof(service, leader)
+
     guardian = PrimaryMonitor(
         PrimaryMonitorParts(
             services=services,
@@ -153,6 +157,7 @@
                 is_log_complete=covers,
                 read_members=members,
                 note_competing_claim=saw_claim,
+                note_replaced=note_replaced,
                 clock=now_s,
             ),
         )
--- a/src/rattanhollow/succession/__init__.py
+++ b/src/rattanhollow/succession/__init__.py
@@ -14,6 +14,7 @@
 )
 from rattanhollow.succession._record import (
     SUCCESSION_KIND,
+    AlreadyReplaced,
     Phase,
     SuccessionRecord,
     claim,
@@ -28,6 +29,7 @@
 
 __all__ = [
     "SUCCESSION_KIND",
+    "AlreadyReplaced",
     "CommandSender",
     "Member",
     "Phase",
--- a/src/rattanhollow/succession/_record.py
+++ b/src/rattanhollow/succession/_record.py
@@ -27,7 +27,8 @@
     """The newest replacement of a service's primary.
 
     ``token`` is its fencing token, ``claim_id`` distinguishes claims of one host.
-    ``target_born_ms`` identifies the start of the target.
+    ``target_born_ms`` identifies the start of the target. ``leader`` is the primary
+    that the last completed replacement left, empty before the first one.
     """
 
     token: int
@@ -37,6 +38,7 @@
     phase: Phase
     target: str = ""
     target_born_ms: int = 0
+    leader: str = ""
 
 
 NO_SUCCESSION = SuccessionRecord(0, "", "", "", Phase.ENDED)
@@ -49,6 +51,12 @@
     claim_id: str
 
 
+class AlreadyReplaced(NamedTuple):
+    """The server to be replaced is no longer the primary: ``leader`` is."""
+
+    leader: str
+
+
 async def claim(
     store: ObjectStore,
     service: str,
@@ -56,19 +64,22 @@
     claim_id: str,
     old_leader: str,
     stale_claim_id: str = "",
-) -> Result[SuccessionRecord, StoreFailure | ClaimedByOther]:
+) -> Result[SuccessionRecord, StoreFailure | ClaimedByOther | AlreadyReplaced]:
     """Claim the next fencing token, with the target of an unfinished claim.
 
     A claim in progress is only taken over if it is ``stale_claim_id``, because its
-    coordinator may be holding or releasing servers.
+    coordinator may be holding or releasing servers. The claim is rejected if another
+    replacement was completed since ``old_leader`` was last known to lead.
     """
 
     def change(
         spec: dict[str, Any] | None,
-    ) -> Result[dict[str, Any] | None, ClaimedByOther]:
+    ) -> Result[dict[str, Any] | None, ClaimedByOther | AlreadyReplaced]:
         current = from_spec(SuccessionRecord, spec) if spec else NO_SUCCESSION
         if current.claim_id == claim_id:
             return Ok(None)
+        if not _may_lead(old_leader, current):
+            return Err(AlreadyReplaced(current.leader))
         in_progress = current.phase is not Phase.ENDED
         if in_progress and current.claim_id != stale_claim_id:
             return Err(ClaimedByOther(current.holder, current.claim_id))
@@ -81,6 +92,7 @@
             phase=Phase.CHOSEN if unfinished else Phase.CLAIMED,
             target=current.target if unfinished else "",
             target_born_ms=current.target_born_ms if unfinished else 0,
+            leader=current.leader,
         )
         return Ok(to_spec(claimed))
 
@@ -88,6 +100,13 @@
     return updated.map(lambda stored: from_spec(SuccessionRecord, stored.spec))
 
 
+def _may_lead(server_id: str, record: SuccessionRecord) -> bool:
+    """Whether a server may be the primary as far as the record shows."""
+    if not server_id or not record.leader or server_id == record.leader:
+        return True
+    return record.phase is Phase.CHOSEN and server_id == record.target
+
+
 async def write_claim_phase(
     store: ObjectStore, service: str, record: SuccessionRecord
 ) -> Result[None, StoreFailure | str]:
--- a/src/rattanhollow/succession/_replace.py
+++ b/src/rattanhollow/succession/_replace.py
@@ -23,6 +23,7 @@
 )
 from rattanhollow.succession._commands import CommandSender
 from rattanhollow.succession._record import (
+    AlreadyReplaced,
     ClaimedByOther,
     Phase,
     SuccessionRecord,
@@ -50,7 +51,8 @@
     server's log can be relied on to hold everything that it acknowledged.
     ``read_members(service)`` reads the service's servers from the store again;
     None if that failed. ``note_competing_claim(service, claim_id)`` is notified of
-    another coordinator's claim.
+    another coordinator's claim, ``note_replaced(service, old_leader, leader)`` of a
+    primary that another coordinator has replaced.
     """
 
     store: ObjectStore
@@ -60,6 +62,7 @@
     is_log_complete: Callable[[BackendServer, ServerStatus], bool]
     read_members: Callable[[str], Awaitable[list[BackendServer] | None]]
     note_competing_claim: Callable[[str, str], None]
+    note_replaced: Callable[[str, str, str], None]
     clock: Callable[[], float]
 
 
@@ -106,15 +109,11 @@
     if members is None:
         return Err("members: the store returned no list of servers")
     previous_target = _find_previous_target(members, record)
-    if previous_target is not None:
-        status = await parts.command_sender.send(previous_target, CommandKind.STATUS)
-        if status is not None and status.leads:
-            return await _end_succession(task, record, previous_target, parts)
-    if task.old_leader is None:
-        current_leader = await _find_current_leader(members, parts)
-        if current_leader is not None:
-            return await _end_succession(task, record, current_leader, parts)
-    stopped = await _stop_servers(task, members, parts)
+    statuses = await _query_statuses(task, members, previous_target, parts)
+    current_leader = _find_other_leader(task, members, statuses)
+    if current_leader is not None:
+        return await _end_succession(task, record, current_leader, parts)
+    stopped = await _stop_servers(task, members, statuses, record, parts)
     if stopped.is_err():
         return Err(stopped.unwrap_err())
     chosen = choose_successor(*stopped.unwrap())
@@ -189,6 +188,8 @@
     failure = claimed.unwrap_err()
     if isinstance(failure, ClaimedByOther):
         parts.note_competing_claim(task.service, failure.claim_id)
+    if isinstance(failure, AlreadyReplaced):
+        parts.note_replaced(task.service, task.old_leader_id, failure.leader)
     return Err(f"claim: {failure}")
 
 
@@ -204,19 +205,37 @@
     return None
 
 
-async def _find_current_leader(
-    members: list[BackendServer], parts: ReplaceParts
+async def _query_statuses(
+    task: Task,
+    members: list[BackendServer],
+    previous_target: BackendServer | None,
+    parts: ReplaceParts,
+) -> dict[str, ServerStatus | None]:
+    """Return the status of each server that may respond, None without a response."""
+    queried = [s for s in members if s.id != task.old_leader_id]
+    if task.old_leader is not None and (
+        task.reachable or task.old_leader == previous_target
+    ):
+        queried.append(task.old_leader)
+    return await parts.command_sender.send_to_all(queried, CommandKind.STATUS)
+
+
+def _newest_term(statuses: dict[str, ServerStatus | None]) -> int:
+    return max((s.term for s in statuses.values() if s is not None), default=0)
+
+
+def _find_other_leader(
+    task: Task, members: list[BackendServer], statuses: dict[str, ServerStatus | None]
 ) -> BackendServer | None:
-    """Return the server that leads the newest term when no primary is known.
+    """Return the server that leads the newest term, unless it is to be replaced.
 
     It may have been replaced without knowing; a write there shows that.
     """
-    statuses = await parts.command_sender.send_to_all(members, CommandKind.STATUS)
-    responses = {name: s for name, s in statuses.items() if s is not None}
-    newest = max((status.term for status in responses.values()), default=0)
+    newest_term = _newest_term(statuses)
     for server in members:
-        status = responses.get(server.id)
-        if status is not None and status.leads and status.term >= newest:
+        status = statuses.get(server.id)
+        leads = status is not None and status.leads and status.term >= newest_term
+        if leads and server.id != task.old_leader_id:
             return server
     return None
 
@@ -240,7 +259,11 @@
 
 
 async def _stop_servers(
-    task: Task, members: list[BackendServer], parts: ReplaceParts
+    task: Task,
+    members: list[BackendServer],
+    statuses: dict[str, ServerStatus | None],
+    record: SuccessionRecord,
+    parts: ReplaceParts,
 ) -> Result[StoppedGroup, str]:
     """Make the replicas stop receiving, then the primary stop leading.
 
@@ -248,19 +271,21 @@
     stopped primary, or a list of servers read after the replicas are held, shows
     that no other server can.
     """
-    replicas = [s for s in members if s.id != task.old_leader_id]
-    primary = task.old_leader if task.reachable else None
-    queried = [*replicas, primary] if primary is not None else replicas
-    statuses = await parts.command_sender.send_to_all(queried, CommandKind.STATUS)
     responses = [status for status in statuses.values() if status is not None]
     if not responses:
         return Err("stop: no server responded")
     term = next_term(responses)
+    replicas = [s for s in members if s.id != task.old_leader_id]
     held_replicas = await _hold_replicas(replicas, term, parts)
     stopped_primary = None
+    primary = task.old_leader if task.reachable else None
     if primary is not None and statuses[primary.id] is not None:
         status = await parts.command_sender.send(primary, CommandKind.STEP_DOWN, term)
-        if status is not None and not status.leads:
+        if (
+            status is not None
+            and not status.leads
+            and _led_last(primary, statuses, record)
+        ):
             stopped_primary = Member(primary, status)
     members_after_hold = await parts.read_members(task.service)
     if members_after_hold is None:
@@ -277,6 +302,23 @@
     )
 
 
+def _led_last(
+    server: BackendServer,
+    statuses: dict[str, ServerStatus | None],
+    record: SuccessionRecord,
+) -> bool:
+    """Whether no other server can have led since this one did.
+
+    A server that did not lead when queried was stopped by an earlier coordinator, or
+    has been a replica since another server was promoted: then its log may lack
+    acknowledged commits. Without a pending promotion, the record tells which.
+    """
+    status = statuses[server.id]
+    if status is not None and status.leads:
+        return status.term >= _newest_term(statuses)
+    return record.phase is Phase.CLAIMED and record.leader == server.id
+
+
 async def _hold_replicas(
     servers: list[BackendServer], term: int, parts: ReplaceParts
 ) -> list[Member]:
@@ -337,7 +379,9 @@
     task: Task, record: SuccessionRecord, target: BackendServer, parts: ReplaceParts
 ) -> Result[BackendServer, str]:
     ended = await write_claim_phase(
-        parts.store, task.service, record._replace(phase=Phase.ENDED)
+        parts.store,
+        task.service,
+        record._replace(phase=Phase.ENDED, leader=target.id),
     )
     log_event(
         "succession.ended",
--- a/tests/test_recorded_formats.py
+++ b/tests/test_recorded_formats.py
@@ -2,7 +2,8 @@
 
 ``recorded_formats.json`` holds what the build at 11a1c23 wrote. A stored field that is
 renamed, or a message whose fields change in number or type, would be misread by hosts
-of the other build during a rolling update.
+of the other build during a rolling update. Where a stored record has gained a field,
+``earlier_records`` holds what was written without it.
 """
 
 import enum
@@ -83,6 +84,22 @@
         assert from_spec(RECORD_TYPES[name], recorded) == record
 
 
+@pytest.mark.parametrize("name", sorted(RECORDED["earlier_records"]))
+def test_a_record_without_a_later_field_is_read(name: str) -> None:
+    """What an earlier build stored differs only in fields that have a default."""
+    record_type = RECORD_TYPES[name]
+    defaults = record_type._field_defaults
+    earlier_records = RECORDED["earlier_records"][name]
+    assert len(earlier_records) == VARIANTS
+    for variant, recorded in enumerate(earlier_records):
+        record = sample(record_type, variant)
+        added = set(record_type._fields) - set(recorded)
+        assert added and added <= set(defaults)
+        expected = record._replace(**{field: defaults[field] for field in added})
+        assert from_spec(record_type, recorded) == expected
+        assert {**to_spec(record), **recorded} == to_spec(record)
+
+
 def test_every_recorded_format_is_checked() -> None:
     """A message or record that is no longer known would not be noticed above."""
     assert set(RECORDED["messages"]) == set(MESSAGE_TYPES)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -18,6 +18,7 @@
 from rattanhollow.coordination import Position
 from rattanhollow.observe import Meter
 from rattanhollow.platform import parse_status
+from rattanhollow.records import to_spec
 from rattanhollow.serving import (
     BackendServer,
     Command,
@@ -83,6 +84,7 @@
         self._served: dict[str, ServedBackend] = {}
         self._claims = itertools.count(1)
         self.competing_claims: list[str] = []
+        self.noted_leaders: list[str] = []
 
     def parts(
         self,
@@ -100,6 +102,7 @@
             note_competing_claim=lambda service, claim_id: self.competing_claims.append(
                 claim_id
             ),
+            note_replaced=lambda service, old, new: self.noted_leaders.append(new),
             clock=trio.current_time,
         )
 
@@ -424,6 +427,70 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("reachable", [True, False])
+def test_a_replaced_primary_is_not_replaced_again(reachable: bool) -> None:
+    """A coordinator frozen before its claim deposes the next primary (review/1)."""
+
+    async def scenario(cluster: ReplacementCluster) -> None:
+        cluster.databases[0].draining = True
+        task_before_freeze = cluster.task(reachable)
+        replaced = await cluster.replace(holder="b")
+        await cluster.commit(2)
+        stale = await replace_primary(task_before_freeze, cluster.parts("a"))
+        await trio.sleep(2)
+        assert stale.is_err()
+        assert cluster.noted_leaders == [replaced.ok().id]
+        assert cluster.group.promotions == [replaced.ok().id]
+        assert not any(database.held_term for database in cluster.databases)
+
+    run_scenario(scenario)
+
+
+def test_a_coordinator_frozen_behind_its_claim_holds_no_replica() -> None:
+    """Its claim was taken over, and the next primary needs its replicas (review/1)."""
+
+    async def scenario(cluster: ReplacementCluster) -> None:
+        frozen = trio.Event()
+
+        async def read_members(service: str) -> list[BackendServer]:
+            await frozen.wait()
+            return [server(item) for item in cluster.databases]
+
+        parts = cluster.parts("a")._replace(read_members=read_members)
+        cluster.databases[0].draining = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(replace_primary, cluster.task(), parts)
+            await trio.sleep(1)
+            replaced = await cluster.replace(holder="b")
+            assert replaced.is_ok()
+            frozen.set()
+        assert cluster.group.promotions == [replaced.ok().id]
+        assert not any(database.held_term for database in cluster.databases)
+
+    run_scenario(scenario)
+
+
+def test_a_deposed_primary_is_no_proof_of_all_commits() -> None:
+    """It is a replica of an unreachable successor, whose commits it may lack."""
+
+    async def scenario(cluster: ReplacementCluster) -> None:
+        # A coordinator died behind the promotion, before it could record it.
+        spec = SuccessionRecord(1, "x", "a", "i-0", Phase.CHOSEN, "i-1", -1)
+        await cluster.store.put("successions", SERVICE, to_spec(spec), 0)
+        cluster.group.promote_now(cluster.databases[1])
+        cluster.databases[0].deaf = True
+        await cluster.commit(2)
+        cluster.databases[1].dark = cluster.databases[2].dark = True
+        stale = await replace_primary(
+            cluster.task()._replace(stale_claim_id="x"), cluster.parts()
+        )
+        await trio.sleep(2)
+        assert stale.is_err()
+        assert cluster.group.promotions == ["i-1"]
+
+    run_scenario(scenario)
+
+
 def test_a_lost_store_response_causes_no_second_claim() -> None:
     """A coordinator recognises its own claim."""
 
@@ -451,9 +518,13 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("outdated", [False, True])
 @pytest.mark.parametrize("seed", range(100))
-def test_random_faults_lose_no_acknowledged_commit(seed: int) -> None:
-    """Random outages, late commands and competing coordinators during commits."""
+def test_random_faults_lose_no_acknowledged_commit(seed: int, outdated: bool) -> None:
+    """Random outages, late commands and competing coordinators during commits.
+
+    With ``outdated`` coordinators act on what they knew seconds before (review/1).
+    """
     rng = random.Random(seed)
 
     async def scenario(cluster: ReplacementCluster) -> None:
@@ -511,11 +582,14 @@
             for number in range(6):
                 await trio.sleep(rng.uniform(0.2, 2))
                 leader = cluster.group.leader or cluster.databases[0]
+                reachable = not leader.dark
+                if outdated:
+                    await trio.sleep(rng.choice([0, 0, 0.5, 3, 6]))
                 task = Task(
                     service=SERVICE,
                     sync_replica_count=1,
                     old_leader=server(leader),
-                    reachable=not leader.dark,
+                    reachable=reachable,
                     claim_id=f"{holder}{number}",
                     stale_claim_id=competing_claim[0]
                     if trio.current_time() - competing_claim[1] > 2.5
