An entry that can't be encoded ends no host

Cause: hosts pass entries on as they lie in the store, and the encoder's OverflowError left a task without a guard. Ruled out: the reader of servers, which refuses the entry.

Entries whose content has no encoding count as unreadable where they are read, a message that can't be encoded or is too large is dropped and logged, and an error in taking one object is logged and keeps no other from being taken. Objects that can't be read are never overwritten.

--- a/src/rattanhollow/peer/_connection.py
+++ b/src/rattanhollow/peer/_connection.py
@@ -104,7 +104,12 @@
         if not self._connected.is_set() and not self.dark:
             with trio.move_on_after(CONNECT_WAIT_S):
                 await self._connected.wait()
-        self._socket.send([encode(next(self._numbers), news)])
+        try:
+            data = encode(next(self._numbers), news)
+        except MessageRefused as error:
+            log_event("peer.not_sent", peer=self.name, reason=error)
+            return
+        self._socket.send([data])
 
     async def ask(
         self, question: Message, timeout_ms: int
@@ -117,8 +122,13 @@
             with trio.move_on_after(min(CONNECT_WAIT_S, timeout_ms / 1000)):
                 await self._connected.wait()
         number = next(self._numbers)
+        try:
+            data = encode(number, question)
+        except MessageRefused as error:
+            log_event("peer.not_sent", peer=self.name, reason=error)
+            return Err(AskFailure(str(error), sent=False))
         pending = _Pending(time.monotonic())
-        if not self._socket.send([encode(number, question)]):
+        if not self._socket.send([data]):
             self.dark = self.dark or not self._connected.is_set()
             self._on_asked()
             return Err(AskFailure(f"no connection to {self.name}", sent=False))
--- a/src/rattanhollow/peer/_link.py
+++ b/src/rattanhollow/peer/_link.py
@@ -1,6 +1,7 @@
 """Asking other proxies, and answering them."""
 
 from collections.abc import Awaitable, Callable
+from ipaddress import IPv4Address
 from typing import NamedTuple
 
 import trio
@@ -34,6 +35,7 @@
 CONNECT_TIMEOUT_MS = 600
 RECONNECT_MS = 50
 RECONNECT_HIGHEST_MS = 500
+HIGHEST_PORT = 65_535
 # Of a CURVE key in Z85.
 KEY_CHARACTERS = 40
 AUTHENTICATION_ADDRESS = "inproc://zeromq.zap.01"
@@ -122,7 +124,7 @@
         if self._nursery is None:
             return Err(AskFailure("the links are not up", sent=False))
         if not self._can_reach(peer):
-            return Err(AskFailure(f"{peer.name} has no usable key", sent=False))
+            return Err(AskFailure(f"{peer.name} has no usable address", sent=False))
         link = self._link(peer, self._nursery)
         return await link.ask(question, timeout_ms)
 
@@ -133,7 +135,12 @@
 
     def _can_reach(self, peer: PeerAddress) -> bool:
         """Whether a host's record has what its link needs: others wrote it."""
-        return self._keys is None or len(peer.public_key) == KEY_CHARACTERS
+        try:
+            IPv4Address(peer.address)
+        except ValueError:
+            return False
+        has_key = self._keys is None or len(peer.public_key) == KEY_CHARACTERS
+        return has_key and 0 < peer.port <= HIGHEST_PORT
 
     def is_dark(self, peer: PeerAddress) -> bool:
         """Whether a host that was asked lately leaves questions unanswered."""
@@ -233,9 +240,10 @@
     ) -> None:
         try:
             answer = await self._handle(question)
+            data = encode(number, answer) if answer is not None else b""
         except Exception as error:
             # One question must not end the process; its asker hears nothing.
             log_failure("peer.handler_failed", error, question=type(question).__name__)
             return
         if answer is not None:
-            server.send([sender, encode(number, answer)])
+            server.send([sender, data])
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -353,15 +353,25 @@
 
 
 class MessageRefused(ValueError):
-    """Bytes that are no message this program understands."""
+    """Bytes that are no message this program understands, or no message to send."""
 
 
 def encode(number: int, message: Message) -> bytes:
-    """Return ``message`` as bytes."""
-    body = msgspec.Raw(_ENCODER.encode(message))
-    return _ENCODER.encode(
-        Envelope(PROTOCOL_VERSION, number, _NAMES[type(message)], body)
-    )
+    """Return ``message`` as bytes.
+
+    Raises:
+        MessageRefused: too large, or a value that has no encoding.
+
+    """
+    name = _NAMES[type(message)]
+    try:
+        body = msgspec.Raw(_ENCODER.encode(message))
+        data = _ENCODER.encode(Envelope(PROTOCOL_VERSION, number, name, body))
+    except (ValueError, TypeError, OverflowError, RecursionError) as error:
+        raise MessageRefused(f"{name} can't be encoded: {error}") from None
+    if len(data) > LARGEST_MESSAGE_BYTES:
+        raise MessageRefused(f"{name}: {len(data)} bytes are too many")
+    return data
 
 
 def decode(data: bytes) -> tuple[int, Message]:
@@ -380,5 +390,7 @@
         if envelope.type not in MESSAGE_TYPES:
             raise MessageRefused(f"type {envelope.type!r} is not understood")
         return envelope.number, _DECODERS[envelope.type].decode(envelope.body)
-    except msgspec.DecodeError as error:
+    except MessageRefused:
+        raise
+    except (ValueError, OverflowError, RecursionError) as error:
         raise MessageRefused(str(error)) from None
--- a/src/rattanhollow/platform/_entries.py
+++ b/src/rattanhollow/platform/_entries.py
@@ -37,6 +37,8 @@
 
 def read_server(stored: Stored) -> Result[BackendServer, str]:
     """Return the backend server that an entry describes, or why it describes none."""
+    if stored.fault:
+        return Err(stored.fault)
     spec = stored.spec
     try:
         address, port = _address(_text(spec, "address"))
--- a/src/rattanhollow/platform/_objects.py
+++ b/src/rattanhollow/platform/_objects.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from rattanhollow.net import HttpAnswer, HttpClient
+from rattanhollow.platform._entries import SERVER_KIND
 from rattanhollow.store import (
     Event,
     EventType,
@@ -16,6 +17,7 @@
     Stored,
     StoreFailure,
     Trouble,
+    fault_of,
 )
 
 CALL_TIMEOUT_S = 1.5
@@ -28,6 +30,9 @@
 WATCH_WAIT_MS = 15_000
 # Answers come in milliseconds, also at the end of a wait.
 WATCH_ALLOWANCE_S = 2.0
+# A database describes itself in a few hundred bytes; hosts pass all entries on in one
+# message of limited size.
+SERVER_ENTRY_BYTES_AT_MOST = 4_096
 
 _TROUBLES = {404: Trouble.NOT_FOUND, 409: Trouble.CONFLICT, 410: Trouble.GONE}
 
@@ -131,10 +136,21 @@
 def _stored(kind: str, body: Any) -> Stored:
     meta = body["meta"]
     spec = body["spec"]
-    # What other writers left there may be of any shape; the readers of each kind
-    # refuse what they can't use.
-    content = spec if isinstance(spec, dict) else {}
-    return Stored(kind, str(meta["name"]), int(meta["revision"]), content)
+    fault = _content_fault(kind, spec)
+    content = {} if fault else spec
+    return Stored(kind, str(meta["name"]), int(meta["revision"]), content, fault)
+
+
+def _content_fault(kind: str, spec: Any) -> str:
+    fault = fault_of(spec)
+    if fault:
+        return fault
+    if not isinstance(spec, dict):
+        return "the content is no object"
+    if kind != SERVER_KIND:
+        return ""
+    size = len(msgspec.json.encode(spec))
+    return f"{size} bytes of content" if size > SERVER_ENTRY_BYTES_AT_MOST else ""
 
 
 def _one(kind: str, body: Any) -> Result[Stored, StoreFailure]:
--- a/src/rattanhollow/records/_records.py
+++ b/src/rattanhollow/records/_records.py
@@ -52,8 +52,8 @@
     if isinstance(wanted, enum.EnumMeta):
         try:
             return wanted(value)
-        except ValueError:
-            raise RecordError(f"{place}: unknown value {value!r}") from None
+        except (ValueError, TypeError):
+            raise RecordError(f"{place}: unknown value") from None
     if isinstance(wanted, types.UnionType):
         return None if value is None else _read(get_args(wanted)[0], value, place)
     if wanted is float and isinstance(value, int):
@@ -80,5 +80,6 @@
 
 def _expect(wanted: Any, value: Any, place: str) -> Any:
     if not isinstance(value, wanted) or (wanted is int and isinstance(value, bool)):
-        raise RecordError(f"{place}: expected {wanted.__name__}, got {value!r}")
+        found = type(value).__name__
+        raise RecordError(f"{place}: expected {wanted.__name__}, got {found}")
     return value
--- a/src/rattanhollow/store/__init__.py
+++ b/src/rattanhollow/store/__init__.py
@@ -12,6 +12,7 @@
     Trouble,
 )
 from rattanhollow.store._follow import Changes, Follower, follow
+from rattanhollow.store._json import fault_of
 from rattanhollow.store._update import update
 
 __all__ = [
@@ -24,6 +25,7 @@
     "Stored",
     "StoreFailure",
     "Trouble",
+    "fault_of",
     "follow",
     "http_store",
     "update",
--- a/src/rattanhollow/store/_api.py
+++ b/src/rattanhollow/store/_api.py
@@ -26,12 +26,17 @@
 
 
 class Stored(NamedTuple):
-    """One object: ``version`` is the store's, and rises with every change."""
+    """One object: ``version`` is the store's, and rises with every change.
+
+    ``fault`` says why its content can't be read, empty if it can; ``spec`` is empty
+    then.
+    """
 
     kind: str
     name: str
     version: int
     spec: dict[str, Any]
+    fault: str = ""
 
 
 class EventType(enum.Enum):
--- a/src/rattanhollow/store/_follow.py
+++ b/src/rattanhollow/store/_follow.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from rattanhollow.observe import log_event
+from rattanhollow.observe import log_event, log_failure
 from rattanhollow.store._api import (
     Event,
     EventType,
@@ -136,7 +136,7 @@
         self.items[item.name] = item
         self._gone.pop(item.name, None)
         self.changes += 1
-        self._on_change(item, item.name)
+        self._report(item, item.name)
 
     def _forget(self, name: str, version: int) -> None:
         if self.items.pop(name, None) is None:
@@ -146,7 +146,14 @@
             oldest = min(self._gone, key=lambda gone: self._gone[gone])
             self._gone_known_from = self._gone.pop(oldest)
         self.changes += 1
-        self._on_change(None, name)
+        self._report(None, name)
+
+    def _report(self, item: Stored | None, name: str) -> None:
+        try:
+            self._on_change(item, name)
+        except Exception as error:
+            # One object must not keep the others from being taken.
+            log_failure("store.object_failed", error, kind=self.kind, name=name)
 
     def _heard(self) -> None:
         self.heard_at_s = time.monotonic()
--- a/src/rattanhollow/store/_update.py
+++ b/src/rattanhollow/store/_update.py
@@ -6,6 +6,7 @@
 import trio
 from result import Err, Ok, Result
 
+from rattanhollow.records import RecordError
 from rattanhollow.store._api import ObjectStore, StoreFailure, Trouble
 
 RETRY_PAUSE_S = 0.1
@@ -27,7 +28,8 @@
     content, ``Ok(None)`` where nothing is left to do, or an ``Err`` that is
     handed on. The answer is the object as stored, None where there is none.
     ``change`` runs again after a conflict and after an answer that didn't
-    come, so it must recognise its own earlier change.
+    come, so it must recognise its own earlier change. An object that can't be read
+    is left as it is.
     """
     failure = StoreFailure(Trouble.UNREACHABLE, "no attempt made")
     for _ in range(attempts):
@@ -37,7 +39,12 @@
             await pause(RETRY_PAUSE_S)
             continue
         current = read.ok()
-        wanted = change(current.spec if current else None)
+        if current is not None and current.fault:
+            return Err(_unreadable(kind, name, current.fault))
+        try:
+            wanted = change(current.spec if current else None)
+        except RecordError as error:
+            return Err(_unreadable(kind, name, error))
         if wanted.is_err():
             return Err(wanted.unwrap_err())
         content = wanted.unwrap()
@@ -53,3 +60,8 @@
         if failure.trouble is not Trouble.CONFLICT:
             await pause(RETRY_PAUSE_S)
     return Err(failure)
+
+
+def _unreadable(kind: str, name: str, reason: object) -> StoreFailure:
+    detail = f"{kind}/{name} can't be read: {reason}"
+    return StoreFailure(Trouble.REFUSED, detail)
