A stopping host answers every statement that it takes

Cause: from half of the time on a session in a transaction was closed only where a look, each 50 ms, found it between two statements; a busy one was not marked and took the next, and what ran at the end was cut. Ruled out: the databases.

Each session is marked from half of the time on and ends behind its statement.

--- a/src/rattanhollow/host/_stop.py
+++ b/src/rattanhollow/host/_stop.py
@@ -36,22 +36,30 @@
 
     New ones are served until the last has ended, or half of ``within_s`` is over:
     the balancer learns late, or not at all, that this host leaves, and what came
-    by then needs time to end. An open transaction has half of ``within_s``, too.
-    Work that other hosts have under way here is waited for.
+    by then needs time to end. An open transaction has half of ``within_s``, too;
+    behind that no statement of it is begun. Work that other hosts have under way
+    here is waited for. What still runs shortly before the end is broken off, and
+    its callers are told so.
     """
     began_s = trio.current_time()
+    late_at_s = began_s + within_s / 2
     with trio.move_on_after(within_s - FAREWELL_S):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(parts.registration.announce_leaving)
+            nursery.start_soon(_end_transactions, parts, late_at_s)
             await trio.sleep(BALANCER_NOTICES_S)
-            late_at_s = began_s + within_s / 2
-            await _until(lambda: _may_close(parts, late_at_s), parts, late_at_s)
+            await _until(lambda: _may_close(parts, late_at_s), parts)
             parts.stop_accepting()
-            await _until(lambda: _done(parts), parts, late_at_s)
+            await _until(lambda: _done(parts), parts)
             nursery.cancel_scope.cancel()
     parts.stop_accepting()
+    for session in parts.sessions.all():
+        session.break_off()
     with trio.move_on_after(FAREWELL_S):
-        await parts.registration.remove()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(parts.registration.remove)
+            while parts.connections():
+                await trio.sleep(LOOK_INTERVAL_S)
 
 
 def _may_close(parts: Stopping, late_at_s: float) -> bool:
@@ -62,13 +70,23 @@
     return parts.connections() == 0 and parts.serving.idle
 
 
-async def _until(
-    reached: Callable[[], bool], parts: Stopping, late_at_s: float
-) -> None:
+async def _until(reached: Callable[[], bool], parts: Stopping) -> None:
+    """Close sessions outside transactions until ``reached()``."""
     while not reached():
-        late = trio.current_time() > late_at_s
         for session in parts.sessions.all():
-            in_transaction = session.state is not SessionState.IDLE
-            if not in_transaction or (late and not session.busy):
+            if session.state is SessionState.IDLE:
                 session.close_when_idle()
         await trio.sleep(LOOK_INTERVAL_S)
+
+
+async def _end_transactions(parts: Stopping, at_s: float) -> None:
+    """From ``at_s`` on, end each session behind its statement, until cancelled.
+
+    A session that is at work when it is looked at has to be marked as well: it would
+    take its next statement, which might not end in time.
+    """
+    await trio.sleep_until(at_s)
+    while True:
+        for session in parts.sessions.all():
+            session.close_after_statement()
+        await trio.sleep(LOOK_INTERVAL_S)
--- a/src/rattanhollow/session/_serve.py
+++ b/src/rattanhollow/session/_serve.py
@@ -84,7 +84,7 @@
 async def _serve(
     connection: CallerConnection, session: Session, parts: ServeParts
 ) -> None:
-    while not (session.closing and idle(session)):
+    while not (session.closing and may_end(session)):
         received = None
         with trio.CancelScope() as session.waiting:
             received = await connection.receive()
@@ -102,7 +102,7 @@
                 return
         else:
             began_s = parts.session.clock()
-            answer = await session.handle(received)
+            answer = await _handle(session, received)
             took_ms = (parts.session.clock() - began_s) * 1000
             _report(received, answer, session, took_ms, parts.meter)
             if isinstance(answer, Refused) and answer.ends:
@@ -115,6 +115,12 @@
     await connection.dismiss(session.farewell())
 
 
+async def _handle(session: Session, request: Request) -> Answer:
+    with trio.CancelScope() as session.running:
+        return await session.handle(request)
+    return session.broken_off(request)
+
+
 def _report(
     request: Request, answer: Answer, session: Session, took_ms: float, meter: Meter
 ) -> None:
@@ -140,6 +146,11 @@
     )
 
 
+def may_end(session: Session) -> bool:
+    """Whether a closing session ends here."""
+    return session.ending or idle(session)
+
+
 def idle(session: Session) -> bool:
     """Whether a session can be closed without breaking anything off."""
     in_request = session.busy or session.mid_request()
--- a/src/rattanhollow/session/_session.py
+++ b/src/rattanhollow/session/_session.py
@@ -27,6 +27,7 @@
     Rollback,
     SessionState,
     SetValue,
+    Statement,
     Write,
 )
 
@@ -63,7 +64,9 @@
 class Session:
     """The state of a session, and its statements.
 
-    ``organisation`` is empty on a route that is open to all.
+    ``organisation`` is empty on a route that is open to all. A ``closing`` session
+    ends outside a transaction, an ``ending`` one behind the statement under way.
+    ``waiting`` is the wait for a request, ``running`` the work on one.
     """
 
     def __init__(
@@ -71,8 +74,10 @@
     ) -> None:
         self.organisation = organisation
         self.closing = False
+        self.ending = False
         self.busy = False
         self.waiting = trio.CancelScope()
+        self.running = trio.CancelScope()
         self.mid_request: Callable[[], bool] = lambda: False
         self._route_name = route
         self._key_digest = key_digest
@@ -124,6 +129,38 @@
         self.closing = True
         self.waiting.cancel()
 
+    def close_after_statement(self) -> None:
+        """End the session behind the statement under way, also inside a transaction."""
+        self.ending = True
+        self.close_when_idle()
+
+    def break_off(self) -> None:
+        """End the session now; a statement under way is answered as broken off."""
+        self.close_after_statement()
+        self.running.cancel()
+
+    def broken_off(self, request: Request) -> Refused:
+        """Return the answer to a statement whose work was cancelled.
+
+        What changes nothing, or only within a transaction that is rolled back now, is
+        not kept; a write of its own or a commit may be.
+        """
+        statement = request.statement
+        in_transaction = self._transaction is not None
+        changes_nothing = isinstance(statement, Read) or self._is_prepared_read(
+            statement
+        )
+        kept = isinstance(statement, Commit) or not (in_transaction or changes_nothing)
+        self.abandon()
+        reason = Reason.IN_DOUBT if kept else Reason.ABORTED
+        return Refused(reason, "the host is leaving", LEAVING_RETRY_MS)
+
+    def _is_prepared_read(self, statement: Statement) -> bool:
+        if not isinstance(statement, Execute):
+            return False
+        prepared = self._prepared.get(statement.name)
+        return prepared is not None and not prepared.writes
+
     def farewell(self) -> Refused:
         """Return what a caller is told whose session the host ends."""
         if not self.may_go_on():
--- a/src/rattanhollow_standins/platform/_cluster.py
+++ b/src/rattanhollow_standins/platform/_cluster.py
@@ -135,14 +135,14 @@
         self._count = hosts
         self._seed = seed
         self._scopes: dict[int, trio.CancelScope] = {}
-        self._nursery: trio.Nursery
+        self.nursery: trio.Nursery
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Run everything until cancelled."""
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
+            self.nursery = nursery
             databases = [DatabaseServer(f"i-{n}", zone) for n, zone in enumerate(ZONES)]
             self.group = ServiceGroup(SERVICE, databases, nursery)
             self.promotions = Promotions([self.group], nursery)
@@ -195,7 +195,7 @@
         host = build_host(settings, platform_ends(settings), self._seed + number)
         self.hosts[number] = host
         self._scopes[number] = trio.CancelScope()
-        self._nursery.start_soon(self._run_host, host, self._scopes[number])
+        self.nursery.start_soon(self._run_host, host, self._scopes[number])
 
     def kill_host(self, number: int) -> None:
         """End a host without a farewell."""
--- a/tests/test_line_cluster.py
+++ b/tests/test_line_cluster.py
@@ -1,5 +1,6 @@
 """The whole path over the line protocol: hosts, stand-in databases and store."""
 
+import random
 from typing import Any
 
 import pytest
@@ -301,6 +302,79 @@
     with_cluster(scenario)
 
 
+def test_a_stopping_host_answers_every_statement_of_open_transactions(
+    with_cluster: Any,
+) -> None:
+    """Callers that never pause were cut within a statement at the end (review/4)."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        answered = 0
+        unanswered: list[str] = []
+        rng = random.Random(1)
+
+        async def vary_work() -> None:
+            while True:
+                for server in cluster.group.servers.values():
+                    server.work_s = rng.uniform(0.1, 0.15)
+                await trio.sleep(0.01)
+
+        async def transact() -> None:
+            nonlocal answered
+            client = await session(cluster, 0, "bounded")
+            try:
+                await client.query("BEGIN READ")
+                for count in range(100):
+                    answered += not (await client.query(f"READ a{count}")).error
+            except Closed as closed:
+                if client.waiting and "ERROR" not in str(closed):
+                    unanswered.append(str(closed))
+
+        async with trio.open_nursery() as work:
+            work.start_soon(vary_work)
+            async with trio.open_nursery() as callers:
+                for _ in range(12):
+                    callers.start_soon(transact)
+                await trio.sleep(0.5)
+                await cluster.hosts[0].stop()
+            work.cancel_scope.cancel()
+        assert answered and not unanswered
+
+    with_cluster(scenario)
+
+
+@pytest.mark.parametrize(
+    ("texts", "expected"),
+    [
+        (["READ a"], "ABORTED"),
+        (["WRITE a 1"], "INDOUBT"),
+        (["BEGIN", "WRITE a 1"], "ABORTED"),
+        (["BEGIN", "WRITE a 1", "COMMIT"], "INDOUBT"),
+    ],
+)
+def test_a_statement_that_outlasts_the_stop_is_answered(
+    texts: list[str], expected: str, with_cluster: Any
+) -> None:
+    """It is promised to be undone only where that is true (found beside review/4)."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        routes = [route("newest", "primary", timeout_ms=20_000)]
+        cluster.configure(configuration(2, routes=routes))
+        await trio.sleep(0.5)
+        client = await session(cluster, 0, "newest")
+        for text in texts[:-1]:
+            assert not (await client.query(text)).error
+        for server in cluster.group.servers.values():
+            server.work_s = 4.0
+        cluster.nursery.start_soon(cluster.hosts[0].stop)
+        answer = await client.query(texts[-1])
+        assert answer.error == expected
+        if expected == "ABORTED":
+            await trio.sleep(4.0)
+            assert not cluster.group.acknowledged
+
+    with_cluster(scenario)
+
+
 def test_a_session_that_opens_at_the_last_moment_is_served(with_cluster: Any) -> None:
     """Callers that still come while the host takes its leave lose no request."""
 
