An object that can't be read hides no other of the store

Cause: an answer of the store was decoded as a whole, so that one part that can't be decoded failed the list and the watch of its kind for as long as it was there; a RecursionError for deep nesting was not caught at all. Ruled out: the reader of servers, which was never reached.

Where an answer can't be decoded, it is taken apart without recursion and each object decoded by itself; one whose content can't be read keeps name and version and names no server.

On these entries of tests/test_odd_entries.py failed: numbers of 39 and 4,400 digits and beyond floats, 1,500 lists, 100,000 objects, surrogates, bytes, a key that is no text, a control character, a megabyte; and test_any_part_hides_no_other_object and test_random_damage_of_an_answer_is_read_or_refused.

--- a/src/rattanhollow/platform/_objects.py
+++ b/src/rattanhollow/platform/_objects.py
@@ -1,13 +1,14 @@
 """The platform's object store, as the store that the product knows."""
 
 from collections.abc import AsyncIterator, Callable
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import quote, urlencode
 
 import msgspec
 from result import Err, Ok, Result
 
 from rattanhollow.net import HttpAnswer, HttpClient
+from rattanhollow.observe import log_event
 from rattanhollow.platform._entries import SERVER_KIND
 from rattanhollow.store import (
     Event,
@@ -17,6 +18,8 @@
     Stored,
     StoreFailure,
     Trouble,
+    Unreadable,
+    decode_json,
     fault_of,
 )
 
@@ -37,6 +40,15 @@
 _TROUBLES = {404: Trouble.NOT_FOUND, 409: Trouble.CONFLICT, 410: Trouble.GONE}
 
 
+class _Page(NamedTuple):
+    """A part of a list; ``last_name`` is where the next one begins."""
+
+    items: list[Stored]
+    more: bool
+    last_name: str
+    version: int
+
+
 def object_store(
     client: HttpClient, called: Callable[[str, str], None] = lambda call, outcome: None
 ) -> ObjectStore:
@@ -73,11 +85,11 @@
             page = answer.and_then(lambda body: _page(kind, body))
             if page.is_err():
                 return Err(page.unwrap_err())
-            found, more, version = page.unwrap()
-            items += found
-            if not (more and found):
-                return Ok(Listing(version, items))
-            query = {**query, "after": found[-1].name}
+            found = page.unwrap()
+            items += found.items
+            if not (found.more and found.last_name):
+                return Ok(Listing(found.version, items))
+            query = {**query, "after": found.last_name}
 
     async def put(
         kind: str, name: str, spec: dict[str, Any], version: int
@@ -127,18 +139,26 @@
             trouble = Trouble.TURNED_AWAY if retried else Trouble.REFUSED
         detail = answer.body[:200].decode(errors="replace")
         return Err(StoreFailure(trouble, f"{answer.status} {detail}"))
-    try:
-        return Ok(msgspec.json.decode(answer.body) if answer.body else None)
-    except msgspec.DecodeError as error:
-        return Err(StoreFailure(Trouble.UNREACHABLE, f"no JSON: {error}"))
+    body = decode_json(answer.body) if answer.body else None
+    if isinstance(body, Unreadable):
+        return Err(StoreFailure(Trouble.UNREACHABLE, f"no JSON: {body.reason}"))
+    return Ok(body)
 
 
 def _stored(kind: str, body: Any) -> Stored:
-    meta = body["meta"]
-    spec = body["spec"]
+    """Return an object; one whose content can't be read has a ``fault``.
+
+    Raises:
+        ValueError: it has no name or no version.
+
+    """
+    meta = _part(body, "meta")
+    name, version = _part(meta, "name"), _whole(meta, "revision")
+    if not isinstance(name, str) or not name:
+        raise ValueError("name: expected a text")
+    spec = body.get("spec")
     fault = _content_fault(kind, spec)
-    content = {} if fault else spec
-    return Stored(kind, str(meta["name"]), int(meta["revision"]), content, fault)
+    return Stored(kind, name, version, {} if fault else spec, fault)
 
 
 def _content_fault(kind: str, spec: Any) -> str:
@@ -156,34 +176,83 @@
 def _one(kind: str, body: Any) -> Result[Stored, StoreFailure]:
     try:
         return Ok(_stored(kind, body))
-    except (KeyError, TypeError, ValueError) as error:
+    except ValueError as error:
         return Err(_shape(error))
 
 
-def _page(kind: str, body: Any) -> Result[tuple[list[Stored], bool, int], StoreFailure]:
+def _page(kind: str, body: Any) -> Result[_Page, StoreFailure]:
     try:
-        items = [_stored(kind, item) for item in body["items"]]
-        return Ok((items, bool(body["more"]), int(body["at"])))
-    except (KeyError, TypeError, ValueError) as error:
+        listed = _list(body, "items")
+        return Ok(
+            _Page(
+                items=_readable(kind, listed),
+                more=bool(body.get("more")) and bool(listed),
+                last_name=_last_name(listed),
+                version=_whole(body, "at"),
+            )
+        )
+    except ValueError as error:
         return Err(_shape(error))
 
 
+def _last_name(listed: list[Any]) -> str:
+    """Return the last name that can be read, from which a list goes on."""
+    for item in reversed(listed):
+        try:
+            return str(_part(_part(item, "meta"), "name"))
+        except ValueError:
+            continue
+    return ""
+
+
 def _events(kind: str, body: Any) -> Result[list[Event], StoreFailure]:
     """Return the events, and a bookmark at the version to go on from."""
     try:
-        events = [
-            Event(
-                EventType.DELETED if item["deleted"] else EventType.CHANGED,
-                _stored(kind, item["object"]),
-            )
-            for item in body["events"]
-        ]
-        at = Stored(kind, "", int(body["at"]), {})
-    except (KeyError, TypeError, ValueError) as error:
+        at = Stored(kind, "", _whole(body, "at"), {})
+        reported = _list(body, "events")
+    except ValueError as error:
         return Err(_shape(error))
+    events = []
+    for item in reported:
+        found = _readable(kind, [item.get("object")] if isinstance(item, dict) else [])
+        deleted = isinstance(item, dict) and item.get("deleted") is True
+        change = EventType.DELETED if deleted else EventType.CHANGED
+        events += [Event(change, stored) for stored in found]
     return Ok([*events, Event(EventType.BOOKMARK, at)])
 
 
+def _readable(kind: str, bodies: list[Any]) -> list[Stored]:
+    """Return the objects that have a name and a version."""
+    found = []
+    for body in bodies:
+        try:
+            found.append(_stored(kind, body))
+        except ValueError as error:
+            log_event("store.object_unreadable", kind=kind, reason=error)
+    return found
+
+
+def _part(body: Any, name: str) -> Any:
+    if not isinstance(body, dict) or name not in body:
+        raise ValueError(f"expected an object with {name}")
+    if isinstance(body[name], Unreadable):
+        raise ValueError(f"{name}: {body[name].reason}")
+    return body[name]
+
+
+def _list(body: Any, name: str) -> list[Any]:
+    value = _part(body, name)
+    if not isinstance(value, list):
+        raise ValueError(f"{name}: expected a list")
+    return value
+
+
+def _whole(body: Any, name: str) -> int:
+    value = _part(body, name)
+    if not isinstance(value, int) or isinstance(value, bool) or fault_of(value):
+        raise ValueError(f"{name}: expected a whole number")
+    return value
+
+
 def _shape(error: Exception) -> StoreFailure:
-    reason = f"unexpected shape: {type(error).__name__} {error}"
-    return StoreFailure(Trouble.UNREACHABLE, reason)
+    return StoreFailure(Trouble.UNREACHABLE, f"unexpected shape: {error}")
--- a/src/rattanhollow/store/__init__.py
+++ b/src/rattanhollow/store/__init__.py
@@ -12,7 +12,7 @@
     Trouble,
 )
 from rattanhollow.store._follow import Changes, Follower, follow
-from rattanhollow.store._json import fault_of
+from rattanhollow.store._json import Unreadable, decode_json, fault_of
 from rattanhollow.store._update import update
 
 __all__ = [
@@ -25,6 +25,8 @@
     "Stored",
     "StoreFailure",
     "Trouble",
+    "Unreadable",
+    "decode_json",
     "fault_of",
     "follow",
     "http_store",
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,13 +5,18 @@
 starts must become ready, and callers must be served as before.
 """
 
+import random
 from typing import Any
 
 import msgspec
 import pytest
 import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
-from rattanhollow.store import Follower, Listing, Stored
+from rattanhollow.net import HttpAnswer
+from rattanhollow.platform._objects import _decode, _events, _one, _page
+from rattanhollow.store import Follower, Listing, Stored, Unreadable, decode_json
 from rattanhollow_standins.platform import LineCluster
 from rattanhollow_standins.platform._cluster import SERVICE, configuration, put
 
@@ -36,8 +41,22 @@
 
 ODD_ENTRIES: dict[str, Any] = {
     "a number of 39 digits": {**ENTRY, "seq_no": raw(b"9" * 39)},
+    "a number of 4,400 digits": {**ENTRY, "seq_no": raw(b"9" * 4_400)},
+    "a number beyond all floats": {**ENTRY, "slots": raw(b"1e999")},
+    "1,500 nested lists": {**ENTRY, "zone": raw(b"[" * 1_500 + b"]" * 1_500)},
+    "100,000 nested objects": {
+        **ENTRY, "zone": raw(b'{"a":' * 100_000 + b"1" + b"}" * 100_000)
+    },
     "40 nested lists": {**ENTRY, "zone": raw(b"[" * 40 + b"]" * 40)},
+    "half a surrogate pair": {**ENTRY, "zone": raw(rb'"\udcff\udcfe"')},
+    "bytes that are no text": {**ENTRY, "zone": raw(b'"\xff\xfe\xc3\x28\x80"')},
+    "a key that is no text": {**ENTRY, "more": raw(rb'{"\udcff": 1}')},
+    "a control character": {**ENTRY, "zone": raw(b'"\x01"')},
     "a megabyte": {**ENTRY, "more": "x" * 1_000_000},
+    "a text for content": raw(b'"x"'),
+    "nothing for content": raw(b"null"),
+    "a list for content": [ENTRY],
+    "no field": {},
 }  # fmt: skip
 
 
@@ -86,6 +105,69 @@
     with_cluster(scenario)
 
 
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(10**40), 10**40)
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=12,
+)
+FUZZ = settings(derandomize=True, database=None, deadline=None, max_examples=400)
+
+
+OBJECT = b'{"meta":{"name":"%s","revision":%d},"spec":%s}'
+
+
+@FUZZ
+@given(st.binary(max_size=60) | JSON.map(msgspec.json.encode), st.booleans())
+def test_any_part_hides_no_other_object(odd: bytes, quoted: bool) -> None:
+    """Objects before and behind one whose content is arbitrary bytes are read."""
+    if quoted:
+        odd = b'"%s"' % odd.replace(b"\\", b"").replace(b'"', b"")
+    else:
+        # Bytes that open or close something would be another object, not a part.
+        odd = odd.translate(None, b'[]{},"\\')
+    objects = [OBJECT % (b"a", 1, b"{}"), OBJECT % (b"b", 2, odd)]
+    objects.append(OBJECT % (b"c", 3, b'{"k":[1,{"x":"],"}]}'))
+    page = b'{"items":[%s],"more":true,"at":9}' % b",".join(objects)
+    read = _page("hosts", decode_json(page)).unwrap()
+    names = [item.name for item in read.items]
+    assert names[0] == "a" and names[-1] == read.last_name == "c"
+    assert read.items[-1].spec == {"k": [1, {"x": "],"}]}
+    events = b",".join(b'{"object":%s,"deleted":false}' % item for item in objects)
+    heard = _events("hosts", decode_json(b'{"events":[%s],"at":9}' % events)).unwrap()
+    assert [event.item.name for event in heard][-2:] == ["c", ""]
+
+
+@FUZZ
+@given(st.binary(max_size=300) | JSON.map(msgspec.json.encode))
+def test_any_answer_of_the_store_is_read_or_refused(body: bytes) -> None:
+    """No answer makes a reader of the store raise."""
+    decoded = _decode(HttpAnswer(200, body))
+    for read in (_one, _page, _events):
+        decoded.and_then(lambda value, read=read: read("servers", value))
+
+
+def test_random_damage_of_an_answer_is_read_or_refused() -> None:
+    """Neither bytes that were changed nor any that are missing raise."""
+    rng = random.Random(1)
+    objects = [OBJECT % (b"a", n, msgspec.json.encode(ENTRY)) for n in range(3)]
+    whole = b'{"items":[%s],"more":false,"at":9}' % b",".join(objects)
+    for _ in range(3_000):
+        damaged = bytearray(whole)
+        for _ in range(rng.randrange(1, 4)):
+            at = rng.randrange(len(damaged))
+            if rng.random() < 0.5:
+                damaged[at] = rng.randrange(256)
+            else:
+                del damaged[at : at + rng.randrange(1, 40)]
+        decoded = decode_json(bytes(damaged))
+        if not isinstance(decoded, Unreadable):
+            _page("servers", decoded)
+
+
 def test_a_failing_reader_keeps_no_object_from_being_taken() -> None:
     """An error nobody foresaw concerns one object, and is logged."""
     taken: list[str] = []
