A position that can't be read ends no proxy

Shown: tests/test_untrusted_input.py::test_an_odd_position_of_a_database_ends_no_proxy, 4 of 4 failed before (the proxy ended), pass now: the one exchange is broken, its write in doubt. An unforeseen error in one caller's session is logged and ends that session only.

--- a/src/rattanhollow/backend/_group.py
+++ b/src/rattanhollow/backend/_group.py
@@ -284,7 +284,10 @@
         if frames.error is not None:
             fields = error_fields(frames.error)
             return Err(not_run(f"{connection.member.name}: {fields.message}"))
-        position = parse_position(rows_as_text(frames.frames)[0][0] or "")
+        try:
+            position = parse_position(rows_as_text(frames.frames)[0][0] or "")
+        except (ValueError, IndexError) as error:
+            return Err(not_run(f"{connection.member.name}: {error}"))
         if position.term < self.state.term:
             return Err(not_run(f"{connection.member.name} leads an older term"))
         return Ok(position)
--- a/src/rattanhollow/coordination/_position.py
+++ b/src/rattanhollow/coordination/_position.py
@@ -1,7 +1,11 @@
 """Log positions of a database group."""
 
+import re
 from typing import NamedTuple
 
+# ASCII digits of 64 bits: `int` takes others, and raises for thousands of them.
+_POSITION = re.compile(r"([0-9]{1,18})/([0-9]{1,18})")
+
 
 class Position(NamedTuple):
     """A log position; ordered by ``term``, then by ``offset`` within the log."""
@@ -23,7 +27,7 @@
         ValueError: the text is not a position.
 
     """
-    term, separator, offset = text.partition("/")
-    if not separator or not (term.isdigit() and offset.isdigit()):
-        raise ValueError(f"invalid position {text!r}: expected term/offset")
-    return Position(int(term), int(offset))
+    parts = _POSITION.fullmatch(text)
+    if parts is None:
+        raise ValueError(f"invalid position {text[:40]!r}: expected term/offset")
+    return Position(int(parts[1]), int(parts[2]))
--- a/src/rattanhollow/pgwire/_parse.py
+++ b/src/rattanhollow/pgwire/_parse.py
@@ -40,9 +40,16 @@
 
 
 def parameter(frame: Frame) -> tuple[str, str]:
-    """Return name and value of a ParameterStatus."""
-    name, value = cstrings(frame.payload)[:2]
-    return name, value
+    """Return name and value of a ParameterStatus.
+
+    Raises:
+        ProtocolViolation: there are no two strings.
+
+    """
+    texts = cstrings(frame.payload)
+    if len(texts) < 2:
+        raise ProtocolViolation("ParameterStatus without a value")
+    return texts[0], texts[1]
 
 
 def parse_fields(frame: Frame) -> tuple[bytes, bytes]:
--- a/src/rattanhollow/proxy/_exchange.py
+++ b/src/rattanhollow/proxy/_exchange.py
@@ -160,13 +160,26 @@
     return False
 
 
+def reported_position(text: str) -> Position:
+    """Return a position as a backend server reports it.
+
+    Raises:
+        ProtocolViolation: the text is none.
+
+    """
+    try:
+        return parse_position(text)
+    except ValueError as error:
+        raise ProtocolViolation(str(error)) from None
+
+
 def _take_frame(
     connection: BackendConnection, progress: _Progress, frame: Frame, hold: bool
 ) -> None:
     kind = frame.kind
     if kind == PARAMETER:
         if frame.raw.startswith(POSITION_PREFIX, POSITION_START):
-            progress.position = parse_position(parameter(frame)[1])
+            progress.position = reported_position(parameter(frame)[1])
             return
     elif kind == READY:
         progress.status = frame.raw[POSITION_START:]
--- a/src/rattanhollow/proxy/_listen.py
+++ b/src/rattanhollow/proxy/_listen.py
@@ -7,7 +7,7 @@
 import trio
 
 from rattanhollow.net import CALLER_KEEPALIVE, tune_socket
-from rattanhollow.observe import log_event
+from rattanhollow.observe import log_event, log_failure
 from rattanhollow.pgwire import ConnectionLost, ProtocolViolation
 from rattanhollow.proxy._login import (
     Cancel,
@@ -102,6 +102,9 @@
             log_event("caller.lost", reason=error)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             log_event("caller.lost", reason=error)
+        except Exception as error:
+            # One session must not end the process.
+            log_failure("caller.failed", error)
         finally:
             callers.connected -= 1
             await trio.aclose_forcefully(stream)
--- a/src/rattanhollow/proxy/_on_replica.py
+++ b/src/rattanhollow/proxy/_on_replica.py
@@ -7,7 +7,7 @@
 
 from rattanhollow.backend import BackendConnection, wait_command
 from rattanhollow.configuration import Member, Scope
-from rattanhollow.coordination import ORIGIN, Position, parse_position
+from rattanhollow.coordination import ORIGIN, Position
 from rattanhollow.pgwire import (
     ConnectionLost,
     Frame,
@@ -18,7 +18,12 @@
 from rattanhollow.pgwire.kinds import ERROR, PARAMETER, READY
 from rattanhollow.proxy._batch import Batch, prepare
 from rattanhollow.proxy._caller import IDLE, Caller
-from rattanhollow.proxy._exchange import Outcome, Relay, receive_answer
+from rattanhollow.proxy._exchange import (
+    Outcome,
+    Relay,
+    receive_answer,
+    reported_position,
+)
 from rattanhollow.proxy._lend import drop, release, take, take_ready
 from rattanhollow.proxy._service import Service
 from rattanhollow.verdict import Refusal, may_have_run, not_run, sqlstates
@@ -218,7 +223,7 @@
 ) -> None:
     name, value = parameter(frame)
     if name == APPLIED_PARAMETER:
-        caller.group.saw_applied(connection.member, parse_position(value))
+        caller.group.saw_applied(connection.member, reported_position(value))
 
 
 def _is_no_read(caller: Caller, outcome: Outcome) -> bool:
--- a/tests/test_untrusted_input.py
+++ b/tests/test_untrusted_input.py
@@ -33,6 +33,9 @@
 from rattanhollow.store import Stored
 from rattanhollow.succession import SUCCESSION_KIND, claim, write_claim_phase
 from rattanhollow.succession._record import NO_SUCCESSION
+from rattanhollow_standins.client import connect
+from rattanhollow_standins.database import _session as database_session
+from rattanhollow_standins.fleet import Fleet
 from rattanhollow_standins.platform import LineClient, LineCluster, ServerSession
 from rattanhollow_standins.platform._client import Closed
 from rattanhollow_standins.store import ObjectTable, local_store
@@ -273,3 +276,28 @@
         return (await client.query(text)).error
     except Closed:
         return "closed"
+
+
+@pytest.mark.parametrize("position", ["\u00b2/\u00b3", "1/" + "9" * 4_400, "1", ""])
+def test_an_odd_position_of_a_database_ends_no_proxy(
+    position: str, with_fleet: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A write whose answer can't be read is in doubt; other callers are served."""
+
+    async def scenario(fleet: Fleet) -> None:
+        first = await connect(fleet.place(0))
+        assert (await first.run("CREATE TABLE slots (number int)")).error is None
+        report = database_session.parameter_status
+        with monkeypatch.context() as patch:
+            patch.setattr(
+                database_session,
+                "parameter_status",
+                lambda name, value: report(name, position),
+            )
+            written = await first.run("INSERT INTO slots VALUES (1)")
+            assert written.error is not None
+        other = await connect(fleet.place(0))
+        written = await other.run("INSERT INTO slots VALUES (2)")
+        assert written.error is None
+
+    with_fleet(scenario)
