--- a/src/rattanhollow/proxy/_serve.py
+++ b/src/rattanhollow/proxy/_serve.py
@@ -72,6 +72,8 @@
     while True:
         try:
             caller.busy = False
+            if caller.ending is not None:
+                return caller.ending.message
             frames = await _next_request(caller, service)
             caller.busy = True
             if frames is None:
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -12,6 +12,7 @@
     NeighbourWatch,
 )
 from rattanhollow.peer import AskFailure, HostAnswer, Message, PeerAddress
+from rattanhollow.pgwire import ConnectionLost
 from rattanhollow.proxy._watch_all import watchers_of
 from rattanhollow.records import to_spec
 from rattanhollow.settings import MembershipSettings
@@ -179,3 +180,36 @@
         assert completed > 100
 
     with_fleet(scenario, overrides=SHORT_INTERVALS)
+
+
+def test_a_draining_proxy_answers_callers_that_never_rest(with_fleet: Any) -> None:
+    """They were cut within a request at the end of the time (found by review/4)."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await (await connect(fleet.place(0))).run("CREATE TABLE slots (number int)")
+        for member in fleet.group.members.values():
+            member.faults.answer_delay_s = 0.1
+        answered = 0
+        ends: list[str] = []
+
+        async def ask_again_and_again(begin: bool) -> None:
+            nonlocal answered
+            client = await connect(fleet.place(0))
+            try:
+                if begin:
+                    await client.run("BEGIN")
+                while True:
+                    answered += (await client.run("SELECT 1")).error is None
+            except ConnectionLost as error:
+                ends.append(str(error))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(8):
+                nursery.start_soon(ask_again_and_again, number % 2 == 0)
+            await trio.sleep(0.5)
+            await fleet.proxies[0].drain()
+        assert answered
+        assert len(ends) == 8 and all("leaving" in end for end in ends)
+
+    shutdown = {"announce_ms": "100", "drain_ms": "1500"}
+    with_fleet(scenario, overrides={**SHORT_INTERVALS, "shutdown": shutdown})
