--- a/src/rattanhollow/host/_run.py
+++ b/src/rattanhollow/host/_run.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from rattanhollow._process_start import PROCESS_STARTED_AT_S
+from rattanhollow._process_start import EARLY_HANGUP, PROCESS_STARTED_AT_S
 from rattanhollow.host._platform import platform_ends
 from rattanhollow.host._root import Host, build_host
 from rattanhollow.observe import Meter, kinds, log_bounded, log_event
@@ -47,6 +47,8 @@
 async def _heed_signals(host: Host, file: Path) -> None:
     """Drain on SIGTERM, read the settings anew on SIGHUP."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+        if EARLY_HANGUP.is_set():
+            _reload(host, file)
         async with trio.open_nursery() as nursery:
             async for received in signals:
                 log_event("host.signal", signal=signal.Signals(received).name)
