The end of a primary that stepped down makes no log incomplete

By reading: once the old primary had stepped down none was known, so its end counted as that of a replica whose log may hold what no other does, and no log was held to be complete until a primary proved one. What the last primary acknowledged is on a replica, too; the record of successions names it now, and its end is left out unless a promotion may be pending.

--- a/src/rattanhollow/host/_watch_primaries.py
+++ b/src/rattanhollow/host/_watch_primaries.py
@@ -113,8 +113,8 @@
             else None
         )
 
-    def covers(server: BackendServer, status: ServerStatus) -> bool:
-        return _covers(server, status.received, parts)
+    def covers(server: BackendServer, status: ServerStatus, last_leader: str) -> bool:
+        return _covers(server, status.received, last_leader, parts)
 
     def behind() -> list[tuple[BackendServer, float]]:
         return [
@@ -165,18 +165,21 @@
     return guardian
 
 
-def _covers(server: BackendServer, received: Position, parts: WatchedParts) -> bool:
+def _covers(
+    server: BackendServer, received: Position, last_leader: str, parts: WatchedParts
+) -> bool:
     """Whether a log holds all that was acknowledged before a log was lost.
 
     A server that started anew holds nothing of before, and what a replica that
-    is gone had acknowledged may be nowhere else yet. A log that reaches a
-    position which the primary proved later holds it all.
+    is gone had acknowledged may be nowhere else yet. What ``last_leader``
+    acknowledged as the primary is on a replica, too. A log that reaches a position
+    which the primary proved later holds it all.
     """
     lost_at_s = [
         at_s
         for at_s in (
             parts.directory.restarted_at_s(server.id),
-            parts.directory.replica_missing_at_s(server.service),
+            parts.directory.replica_missing_at_s(server.service, last_leader),
         )
         if at_s is not None
     ]
--- a/src/rattanhollow/routing/_directory.py
+++ b/src/rattanhollow/routing/_directory.py
@@ -17,6 +17,8 @@
 # A server without a description may still be used while another server replaces
 # its primary, for which operators allow several seconds.
 REMOVE_AFTER_S = 5.5
+# Of each service; more than one primary that left, and the newest counts.
+MISSING_REPLICAS_KEPT = 8
 
 DescriptionReader = Callable[[Stored], Result[BackendServer, str]]
 
@@ -45,7 +47,8 @@
         self._proofs: dict[str, _LeaderProof] = {}
         self._unreadable_reasons: dict[str, str] = {}
         self._restarted_at_s: dict[str, float] = {}
-        self._replica_missing_at_s: dict[str, float] = {}
+        # By service and server.
+        self._replica_missing_at_s: dict[str, dict[str, float]] = {}
         self._changed = trio.Event()
 
     def apply_description(self, stored: Stored | None, name: str) -> None:
@@ -95,9 +98,14 @@
         """Return when a restart of a server was detected, or None."""
         return self._restarted_at_s.get(server_id)
 
-    def replica_missing_at_s(self, service: str) -> float | None:
-        """Return when the description of a replica last went missing, or None."""
-        return self._replica_missing_at_s.get(service)
+    def replica_missing_at_s(self, service: str, last_leader: str = "") -> float | None:
+        """Return when the description of a replica last went missing, or None.
+
+        That of ``last_leader`` does not count: it was the primary until it stopped.
+        """
+        missing = self._replica_missing_at_s.get(service, {})
+        times_s = (at_s for name, at_s in missing.items() if name != last_leader)
+        return max(times_s, default=None)
 
     async def wait_for_change(self, timeout_s: float) -> None:
         """Wait for a changed description or a newly proven leader."""
@@ -173,7 +181,11 @@
         log_event("server.missing", server=name, draining=server.draining)
         leader = self.leader(server.service)
         if leader is None or leader.id != name:
-            self._replica_missing_at_s[server.service] = self._clock()
+            missing = self._replica_missing_at_s.setdefault(server.service, {})
+            missing.pop(name, None)
+            missing[name] = self._clock()
+            if len(missing) > MISSING_REPLICAS_KEPT:
+                del missing[next(iter(missing))]
         if server.draining:
             self._remove(name)
         else:
--- a/src/rattanhollow/succession/_replace.py
+++ b/src/rattanhollow/succession/_replace.py
@@ -47,8 +47,9 @@
     """Dependencies of replacing a primary.
 
     ``promote(service, server, holder, token)`` returns the HTTP status of the
-    platform's response. ``is_log_complete(server, status)`` is true when the
-    server's log can be relied on to hold everything that it acknowledged.
+    platform's response. ``is_log_complete(server, status, last_leader)`` is true
+    when the server's log can be relied on to hold everything that it acknowledged, and
+    that servers other than ``last_leader`` acknowledged which are gone.
     ``read_members(service)`` reads the service's servers from the store again;
     None if that failed. ``note_competing_claim(service, claim_id)`` is notified of
     another coordinator's claim, ``note_replaced(service, old_leader, leader)`` of a
@@ -59,7 +60,7 @@
     command_sender: CommandSender
     promote: Callable[[str, str, str, int], Awaitable[Result[int, str]]]
     holder: str
-    is_log_complete: Callable[[BackendServer, ServerStatus], bool]
+    is_log_complete: Callable[[BackendServer, ServerStatus, str], bool]
     read_members: Callable[[str], Awaitable[list[BackendServer] | None]]
     note_competing_claim: Callable[[str, str], None]
     note_replaced: Callable[[str, str, str], None]
@@ -276,7 +277,8 @@
         return Err("stop: no server responded")
     term = next_term(responses)
     replicas = [s for s in members if s.id != task.old_leader_id]
-    held_replicas = await _hold_replicas(replicas, term, parts)
+    last_leader = record.leader if record.phase is Phase.CLAIMED else ""
+    held_replicas = await _hold_replicas(replicas, term, last_leader, parts)
     stopped_primary = None
     primary = task.old_leader if task.reachable else None
     if primary is not None and statuses[primary.id] is not None:
@@ -296,7 +298,7 @@
         for s in members_after_hold
         if s.id not in known_ids and s.id != task.old_leader_id
     ]
-    held_replicas += await _hold_replicas(joined, term, parts)
+    held_replicas += await _hold_replicas(joined, term, last_leader, parts)
     return Ok(
         StoppedGroup(held_replicas, stopped_primary, task.sync_replica_count, term)
     )
@@ -320,14 +322,17 @@
 
 
 async def _hold_replicas(
-    servers: list[BackendServer], term: int, parts: ReplaceParts
+    servers: list[BackendServer], term: int, last_leader: str, parts: ReplaceParts
 ) -> list[Member]:
+    """Make servers stop receiving; ``last_leader`` led last, empty if unknown."""
     statuses = await parts.command_sender.send_to_all(
         servers, CommandKind.SUSPEND_RECEIVING, term
     )
     return [
         Member(
-            server, status, status is not None and parts.is_log_complete(server, status)
+            server,
+            status,
+            status is not None and parts.is_log_complete(server, status, last_leader),
         )
         for server in servers
         for status in [statuses[server.id]]
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -143,6 +143,8 @@
     clock.now_s = 7.0
     directory.apply_description(None, "i-2")
     assert directory.replica_missing_at_s(SERVICE) == 7.0
+    name = next(iter(directory._replica_missing_at_s[SERVICE]))
+    assert directory.replica_missing_at_s(SERVICE, last_leader=name) is None
 
 
 Script = Callable[[str, Work], Awaitable[WorkResult]]
