A host whose record was deleted registers again

Cause: neighbours delete the record of a silent host, and it was written once only; the host kept a share of each rate that the others divided among themselves. It uses none from then on, writes its record again and takes its share once all count it.

test_a_host_whose_record_was_deleted_registers_again failed before. Left: while it is cut off it still uses its share.

--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -78,7 +78,7 @@
         self.routes: RouteTable = NO_ROUTES
         self.ready = False
         self.sessions = Sessions()
-        self.hosts = HostDirectory(lambda: None)
+        self.hosts = HostDirectory(self._hosts_changed)
         self.directory = ServerDirectory(ends.read_server, now_s)
         self.meter = meter
         self._ends = ends
@@ -161,6 +161,9 @@
             settings.configuration_ms / 1000,
         )
         self._stopping = False
+        # Whether the store's list of hosts has this one, and when it was deleted.
+        self._listed = False
+        self._deleted = trio.Event()
         self._stopped = trio.Event()
         self._accepting = trio.CancelScope()
         self._connections = 0
@@ -293,6 +296,25 @@
     async def _note_registration(self) -> None:
         await self.registration.written.wait()
         self.rates.registered(self.registration.is_first_registration is not False)
+        while True:
+            await self._deleted.wait()
+            self._deleted = trio.Event()
+            await self.registration.written.wait()
+            self.rates.registered(anew=True)
+
+    def _hosts_changed(self) -> None:
+        """Register again where others have deleted this host's record.
+
+        They do so with that of a host that was cut off from them.
+        """
+        listed = self.hosts.find(self._own().name) is not None
+        deleted = self._listed and not listed and not self._stopping
+        self._listed = listed
+        if deleted:
+            log_event("host.deleted", host=self.settings.place.name)
+            self.rates.unregistered()
+            self.registration.restore_record()
+            self._deleted.set()
 
     def _own(self) -> HostRecord:
         return self.registration.record
--- a/src/rattanhollow/membership/_hosts.py
+++ b/src/rattanhollow/membership/_hosts.py
@@ -152,7 +152,11 @@
         self._write_needed.set()
 
     def restore_record(self) -> None:
-        """Schedule writing the record again after it was deleted by mistake."""
+        """Schedule writing the record again after it was deleted by mistake.
+
+        ``written`` is set anew once the store has it.
+        """
+        self.written = trio.Event()
         self._write_needed.set()
 
     async def announce_leaving(self) -> None:
@@ -187,8 +191,9 @@
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
             await self._write_needed.wait()
-            # All hosts receive a change at once; the jitter spreads their writes.
-            await trio.sleep(self._rng.uniform(0, REPORT_JITTER_S))
+            if self._writes_report:
+                # All hosts receive a change at once; the jitter spreads their writes.
+                await trio.sleep(self._rng.uniform(0, REPORT_JITTER_S))
 
     async def _write(self, kind: str, desired_spec: dict[str, Any]) -> bool:
         def change(spec: dict[str, Any] | None) -> Result[dict[str, Any] | None, Any]:
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -150,6 +150,10 @@
         for organisation, state in self._states.items():
             self._credit_unused(organisation, state)
 
+    def unregistered(self) -> None:
+        """Record that the store lost this host's record: others divide its share."""
+        self._share.unregistered()
+
     async def admit(self, organisation: str, target_ms: int) -> Admission:
         """Admit or refuse one operation, after a short wait for a token if needed.
 
--- a/src/rattanhollow/rates/_share.py
+++ b/src/rattanhollow/rates/_share.py
@@ -47,6 +47,11 @@
             self._counted_from_s += self._settle_s
             self.unused_since_s = self._counted_from_s
 
+    def unregistered(self) -> None:
+        """Record that the store lost this host's record: others divide its share."""
+        self._counted_from_s = math.inf
+        self.unused_since_s = math.inf
+
     @property
     def is_counted(self) -> bool:
         """Whether the other hosts count this one."""
--- a/tests/test_line_cluster.py
+++ b/tests/test_line_cluster.py
@@ -441,3 +441,28 @@
         assert SERVICE in routes.services
 
     with_cluster(scenario)
+
+
+def test_a_host_whose_record_was_deleted_registers_again(with_cluster: Any) -> None:
+    """Hosts that were cut off exceeded the rates for good (review/5)."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        host = cluster.hosts[0]
+        name = host.settings.place.name
+        entry = cluster.table.get("hosts", name)
+        assert entry is not None
+        cluster.table.faults.delay_s = 0.3
+        cluster.table.delete("hosts", name, entry.version)
+        with trio.fail_after(15):
+            while host.hosts.find(name) is not None:
+                await trio.sleep(0.01)
+            # The others divide the whole rate among themselves now.
+            assert not host.rates._share.fraction
+            while not host.rates._share.is_counted:
+                await trio.sleep(0.05)
+            await cluster.until_ready()
+        restored = cluster.table.get("hosts", name)
+        assert restored is not None and restored.spec == entry.spec
+        assert host.rates._share.fraction == 1 / 3
+
+    with_cluster(scenario)
