A target whose promotion is pending stays the target, whoever is taken for the primary

A target that answers and doesn't lead is a replica and stays the target; one that leads ends its own succession first, also where it is to be replaced (kept from the code before, with a test now).

--- a/src/rattanhollow/membership/_hosts.py
+++ b/src/rattanhollow/membership/_hosts.py
@@ -156,7 +156,8 @@
 
         ``written`` is set anew once the store has it.
         """
-        self.written = trio.Event()
+        if self.written.is_set():
+            self.written = trio.Event()
         self._write_needed.set()
 
     async def announce_leaving(self) -> None:
--- a/src/rattanhollow/succession/_replace.py
+++ b/src/rattanhollow/succession/_replace.py
@@ -111,9 +111,11 @@
         return Err("members: the store returned no list of servers")
     previous_target = _find_previous_target(members, record)
     statuses = await _query_statuses(task, members, previous_target, parts)
-    current_leader = _find_other_leader(task, members, statuses)
+    current_leader = _find_other_leader(task, members, previous_target, statuses)
     if current_leader is not None:
         return await _end_succession(task, record, current_leader, parts)
+    if previous_target is not None and statuses[previous_target.id] is not None:
+        task = _without_target(task, previous_target)
     stopped = await _stop_servers(task, members, statuses, record, parts)
     if stopped.is_err():
         return Err(stopped.unwrap_err())
@@ -214,29 +216,44 @@
 ) -> dict[str, ServerStatus | None]:
     """Return the status of each server that may respond, None without a response."""
     queried = [s for s in members if s.id != task.old_leader_id]
-    if task.old_leader is not None and (
-        task.reachable or task.old_leader == previous_target
-    ):
+    may_be_promoted = (
+        previous_target is not None and previous_target.id == task.old_leader_id
+    )
+    if task.old_leader is not None and (task.reachable or may_be_promoted):
         queried.append(task.old_leader)
     return await parts.command_sender.send_to_all(queried, CommandKind.STATUS)
 
 
+def _without_target(task: Task, previous_target: BackendServer) -> Task:
+    """Return the task for a service whose pending target has not been promoted yet.
+
+    Whoever was believed to lead, the target is a replica, and has to stay the target.
+    """
+    if previous_target.id != task.old_leader_id:
+        return task
+    return task._replace(old_leader=None, reachable=False)
+
+
 def _newest_term(statuses: dict[str, ServerStatus | None]) -> int:
     return max((s.term for s in statuses.values() if s is not None), default=0)
 
 
 def _find_other_leader(
-    task: Task, members: list[BackendServer], statuses: dict[str, ServerStatus | None]
+    task: Task,
+    members: list[BackendServer],
+    previous_target: BackendServer | None,
+    statuses: dict[str, ServerStatus | None],
 ) -> BackendServer | None:
     """Return the server that leads the newest term, unless it is to be replaced.
 
-    It may have been replaced without knowing; a write there shows that.
+    It may have been replaced without knowing; a write there shows that. The target of
+    an unfinished claim counts in any case: its own succession has to end first.
     """
     newest_term = _newest_term(statuses)
     for server in members:
         status = statuses.get(server.id)
         leads = status is not None and status.leads and status.term >= newest_term
-        if leads and server.id != task.old_leader_id:
+        if leads and (server.id != task.old_leader_id or server is previous_target):
             return server
     return None
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -20,19 +20,9 @@
 from rattanhollow.store import Follower, Listing, Stored, Unreadable, decode_json
 from rattanhollow_standins.platform import LineCluster
 from rattanhollow_standins.platform._cluster import SERVICE, configuration, put
+from test_entries import SERVER
 
-ENTRY = {
-    "service": SERVICE,
-    "address": "127.0.0.9:8080",
-    "zone": "lothian-a",
-    "version": "v1",
-    "slots": 3,
-    "state": "ready",
-    "cold_left_ms": 0,
-    "db_role": "replica",
-    "seq_no": 1,
-    "born": 1,
-}
+ENTRY = {**SERVER, "service": SERVICE, "address": "127.0.0.9:8080"}
 
 
 def raw(text: bytes) -> msgspec.Raw:
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -517,6 +517,41 @@
     run_scenario(scenario)
 
 
+def test_an_unfinished_target_that_leads_ends_its_own_succession_first() -> None:
+    """Its promotion may still be pending, and would follow that of another server."""
+
+    async def scenario(cluster: ReplacementCluster) -> None:
+        born_ms = cluster.databases[0].born_ms
+        spec = SuccessionRecord(1, "x", "a", "i-2", Phase.CHOSEN, "i-0", born_ms)
+        await cluster.store.put("successions", SERVICE, to_spec(spec), 0)
+        cluster.databases[0].draining = True
+        task = cluster.task()._replace(stale_claim_id="x")
+        ended = await replace_primary(task, cluster.parts())
+        assert ended.ok().id == "i-0" and not cluster.promotions.orders
+        stored = (await cluster.store.get("successions", SERVICE)).unwrap()
+        assert (stored.spec["phase"], stored.spec["leader"]) == ("ended", "i-0")
+        replaced = await cluster.replace()
+        assert replaced.ok().id != "i-0"
+
+    run_scenario(scenario)
+
+
+def test_a_pending_target_taken_for_the_primary_stays_the_target() -> None:
+    """Another server was chosen, and promoted behind it (seed 3719)."""
+
+    async def scenario(cluster: ReplacementCluster) -> None:
+        born_ms = cluster.databases[0].born_ms
+        cluster.group.step_down(cluster.databases[0], cluster.group.term + 1)
+        spec = SuccessionRecord(1, "x", "a", "i-1", Phase.CHOSEN, "i-0", born_ms)
+        await cluster.store.put("successions", SERVICE, to_spec(spec), 0)
+        task = cluster.task()._replace(stale_claim_id="x")
+        replaced = await replace_primary(task, cluster.parts())
+        assert replaced.ok().id == "i-0"
+        assert cluster.group.promotions == ["i-0"]
+
+    run_scenario(scenario)
+
+
 def test_a_deposed_primary_is_no_proof_of_all_commits() -> None:
     """It is a replica of an unreachable successor, whose commits it may lack."""
 
@@ -565,8 +600,9 @@
     run_scenario(scenario)
 
 
+# 3719: a target that was taken for the primary, with its promotion pending.
 @pytest.mark.parametrize("outdated", [False, True])
-@pytest.mark.parametrize("seed", range(100))
+@pytest.mark.parametrize("seed", [*range(100), 3719])
 def test_random_faults_lose_no_acknowledged_commit(seed: int, outdated: bool) -> None:
     """Random outages, late commands and competing coordinators during commits.
 
