Late orders to promote a primary are fenced before it steps down

Orders to promote a server had no answer; it led, was stopped for the next replacement, and a late order made it lead again beside its successor, whose promotion was late, too. Commits acknowledged in between were lost.

The record says whether orders to promote the primary may be pending. Then, before it is stopped, the present primary is ordered once with the new token, which changes nothing and has the platform reject the old ones; without its answer the primary goes on leading.

--- a/src/rattanhollow/succession/_record.py
+++ b/src/rattanhollow/succession/_record.py
@@ -29,6 +29,7 @@
     ``token`` is its fencing token, ``claim_id`` distinguishes claims of one host.
     ``target_born_ms`` identifies the start of the target. ``leader`` is the primary
     that the last completed replacement left, empty before the first one.
+    ``orders_pending`` is true if orders to promote ``leader`` may still be executed.
     """
 
     token: int
@@ -39,6 +40,7 @@
     target: str = ""
     target_born_ms: int = 0
     leader: str = ""
+    orders_pending: bool = False
 
 
 NO_SUCCESSION = SuccessionRecord(0, "", "", "", Phase.ENDED)
@@ -93,6 +95,7 @@
             target=current.target if unfinished else "",
             target_born_ms=current.target_born_ms if unfinished else 0,
             leader=current.leader,
+            orders_pending=current.orders_pending,
         )
         return Ok(to_spec(claimed))
 
--- a/src/rattanhollow/succession/_replace.py
+++ b/src/rattanhollow/succession/_replace.py
@@ -113,9 +113,15 @@
     statuses = await _query_statuses(task, members, previous_target, parts)
     current_leader = _find_other_leader(task, members, previous_target, statuses)
     if current_leader is not None:
-        return await _end_succession(task, record, current_leader, parts)
+        pending = record.phase is Phase.CHOSEN or record.orders_pending
+        return await _end_succession(task, record, current_leader, pending, parts)
     if previous_target is not None and statuses[previous_target.id] is not None:
         task = _without_target(task, previous_target)
+    if _may_lead_again(task, record, statuses):
+        fenced = await _fence_pending_orders(task, record, parts)
+        if fenced.is_err():
+            return Err(fenced.unwrap_err())
+        record = record._replace(orders_pending=False)
     stopped = await _stop_servers(task, members, statuses, record, parts)
     if stopped.is_err():
         return Err(stopped.unwrap_err())
@@ -145,7 +151,8 @@
         term=stopped.unwrap().term,
         logs=_format_log_positions(stopped.unwrap()),
     )
-    return await _promote_target(task, record, target, parts)
+    is_continued = previous_target is not None
+    return await _promote_target(task, record, target, is_continued, parts)
 
 
 async def release_held_replica(
@@ -234,6 +241,42 @@
     return task._replace(old_leader=None, reachable=False)
 
 
+def _may_lead_again(
+    task: Task, record: SuccessionRecord, statuses: dict[str, ServerStatus | None]
+) -> bool:
+    """Whether orders to promote the primary may be executed once it stepped down."""
+    status = statuses.get(task.old_leader_id)
+    leads = task.reachable and status is not None and status.leads
+    return leads and record.orders_pending and record.leader == task.old_leader_id
+
+
+async def _fence_pending_orders(
+    task: Task, record: SuccessionRecord, parts: ReplaceParts
+) -> Result[None, str]:
+    """Order the present primary with the new token, which changes nothing.
+
+    The platform rejects the pending orders once it has seen a newer token. They would
+    make the server lead again beside its successor.
+    """
+    response = await parts.promote(
+        task.service, record.leader, parts.holder, record.token
+    )
+    log_event(
+        "succession.fenced",
+        service=task.service,
+        token=record.token,
+        leader=record.leader,
+        status=response.ok(),
+        reason=response.err(),
+    )
+    if response.ok() == HTTP_OK:
+        return Ok(None)
+    if record.phase is Phase.CLAIMED:
+        ended = record._replace(phase=Phase.ENDED)
+        await write_claim_phase(parts.store, task.service, ended)
+    return Err("stop: orders to promote the primary may still be executed")
+
+
 def _newest_term(statuses: dict[str, ServerStatus | None]) -> int:
     return max((s.term for s in statuses.values() if s is not None), default=0)
 
@@ -370,8 +413,14 @@
 
 
 async def _promote_target(
-    task: Task, record: SuccessionRecord, target: BackendServer, parts: ReplaceParts
+    task: Task,
+    record: SuccessionRecord,
+    target: BackendServer,
+    is_continued: bool,
+    parts: ReplaceParts,
 ) -> Result[BackendServer, str]:
+    # Another coordinator's orders for the target may be pending, too.
+    pending = is_continued
     with trio.move_on_after(PROMOTION_TIMEOUT_S):
         accepted = False
         while True:
@@ -388,22 +437,29 @@
                     reason=response.err(),
                 )
                 accepted = response.ok() == HTTP_OK
+                pending = pending or response.is_err()
                 if response.ok() == HTTP_CONFLICT:
                     return Err("promote: the platform rejected the promotion")
             await trio.sleep(STATUS_POLL_INTERVAL_S)
             status = await parts.command_sender.send(target, CommandKind.STATUS)
             if status is not None and status.leads:
-                return await _end_succession(task, record, target, parts)
+                return await _end_succession(task, record, target, pending, parts)
     return Err("promote: the target did not become primary before the deadline")
 
 
 async def _end_succession(
-    task: Task, record: SuccessionRecord, target: BackendServer, parts: ReplaceParts
+    task: Task,
+    record: SuccessionRecord,
+    target: BackendServer,
+    orders_pending: bool,
+    parts: ReplaceParts,
 ) -> Result[BackendServer, str]:
     ended = await write_claim_phase(
         parts.store,
         task.service,
-        record._replace(phase=Phase.ENDED, leader=target.id),
+        record._replace(
+            phase=Phase.ENDED, leader=target.id, orders_pending=orders_pending
+        ),
     )
     log_event(
         "succession.ended",
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -552,6 +552,27 @@
     run_scenario(scenario)
 
 
+def test_orders_that_are_late_do_not_bring_a_stopped_primary_back() -> None:
+    """It led again beside its successor, whose log lacked its commits."""
+
+    async def scenario(cluster: ReplacementCluster) -> None:
+        cluster.promotions.late_s = 1.7
+        leader = (await cluster.replace()).unwrap()
+        assert len(cluster.promotions.orders) > 1
+        task = cluster.task()._replace(old_leader=leader)
+        second = await replace_primary(task, cluster.parts("b"))
+        await cluster.commit(2)
+        await trio.sleep(6)
+        assert second.is_err()
+        assert cluster.group.promotions == [leader.id]
+        cluster.promotions.late_s = 0.0
+        task = cluster.task()._replace(old_leader=leader)
+        third = await replace_primary(task, cluster.parts("b"))
+        assert cluster.group.promotions == [leader.id, third.unwrap().id]
+
+    run_scenario(scenario)
+
+
 def test_a_deposed_primary_is_no_proof_of_all_commits() -> None:
     """It is a replica of an unreachable successor, whose commits it may lack."""
 
