--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -622,12 +622,17 @@
 
 
 # 3719: a target that was taken for the primary, with its promotion pending.
+# 1068: late orders made a stopped primary lead again beside its successor.
+@pytest.mark.parametrize("doubled", [False, True])
 @pytest.mark.parametrize("outdated", [False, True])
-@pytest.mark.parametrize("seed", [*range(100), 3719])
-def test_random_faults_lose_no_acknowledged_commit(seed: int, outdated: bool) -> None:
+@pytest.mark.parametrize("seed", [*range(100), 1068, 3719])
+def test_random_faults_lose_no_acknowledged_commit(
+    seed: int, outdated: bool, doubled: bool
+) -> None:
     """Random outages, late commands and competing coordinators during commits.
 
-    With ``outdated`` coordinators act on what they knew seconds before (review/1).
+    With ``outdated`` coordinators act on what they knew seconds before (review/1),
+    with ``doubled`` most faults come with another one.
     """
     rng = random.Random(seed)
 
@@ -637,9 +642,18 @@
                 await cluster.commit(1)
                 await trio.sleep(0.1)
 
+        def add_fault(fault: str) -> None:
+            database = rng.choice(cluster.databases)
+            if fault == "late":
+                database.late_orders_s = rng.uniform(0.2, 6)
+            elif fault == "promotion":
+                cluster.promotions.late_s = rng.uniform(0.3, 6)
+            elif fault == "draining":
+                database.draining = True
+
         async def inject_faults() -> None:
-            for _ in range(8):
-                await trio.sleep(rng.uniform(0.1, 1.5))
+            for _ in range(10 if doubled else 8):
+                await trio.sleep(rng.uniform(*((0.05, 1.0) if doubled else (0.1, 1.5))))
                 database = rng.choice(cluster.databases)
                 faults = [
                     "dark",
@@ -650,6 +664,8 @@
                     "draining",
                     "two",
                 ]
+                if doubled:
+                    add_fault(rng.choice(["late", "promotion", "draining", "none"]))
                 fault = rng.choice(faults)
                 duration_s = rng.uniform(0.2, 4)
                 if fault == "dark":
