A held replica is released for a primary that has no connection left

From its logs: a coordinator was killed while it held both replicas; the primary lived on, all its connections were taken by commits that wait for a replica, so that it did not answer for its status. Held replicas were only let go once it did, other hosts reached it, so that it was not replaced either: no write was served any more. Under a claim without a pending promotion nobody relies on the hold, so the replica receives again unless the primary says that it has stopped.

test_a_replica_is_released_for_a_primary_without_a_free_connection failed before with the primary full, passes now; with a stopped primary the hold stays, before and now.

--- a/src/rattanhollow/succession/_replace.py
+++ b/src/rattanhollow/succession/_replace.py
@@ -161,7 +161,9 @@
     """Let a replica that is held without need receive again.
 
     A command to hold may be executed late, and a coordinator may stop after
-    sending it.
+    sending it. Under a claim without a pending promotion nobody relies on the hold,
+    also while the primary has no connection left to respond: all may be taken by
+    commits that wait for this replica.
     """
     claimed = await _claim_succession(task, parts)
     if claimed.is_err():
@@ -174,7 +176,8 @@
         leader_status = await parts.command_sender.send(
             task.old_leader, CommandKind.STATUS
         )
-    if leader_status is not None and leader_status.leads:
+    has_stopped = leader_status is not None and not leader_status.leads
+    if task.old_leader is not None and not has_stopped:
         await parts.command_sender.send(server, CommandKind.RESUME_RECEIVING)
     ended = await write_claim_phase(
         parts.store, task.service, record._replace(phase=Phase.ENDED)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -594,6 +594,35 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("leads", [True, False])
+def test_a_replica_is_released_for_a_primary_without_a_free_connection(
+    leads: bool,
+) -> None:
+    """Its commits waited for held replicas for good (soak, seed 296888)."""
+
+    async def scenario(cluster: ReplacementCluster) -> None:
+        held = cluster.databases[1]
+        run = cluster._run
+
+        async def run_unless_full(
+            target: BackendServer, command: Command, timeout_s: float
+        ) -> Reply | None:
+            full = leads and target.id == "i-0"
+            return None if full else await run(target, command, timeout_s)
+
+        cluster._run = run_unless_full  # type: ignore[method-assign]
+        cluster.group.hold(held, cluster.group.term + 1)
+        if not leads:
+            cluster.group.step_down(cluster.databases[0], cluster.group.term + 1)
+        await claim(cluster.store, SERVICE, "killed", "x", "i-0")
+        task = cluster.task()._replace(stale_claim_id="x")
+        await release_held_replica(task, server(held), cluster.parts())
+        # A primary that has stopped needs a successor, which needs the hold.
+        assert bool(held.held_term) is not leads
+
+    run_scenario(scenario)
+
+
 def test_a_lost_store_response_causes_no_second_claim() -> None:
     """A coordinator recognises its own claim."""
 
