Read home regions, cold limits and the bounds of evacuations

The configuration's allowed_regions, cold_per_s and cold_s and the settings' evacuate_ms, cold_over and cold_slack were ignored; nothing uses them yet. Settings for crossings and the list of capabilities that the platform requests come along.

--- a/src/rattanhollow/platform/_entries.py
+++ b/src/rattanhollow/platform/_entries.py
@@ -88,6 +88,7 @@
                 key.digest: item.name for item in organisations for key in item.keys
             },
             transaction_idle_ms=_transaction_idle_ms(spec),
+            home_regions=_home_regions_by_name(_list(spec, "tenants")),
         )
     except _Unusable as error:
         return Err(str(error))
@@ -109,6 +110,7 @@
         priority=_whole(item, "priority"),
         max_age_ms=_whole(item, "max_stale_ms", default=0),
         open=_flag(item, "anonymous"),
+        home_regions=_home_regions(item),
     )
 
 
@@ -118,6 +120,8 @@
         # Of all callers together, at each server.
         connections=_whole(item, "max_conns"),
         copies=_whole(item, "sync_replicas", default=0),
+        cold_per_s=_number(item, "cold_per_s"),
+        cold_s=_number(item, "cold_s"),
     )
 
 
@@ -133,6 +137,21 @@
     )
 
 
+def _home_regions(item: Any) -> tuple[str, ...]:
+    """Return the regions that may see a request's body, empty for all."""
+    if _field(item, "allowed_regions") is None:
+        return ()
+    found = _list(item, "allowed_regions")
+    if not all(isinstance(region, str) and region for region in found):
+        raise _Unusable("allowed_regions: expected texts")
+    return tuple(found)
+
+
+def _home_regions_by_name(tenants: list[Any]) -> dict[str, tuple[str, ...]]:
+    regions = {_text(item, "name"): _home_regions(item) for item in tenants}
+    return {name: homes for name, homes in regions.items() if homes}
+
+
 def _transaction_idle_ms(spec: Any) -> int:
     limits = spec.get("limits")
     if not isinstance(limits, dict):
@@ -174,14 +193,19 @@
 
 def _rate(item: Any, name: str) -> int:
     """Return a rate in whole operations; a fraction is not granted."""
+    return int(_number(item, name))
+
+
+def _number(item: Any, name: str) -> float:
+    """Return a number that isn't negative, 0 where it is missing."""
     value = _field(item, name)
     if value is None:
-        return 0
+        return 0.0
     if not isinstance(value, int | float) or isinstance(value, bool):
         raise _Unusable(f"{name}: expected a number, got {_shown(value)}")
     if not 0 <= value <= HIGHEST_WHOLE:
         raise _Unusable(f"{name}: out of range")
-    return int(value)
+    return float(value)
 
 
 def _flag(item: Any, name: str) -> bool:
--- a/src/rattanhollow/settings/__init__.py
+++ b/src/rattanhollow/settings/__init__.py
@@ -1,6 +1,8 @@
 """Settings in INI, checked before anything starts."""
 
 from rattanhollow.settings._host import (
+    ColdSettings,
+    CrossingSettings,
     Endpoint,
     LineHostSettings,
     line_host_settings_from,
@@ -13,6 +15,7 @@
     boolean,
     integer,
     ip_address,
+    number,
     read_file,
     read_ini,
     text,
@@ -34,6 +37,8 @@
 )
 
 __all__ = [
+    "ColdSettings",
+    "CrossingSettings",
     "Endpoint",
     "LineHostSettings",
     "line_host_settings_from",
@@ -55,6 +60,7 @@
     "boolean",
     "integer",
     "ip_address",
+    "number",
     "proxy_settings_from",
     "read_file",
     "read_ini",
--- a/src/rattanhollow/settings/_host.py
+++ b/src/rattanhollow/settings/_host.py
@@ -1,7 +1,8 @@
 """The settings of a host that serves callers and backend servers in lines."""
 
+from collections.abc import Callable
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from rattanhollow.settings._ini import (
     Field,
@@ -9,6 +10,7 @@
     boolean,
     integer,
     ip_address,
+    number,
     read_file,
     read_ini,
     text,
@@ -56,16 +58,39 @@
     promotion: Endpoint | None
 
 
+class ColdSettings(NamedTuple):
+    """How far a cold server's limit may be exceeded in any second.
+
+    It gets at most its limit times ``excess_ratio`` plus ``slack`` requests.
+    """
+
+    excess_ratio: float
+    slack: int
+
+
+class CrossingSettings(NamedTuple):
+    """The wait that a read must save to leave its zone or region, 0 for no such rule.
+
+    The rule is off where both are 0.
+    """
+
+    zone_ms: int
+    region_ms: int
+
+
 class LineHostSettings(NamedTuple):
     """All settings of a host.
 
     ``stop_s`` is how long a stop may take, ``configuration_ms`` how soon an
     accepted configuration has to be in force, ``drain_ms`` how soon behind its
     announcement a leaving backend server must get no new work, ``heartbeat_ms`` how
-    often backend servers describe themselves. ``rate_settle_ms`` is how long a new host
-    takes no part of the organisations' rates, so that all others count it,
-    ``rate_slack`` how many operations operators allow above rate and burst.
-    ``first_start`` where the whole fleet starts for the first time.
+    often backend servers describe themselves, ``evacuate_ms`` how soon behind an
+    evacuation's acknowledgement its zone's servers must get nothing more.
+    ``rate_settle_ms`` is how long a new host takes no part of the organisations' rates,
+    so that all others count it, ``rate_slack`` how many operations operators allow
+    above rate and burst.
+    ``first_start`` where the whole fleet starts for the first time. ``requested`` are
+    the capabilities that the platform asks for, in its own words.
     """
 
     place: PlaceSettings
@@ -76,6 +101,10 @@
     configuration_ms: int
     drain_ms: int
     heartbeat_ms: int
+    evacuate_ms: int
+    cold: ColdSettings
+    crossing: CrossingSettings
+    requested: frozenset[str]
     rate_settle_ms: int
     rate_slack: int
     membership: MembershipSettings
@@ -94,6 +123,11 @@
     return endpoint(value) if value else None
 
 
+def words(value: str) -> frozenset[str]:
+    """Read words, separated by commas."""
+    return frozenset(word.strip() for word in value.split(",") if word.strip())
+
+
 def regions(value: str) -> dict[str, str]:
     """Read ``zone:region`` pairs, separated by commas."""
     found = {}
@@ -105,6 +139,18 @@
     return found
 
 
+def _or_default(read: Callable[[str], Any], default: Any) -> Callable[[str], Any]:
+    """Return a reader that takes an empty value for ``default``.
+
+    The platform renders nothing for a field that a deployment lacks.
+    """
+
+    def read_optional(value: str) -> Any:
+        return read(value) if value else default
+
+    return read_optional
+
+
 LAYOUT: dict[str, Section] = {
     "host": {
         "name": Field(text),
@@ -122,12 +168,20 @@
     "platform": {
         "store": Field(endpoint),
         "promotion": Field(optional_endpoint, None),
+        "requested": Field(words, frozenset()),
     },
     "bounds": {
         "stop_s": Field(_DURATION_S, 6),
         "configuration_ms": Field(_DURATION_MS, 4_000),
         "drain_ms": Field(_DURATION_MS, 7_000),
         "heartbeat_ms": Field(_DURATION_MS, 1_200),
+        "evacuate_ms": Field(_or_default(_DURATION_MS, 5_000), 5_000),
+        "cold_over": Field(_or_default(number(1, 100), 1.0), 1.0),
+        "cold_slack": Field(_or_default(integer(0, 1_000_000), 0), 0),
+    },
+    "crossing": {
+        "zone_ms": Field(integer(0, HOUR_MS), 0),
+        "region_ms": Field(integer(0, HOUR_MS), 0),
     },
     "rates": {
         "settle_ms": Field(_DURATION_MS, 1_500),
@@ -151,6 +205,7 @@
     values = read_ini(file, content, LAYOUT)
     bounds = values["bounds"]
     first_start = values["host"].pop("first_start")
+    requested = values["platform"].pop("requested")
     return LineHostSettings(
         place=PlaceSettings(**values["host"]),
         first_start=first_start,
@@ -160,6 +215,10 @@
         configuration_ms=bounds["configuration_ms"],
         drain_ms=bounds["drain_ms"],
         heartbeat_ms=bounds["heartbeat_ms"],
+        evacuate_ms=bounds["evacuate_ms"],
+        cold=ColdSettings(bounds["cold_over"], bounds["cold_slack"]),
+        crossing=CrossingSettings(**values["crossing"]),
+        requested=requested,
         rate_settle_ms=values["rates"]["settle_ms"],
         rate_slack=values["rates"]["slack"],
         membership=MembershipSettings(**values["membership"]),
--- a/src/rattanhollow/settings/_ini.py
+++ b/src/rattanhollow/settings/_ini.py
@@ -48,6 +48,21 @@
     return read
 
 
+def number(low: float, high: float) -> Callable[[str], float]:
+    """Return a reader for numbers from ``low`` to ``high``, fractions included."""
+
+    def read(value: str) -> float:
+        try:
+            found = float(value)
+        except ValueError:
+            raise ValueError(f"{value!r} is not a number") from None
+        if not low <= found <= high:
+            raise ValueError(f"{found:g} is not between {low:g} and {high:g}")
+        return found
+
+    return read
+
+
 def text(value: str) -> str:
     """Read a text that is not empty."""
     if not value:
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -102,3 +102,25 @@
     tenant = {"name": "a", "api_keys": [], "rate_per_s": 12.8, "burst": 3.0}
     routes = read_routes(configuration(3, tenants=[tenant])).unwrap()
     assert routes.organisations["a"].rate_per_s == 12
+
+
+def test_home_regions_and_cold_limits_are_decoded() -> None:
+    """They were ignored, so that statements left the regions that may see them."""
+    content = configuration(1)
+    content["routes"][0]["allowed_regions"] = ["lothian"]
+    content["tenants"][0]["allowed_regions"] = ["lothian", "tayside"]
+    content["services"][0] |= {"cold_per_s": 2.5, "cold_s": 4}
+    table = read_routes(content).unwrap()
+    homes = [route.home_regions for route in table.routes.values()]
+    assert homes == [("lothian",), (), ()]
+    assert table.home_regions == {ORGANISATION: ("lothian", "tayside")}
+    (service,) = table.services.values()
+    assert (service.cold_per_s, service.cold_s) == (2.5, 4.0)
+
+
+@pytest.mark.parametrize("regions", ["lothian", [7], [""]])
+def test_malformed_home_regions_are_refused(regions: Any) -> None:
+    """A list that is read as empty would let statements go anywhere."""
+    content = configuration(1)
+    content["tenants"][0]["allowed_regions"] = regions
+    assert "allowed_regions" in read_routes(content).unwrap_err()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,7 +6,11 @@
 
 import pytest
 
-from rattanhollow.settings import SettingsError, proxy_settings_from
+from rattanhollow.settings import (
+    SettingsError,
+    line_host_settings_from,
+    proxy_settings_from,
+)
 
 GOOD = """
 [host]
@@ -20,6 +24,22 @@
 password = p
 """
 
+HOST = """
+[host]
+name = h1
+address = 10.0.0.1
+zone = z0
+regions = z0:r0
+[listen]
+callers = 10.0.0.1:1
+readiness = 10.0.0.1:2
+peer_port = 3
+metrics_port = 4
+[platform]
+store = 10.0.0.2:5
+requested = base,config
+"""
+
 BAD = [
     ("[host]\nname = x", "host", "address", "missing"),
     (GOOD + "[limits]\nrequest_timeout_s = 3", "limits", "request_timeout_s", "unit"),
@@ -60,3 +80,14 @@
     done = subprocess.run(command, capture_output=True, text=True, timeout=30)
     assert done.returncode == 2
     assert f"{file}: [limits] callers:" in done.stderr
+
+
+def test_bounds_that_a_deployment_lacks_have_defaults() -> None:
+    """The platform renders an empty value for a field that a deployment lacks."""
+    empty = "[bounds]\nevacuate_ms =\ncold_over =\ncold_slack =\n"
+    settings = line_host_settings_from("h.ini", HOST + empty)
+    assert (settings.evacuate_ms, settings.cold) == (5_000, (1.0, 0))
+    assert settings.crossing == (0, 0)
+    given = "[bounds]\nevacuate_ms = 3000\ncold_over = 1.5\ncold_slack = 5\n"
+    settings = line_host_settings_from("h.ini", HOST + given)
+    assert (settings.evacuate_ms, settings.cold) == (3_000, (1.5, 5))
