Statements stay in their home regions; cold servers are filled gently

The router now chooses among servers in the home regions, the dispatcher sends the text to no other host outside them, and what no such server can run is refused at once as not run.

--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -49,7 +49,7 @@
     WorkDispatcher,
     ZoneTopology,
 )
-from rattanhollow.serving import ProofAnswer, Serving
+from rattanhollow.serving import NO_COLD_BOUND, ColdBound, ProofAnswer, Serving
 from rattanhollow.session import (
     ServeParts,
     SessionParts,
@@ -121,6 +121,7 @@
             meter,
             self._leader_uses.check,
             self._may_begin_work,
+            self._cold_bound,
         )
         places = ZoneTopology(place.zone, place.regions)
         self.agents = WorkDispatcher(
@@ -337,6 +338,13 @@
         known = self.routes.services.get(service)
         return known.connections if known is not None else None
 
+    def _cold_bound(self, service: str) -> ColdBound:
+        known = self.routes.services.get(service)
+        if known is None:
+            return NO_COLD_BOUND
+        excess_ratio, slack = self.settings.cold
+        return ColdBound(known.cold_per_s, known.cold_s, excess_ratio, slack)
+
     def _may_begin_work(self, server_id: str) -> bool:
         drain_s = self.settings.drain_ms / 1000 - LEAVE_MARGIN_S
         return self.directory.may_begin_work(server_id, drain_s)
--- a/src/rattanhollow/routing/__init__.py
+++ b/src/rattanhollow/routing/__init__.py
@@ -7,6 +7,7 @@
 )
 from rattanhollow.routing._directory import ServerDirectory
 from rattanhollow.routing._floors import FloorCache
+from rattanhollow.routing._home_regions import HomeRegions, combine_home_regions
 from rattanhollow.routing._router import (
     Outcome,
     Placement,
@@ -25,7 +26,9 @@
     "Placement",
     "ZoneTopology",
     "DispatchResult",
+    "HomeRegions",
     "Router",
     "RouterDependencies",
     "ServerDirectory",
+    "combine_home_regions",
 ]
--- a/src/rattanhollow/routing/_agents.py
+++ b/src/rattanhollow/routing/_agents.py
@@ -7,6 +7,7 @@
 from rattanhollow.coordination import ranked
 from rattanhollow.membership import HostDirectory, HostRecord
 from rattanhollow.peer import Peers
+from rattanhollow.routing._home_regions import HomeRegions, is_allowed
 from rattanhollow.routing._zone_topology import ZoneTopology
 from rattanhollow.serving import (
     BackendServer,
@@ -57,14 +58,19 @@
         self._rankings: dict[tuple[str, str], list[HostRecord]] = {}
         self._ranked_hosts_key: tuple[int, HostRecord] | None = None
 
-    async def run(self, server: BackendServer, work: Work) -> DispatchResult:
+    async def run(
+        self, server: BackendServer, work: Work, homes: HomeRegions | None = None
+    ) -> DispatchResult:
         """Run work on a server through the first candidate host that can serve it.
 
+        With ``homes`` its text goes to no other host outside these regions.
+
         Another host is tried only if the work did not run because this one does
         not serve the server or was disconnected.
         """
         detail = "no host is available to serve it"
-        for record in itertools.islice(self.candidate_hosts(server), MAX_HOSTS_TRIED):
+        candidates = self._home_hosts(server, homes)
+        for record in itertools.islice(candidates, MAX_HOSTS_TRIED):
             outcome = await self.run_on_host(record.name, work)
             not_served = outcome.blocker in (Blocker.NOT_SERVED, Blocker.HOST_LOST)
             if outcome.outcome is not WorkOutcome.NOT_RUN or not not_served:
@@ -128,6 +134,16 @@
             ):
                 yield record
 
+    def _home_hosts(
+        self, server: BackendServer, homes: HomeRegions | None
+    ) -> Iterator[HostRecord]:
+        """Yield the candidate hosts that may see a statement with home regions."""
+        own_name = self._dependencies.own_record().name
+        for record in self.candidate_hosts(server):
+            region = self._dependencies.topology.region(record.zone)
+            if record.name == own_name or is_allowed(region, homes):
+                yield record
+
     def _cached_ranking(self, server_id: str, zone: str) -> list[HostRecord]:
         own = self._dependencies.own_record()
         membership = (self._dependencies.hosts.changes, own)
--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -13,6 +13,7 @@
 from rattanhollow.routing._agents import DispatchResult, WorkDispatcher
 from rattanhollow.routing._directory import ServerDirectory
 from rattanhollow.routing._floors import FloorCache
+from rattanhollow.routing._home_regions import HomeRegions, is_allowed
 from rattanhollow.routing._zone_topology import ZoneTopology
 from rattanhollow.serving import (
     BackendServer,
@@ -49,6 +50,8 @@
 HEDGE_AFTER_FRACTION = 0.35
 HEDGED_READ_RATIO = 0.1
 HEDGED_READ_BURST = 4.0
+# A primary comes back into the home regions by a replacement, which takes seconds.
+OUTSIDE_HOMES_RETRY_MS = 1_000
 # With less time left before the deadline, another attempt is not worthwhile.
 MIN_ATTEMPT_MS = 20
 
@@ -84,13 +87,15 @@
     """The request of a session to run one statement.
 
     ``floor`` is the position of the session's own last commit. ``work`` is
-    complete except for server, scope, floor, budget and transaction.
+    complete except for server, scope, floor, budget and transaction. ``homes`` are
+    the regions that may see it, None for all.
     """
 
     route: Route
     work: Work
     floor: Position | None
     deadline_s: float
+    homes: HomeRegions | None = None
 
 
 class Placement(NamedTuple):
@@ -228,10 +233,12 @@
         last: WorkResult | None = None
         failures = 0
         while True:
-            server = self._select_primary(statement.route.service, skipped)
+            server = self._select_primary(statement, skipped)
             budget_ms = self._budget_ms(statement)
             if budget_ms < MIN_ATTEMPT_MS:
                 return Outcome(_busy_refusal(last))
+            if server is not None and not self._is_home(server, statement):
+                return Outcome(_outside_homes(server))
             if server is None:
                 skipped.clear()
                 await self._dependencies.directory.wait_for_change(RETRY_PAUSE_S)
@@ -272,6 +279,8 @@
 
         It is refused at once if the queues of all servers exceed its deadline.
         """
+        if self._has_no_home(statement):
+            return Outcome(_outside_homes(None))
         floor = await self._required_position(statement)
         if floor is None:
             detail = "no primary proved its current log position"
@@ -283,7 +292,7 @@
             budget_ms = self._budget_ms(statement)
             if budget_ms < MIN_ATTEMPT_MS:
                 return Outcome(_busy_refusal(last))
-            server = self._select_reader(statement.route.service, skipped)
+            server = self._select_reader(statement, skipped)
             if server is None and skipped and hopeless:
                 return Outcome(_busy_refusal(last))
             if server is None:
@@ -291,7 +300,7 @@
                 hopeless = True
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
-            other = self._select_reader(statement.route.service, {*skipped, server.id})
+            other = self._select_reader(statement, {*skipped, server.id})
             movable = other is not None
             dispatched, server = await self._hedged_read(
                 statement, server, other, scope, floor, budget_ms
@@ -403,7 +412,9 @@
             movable=movable,
             transaction=f"{self._dependencies.name}-{next(self._attempt_numbers)}",
         )
-        dispatched = await self._dependencies.dispatcher.run(server, work)
+        dispatched = await self._dependencies.dispatcher.run(
+            server, work, statement.homes
+        )
         self._record_result(server, dispatched.result, requested_at_s)
         result = dispatched.result
         reason = result.reason.name if result.reason else result.blocker.name
@@ -490,8 +501,11 @@
         finally:
             self._refreshing.discard(service)
 
-    def _select_primary(self, service: str, skipped: set[str]) -> BackendServer | None:
+    def _select_primary(
+        self, statement: StatementRequest, skipped: set[str]
+    ) -> BackendServer | None:
         """Return the server to try as the primary, or None without a candidate."""
+        service = statement.route.service
         leader = self._dependencies.directory.leader(service)
         if leader is not None and leader.id not in skipped:
             return leader
@@ -499,7 +513,7 @@
         others = [
             s
             for s in self._dependencies.directory.list_servers(service)
-            if not self._is_leaving(s)
+            if not self._is_leaving(s) and self._is_home(s, statement)
         ]
         others = [s for s in others if s.id not in skipped]
         return min(others, key=lambda server: server.id, default=None)
@@ -507,18 +521,34 @@
     def _is_leaving(self, server: BackendServer) -> bool:
         return server.draining or self._dependencies.directory.is_missing(server.id)
 
-    def _select_reader(self, service: str, skipped: set[str]) -> BackendServer | None:
+    def _is_home(self, server: BackendServer, statement: StatementRequest) -> bool:
+        region = self._dependencies.topology.region(server.zone)
+        return is_allowed(region, statement.homes)
+
+    def _has_no_home(self, statement: StatementRequest) -> bool:
+        """Whether all known servers are outside the home regions."""
+        servers = self._dependencies.directory.list_servers(statement.route.service)
+        return bool(servers) and not any(
+            self._is_home(server, statement) for server in servers
+        )
+
+    def _select_reader(
+        self, statement: StatementRequest, skipped: set[str]
+    ) -> BackendServer | None:
         """Return the server with the lowest expected cost of a read, or None.
 
         The cost is the distance of the server and its recent wait, which fades out
         within a second; the leader has an additional cost.
         """
+        service = statement.route.service
         leader = self._dependencies.directory.leader(service)
         leader_id = leader.id if leader is not None else ""
         usable = [
             server
             for server in self._dependencies.directory.list_servers(service)
-            if server.id not in skipped and not self._is_leaving(server)
+            if server.id not in skipped
+            and not self._is_leaving(server)
+            and self._is_home(server, statement)
         ]
 
         def cost(server: BackendServer) -> tuple[float, str]:
@@ -553,6 +583,13 @@
     return result.blocker is Blocker.OVERLOADED and result.retry_after_ms >= budget_ms
 
 
+def _outside_homes(server: BackendServer | None) -> Refused:
+    """Return the response to a statement that no server in its home regions can run."""
+    where = "every server" if server is None else f"the primary {server.id}"
+    detail = f"{where} is outside the home regions of the route and organisation"
+    return Refused(Reason.BUSY, detail, OUTSIDE_HOMES_RETRY_MS)
+
+
 def _busy_refusal(last: WorkResult | None) -> Refused:
     detail = last.detail if last is not None else "no backend server available"
     retry_after_ms = last.retry_after_ms if last is not None else 0
--- a/src/rattanhollow/serving/__init__.py
+++ b/src/rattanhollow/serving/__init__.py
@@ -11,6 +11,7 @@
     Reply,
     ServerStatus,
 )
+from rattanhollow.serving._cold_limit import NO_COLD_BOUND, ColdBound, ColdLimit
 from rattanhollow.serving._connector import ServingParts
 from rattanhollow.serving._fair_queue import FairQueue
 from rattanhollow.serving._leader_use import (
@@ -35,9 +36,12 @@
 
 __all__ = [
     "LEADER_USE_VALID_S",
+    "NO_COLD_BOUND",
     "BackendAdapter",
     "BackendServer",
     "Blocker",
+    "ColdBound",
+    "ColdLimit",
     "Command",
     "CommandKind",
     "Connection",
--- a/src/rattanhollow/serving/_connector.py
+++ b/src/rattanhollow/serving/_connector.py
@@ -1,5 +1,6 @@
 """Opening, lending and closing the connections to one backend server."""
 
+import time
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -16,6 +17,7 @@
     OpenFailure,
     Reply,
 )
+from rattanhollow.serving._cold_limit import NO_COLD_BOUND, ColdBound
 from rattanhollow.serving._connections import (
     ConnectionPool,
     PoolCounts,
@@ -52,7 +54,9 @@
 
     ``check_leader_use(server)`` returns whether a server may be used as the primary,
     ``may_begin_work(server_id)`` whether it may get work that it does not run yet: a
-    leaving server may not for long.
+    leaving server may not for long. ``cold_bound(service)`` is what the operators
+    allow a server of the service while it is cold, and ``is_first_host(server)``
+    whether this host is its first serving host. ``unix_clock()`` is the time of day.
     """
 
     backend: BackendAdapter
@@ -61,6 +65,9 @@
     meter: Meter
     check_leader_use: CheckLeaderUse = always_allowed
     may_begin_work: Callable[[str], bool] = lambda server_id: True
+    cold_bound: Callable[[str], ColdBound] = lambda service: NO_COLD_BOUND
+    is_first_host: Callable[[BackendServer], bool] = lambda server: True
+    unix_clock: Callable[[], float] = time.time
 
 
 class Connector:
--- a/src/rattanhollow/serving/_served_backend.py
+++ b/src/rattanhollow/serving/_served_backend.py
@@ -9,6 +9,7 @@
     CommandKind,
     Reply,
 )
+from rattanhollow.serving._cold_limit import ColdLimit
 from rattanhollow.serving._commands import (
     begin_command,
     plan_session,
@@ -66,6 +67,8 @@
         self._slots = SlotWaits(server.slots, server.id, parts.clock, parts.meter)
         self._transactions = Transactions(self._connector, parts.clock)
         self._health = Health()
+        self._cold_limit = ColdLimit(parts.clock, parts.unix_clock)
+        self._update_cold_limit(server)
         self._lag = Lag()
         self._writes_started_at_s: dict[ServerConnection, float] = {}
         self._watches_writes = False
@@ -84,6 +87,7 @@
             self._leader_use.reset()
         self._connector.server = server
         self._connector.set_limit(connections)
+        self._update_cold_limit(server)
 
     @property
     def reachable(self) -> bool:
@@ -254,7 +258,29 @@
                 )
         if work.movable and self._health.should_divert(now_s):
             return not_run(Blocker.FAILING, f"{self.server.id} fails too many requests")
-        return None
+        wait_s = self._cold_limit.wait_s() if work.movable else 0.0
+        return _cold(self.server, wait_s) if wait_s else None
+
+    def _update_cold_limit(self, server: BackendServer) -> None:
+        bound = self._parts.cold_bound(server.service)
+        if bound.per_s > 0:
+            self._cold_limit.update(server, bound, self._parts.is_first_host(server))
+
+    async def _wait_while_cold(
+        self, work: Work, connection: ServerConnection, deadline_s: float
+    ) -> None:
+        """Wait until a cold server may get the work, and count it.
+
+        Raises:
+            WorkStopped: not before the deadline.
+
+        """
+        while wait_s := self._cold_limit.wait_s():
+            if wait_s >= self._remaining_s(deadline_s):
+                self._give_up_transaction(work, connection)
+                raise WorkStopped(_cold(self.server, wait_s))
+            await trio.sleep(wait_s)
+        self._cold_limit.record_sent()
 
     def _leaves(self, work: Work) -> bool:
         """Whether work is new to a server that must get no new work any longer."""
@@ -358,6 +384,7 @@
         refused_begin = await self._prepare(connection, work, deadline_s)
         if refused_begin is not None:
             return refused_begin
+        await self._wait_while_cold(work, connection, deadline_s)
         if uses_leader:
             # It may have waited for longer than what was found holds.
             await self._check_leader_use(work, connection, deadline_s)
@@ -536,6 +563,11 @@
         self._slots.turn_away_all()
 
 
+def _cold(server: BackendServer, wait_s: float) -> WorkResult:
+    detail = f"{server.id} is cold, and gets no more work for now"
+    return not_run(Blocker.OVERLOADED, detail, int(wait_s * 1000) + 1)
+
+
 def _leaving(server: BackendServer) -> WorkResult:
     detail = f"{server.id} leaves, and gets no new work"
     return not_run(Blocker.SWITCHING, detail, SUCCESSOR_EXPECTED_MS)
--- a/src/rattanhollow/serving/_serving.py
+++ b/src/rattanhollow/serving/_serving.py
@@ -6,6 +6,7 @@
 
 from rattanhollow.observe import Meter
 from rattanhollow.serving._backend_protocol import BackendAdapter, BackendServer
+from rattanhollow.serving._cold_limit import NO_COLD_BOUND, ColdBound
 from rattanhollow.serving._connector import ServingParts
 from rattanhollow.serving._leader_use import CheckLeaderUse
 from rattanhollow.serving._served_backend import ServedBackend
@@ -36,7 +37,8 @@
     ``connections(service)`` the connection limit of each server of the service, None
     if the configuration does not have the service, and ``idle_ms()`` how long a
     transaction may stay idle. ``check_leader_use(server)`` returns whether a server may
-    be used as the primary, ``may_begin_work(server_id)`` whether it may get new work.
+    be used as the primary, ``may_begin_work(server_id)`` whether it may get new work,
+    ``cold_bound(service)`` what a cold server of a service may get.
     """
 
     def __init__(
@@ -50,7 +52,9 @@
         meter: Meter,
         check_leader_use: CheckLeaderUse,
         may_begin_work: Callable[[str], bool],
+        cold_bound: Callable[[str], ColdBound] = lambda service: NO_COLD_BOUND,
     ) -> None:
+        self._cold_bound = cold_bound
         self._check_leader_use = check_leader_use
         self._may_begin_work = may_begin_work
         self._backend = backend
@@ -148,6 +152,8 @@
             self._meter,
             self._check_leader_use,
             self._may_begin_work,
+            self._cold_bound,
+            self._is_first,
         )
         served = ServedBackend(known, limit, parts)
         self._served[server_id] = served
--- a/src/rattanhollow/session/_session.py
+++ b/src/rattanhollow/session/_session.py
@@ -10,7 +10,14 @@
 from rattanhollow.configuration import Route, RouteTable
 from rattanhollow.coordination import Position
 from rattanhollow.rates import Admission
-from rattanhollow.routing import Outcome, Placement, Router, StatementRequest
+from rattanhollow.routing import (
+    HomeRegions,
+    Outcome,
+    Placement,
+    Router,
+    StatementRequest,
+    combine_home_regions,
+)
 from rattanhollow.serving import Scope, Work, WorkKind
 from rattanhollow.statements import (
     Answer,
@@ -88,6 +95,7 @@
         self._transaction: _Transaction | None = None
         self._read_only = False
         self._route: Route | None = None
+        self._homes: HomeRegions | None = None
         self._placement: Placement | None = None
         self._server = self._host = ""
 
@@ -233,6 +241,10 @@
                 return Refused(
                     Reason.OVER_RATE, admission.detail, admission.retry_after_ms
                 )
+        organisation_homes = self._parts.routes().home_regions.get(
+            self.organisation, ()
+        )
+        self._homes = combine_home_regions(route.home_regions, organisation_homes)
         return route
 
     async def _run(self, request: Request) -> Answer:
@@ -249,7 +261,9 @@
         assert self._route is not None
         timeout_s = self._route.statement_timeout_ms / 1000
         deadline_s = self._parts.clock() + timeout_s
-        demand = StatementRequest(self._route, work, self._floor, deadline_s)
+        demand = StatementRequest(
+            self._route, work, self._floor, deadline_s, self._homes
+        )
         outcome = await self._route_work(demand)
         self._take(outcome, work)
         return outcome.answer
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -17,6 +17,7 @@
 from rattanhollow.routing import (
     DispatchResult,
     FloorCache,
+    HomeRegions,
     Outcome,
     Router,
     RouterDependencies,
@@ -172,7 +173,9 @@
             )
         )
 
-    async def run(self, server: Any, work: Work) -> DispatchResult:
+    async def run(
+        self, server: Any, work: Work, homes: HomeRegions | None = None
+    ) -> DispatchResult:
         """Simulate `WorkDispatcher.run`."""
         self.attempts.append((server.id, work))
         return DispatchResult(
