Operators can evacuate an availability zone

Cause: nothing knew the store's evacuation entries. A server in an evacuated zone now counts as draining, so that reads move, its primary is replaced and no succession chooses it; two seconds before the allowed time is over it gets nothing more at all, open transactions included. Reads return over five seconds. Entries are followed only where the platform requests it.

--- a/src/rattanhollow/host/_ends.py
+++ b/src/rattanhollow/host/_ends.py
@@ -16,7 +16,8 @@
     """Everything outside the host.
 
     ``caller(stream)`` speaks with a caller. ``promote(service, server, holder,
-    fencing_token)`` answers with the status of the order.
+    fencing_token)`` answers with the status of the order. ``evacuation_kind`` is the
+    kind of the store's objects that evacuate zones, empty where there are none.
     """
 
     caller: Callable[[trio.SocketStream], CallerConnection]
@@ -28,5 +29,6 @@
     configuration_kind: str
     configuration_name: str
     server_kind: str
+    evacuation_kind: str
     readiness_path: str
     metrics_path: str
--- a/src/rattanhollow/host/_platform.py
+++ b/src/rattanhollow/host/_platform.py
@@ -28,6 +28,7 @@
         configuration_kind=platform.CONFIGURATION_KIND,
         configuration_name=platform.CONFIGURATION_NAME,
         server_kind=platform.SERVER_KIND,
+        evacuation_kind=platform.evacuation_kind(settings.requested),
         readiness_path=platform.READINESS_PATH,
         metrics_path=platform.METRICS_PATH,
     )
--- a/src/rattanhollow/host/_polls.py
+++ b/src/rattanhollow/host/_polls.py
@@ -17,6 +17,8 @@
 # a change has to be in force. One of these is exact; the others may lag by the
 # seconds for which the store drops its history.
 POLLS_IN_TIME = 4
+# Evacuations are rare, and change nothing for a host that hears of its relays.
+EVACUATION_POLL_FRACTION = 0.3
 
 
 class PollParts(NamedTuple):
@@ -34,6 +36,7 @@
     rng: random.Random
     in_force_s: Callable[[], float]
     spread: Callable[[Follower], None]
+    evacuations: Follower | None = None
 
 
 async def poll_store(parts: PollParts) -> None:
@@ -52,6 +55,9 @@
         exact = rng.random() * POLLS_IN_TIME < 1
         if await _compare(parts.store, parts.configurations, exact):
             parts.spread(parts.configurations)
+        if parts.evacuations and rng.random() < EVACUATION_POLL_FRACTION:
+            if await _compare(parts.store, parts.evacuations, exact):
+                parts.spread(parts.evacuations)
         if rng.random() * len(set(zones)) < 1:
             await _compare(parts.store, parts.servers, exact)
 
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -42,6 +42,7 @@
 from rattanhollow.rates import PooledRateLimiter, PooledRateLimiterParts
 from rattanhollow.routing import (
     DispatcherDependencies,
+    Evacuations,
     FloorCache,
     Router,
     RouterDependencies,
@@ -83,7 +84,8 @@
         self.ready = False
         self.sessions = Sessions()
         self.hosts = HostDirectory(self._hosts_changed)
-        self.directory = ServerDirectory(ends.read_server, now_s)
+        self.evacuations = Evacuations(now_s, settings.evacuate_ms / 1000)
+        self.directory = ServerDirectory(ends.read_server, now_s, self.evacuations)
         self.meter = meter
         self._ends = ends
         self._rng = rng
@@ -122,6 +124,7 @@
             self._leader_uses.check,
             self._may_begin_work,
             self._cold_bound,
+            self.directory.must_stop,
         )
         places = ZoneTopology(place.zone, place.regions)
         self.agents = WorkDispatcher(
@@ -152,6 +155,12 @@
             self._servers,
             self.hosts.follower,
         ]
+        self._evacuation_objects: Follower | None = None
+        if ends.evacuation_kind:
+            self._evacuation_objects = Follower(
+                ends.evacuation_kind, self._take_evacuation
+            )
+            self._followers.append(self._evacuation_objects)
         self.guardian = build_guardian(
             WatchedParts(
                 ends=ends,
@@ -214,6 +223,8 @@
         callers = await listen_at(*self.settings.listen.callers)
         await self._configurations.listed.wait()
         await self._servers.listed.wait()
+        if self._evacuation_objects is not None:
+            await self._evacuation_objects.listed.wait()
         nursery.start_soon(self._accept, serve, callers, nursery)
         self.ready = not self._stopping
         log_event("host.ready", host=self.settings.place.name)
@@ -265,6 +276,7 @@
             store=self._ends.store,
             configurations=self._configurations,
             servers=self._servers,
+            evacuations=self._evacuation_objects,
             own=self._own,
             hosts=self.hosts,
             rng=self._rng,
@@ -378,6 +390,14 @@
         answer = asked.ok()
         return answer if isinstance(answer, FloorAnswer) else None
 
+    def _take_evacuation(self, stored: Stored | None, zone: str) -> None:
+        assert self._evacuation_objects is not None
+        if stored is None:
+            self.evacuations.end(zone)
+        else:
+            is_news = self._evacuation_objects.listed.is_set()
+            self.evacuations.begin(zone, is_news)
+
     def _take_routes(self, stored: Stored | None, name: str) -> None:
         if name != self._ends.configuration_name:
             return
--- a/src/rattanhollow/host/_watch_primaries.py
+++ b/src/rattanhollow/host/_watch_primaries.py
@@ -112,6 +112,9 @@
         if found is not None:
             found.switching = on
 
+    def is_evacuated(server: BackendServer) -> bool:
+        return parts.directory.evacuations.is_evacuated(server.zone)
+
     async def stop_leader_use(service: str, token: int, gives_up_writes: bool) -> bool:
         question = StopUseQuestion(service, token, gives_up_writes)
         stop_use_here(question, parts.leader_uses, parts.serving)
@@ -179,6 +182,7 @@
             lagging_replicas=behind,
             query_reachability=others_reach,
             is_missing=lambda server: parts.directory.is_missing(server.id),
+            is_evacuated=is_evacuated,
             announce=announce,
             clock=now_s,
             replace_parts=ReplaceParts(
--- a/src/rattanhollow/platform/__init__.py
+++ b/src/rattanhollow/platform/__init__.py
@@ -14,7 +14,9 @@
 from rattanhollow.platform._entries import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
+    EVACUATION_KIND,
     SERVER_KIND,
+    evacuation_kind,
     read_routes,
     read_server,
 )
@@ -29,12 +31,14 @@
 __all__ = [
     "CONFIGURATION_KIND",
     "CONFIGURATION_NAME",
+    "EVACUATION_KIND",
     "METRICS_PATH",
     "READINESS_PATH",
     "SERVER_KIND",
     "SETTINGS_VARIABLE",
     "LineCaller",
     "encode_command",
+    "evacuation_kind",
     "line_backend",
     "object_store",
     "parse_lines",
--- a/src/rattanhollow/platform/_entries.py
+++ b/src/rattanhollow/platform/_entries.py
@@ -23,6 +23,9 @@
 SERVER_KIND = "servers"
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
+EVACUATION_KIND = "evacuations"
+# The part of the platform's rules that has home regions, cold servers and evacuations.
+_PLACES = "places"
 
 _STATES = ("ready", "draining")
 _ROLES = (words.PRIMARY, "replica")
@@ -73,6 +76,14 @@
     return Ok(server)
 
 
+def evacuation_kind(requested: frozenset[str]) -> str:
+    """Return the kind of the objects that evacuate a zone, each under its name.
+
+    Empty where the platform has none: following them would cost calls.
+    """
+    return EVACUATION_KIND if _PLACES in requested else ""
+
+
 def read_routes(spec: dict[str, Any]) -> Result[RouteTable, str]:
     """Return the configuration, or why it can't be used."""
     try:
--- a/src/rattanhollow/routing/__init__.py
+++ b/src/rattanhollow/routing/__init__.py
@@ -6,6 +6,7 @@
     WorkDispatcher,
 )
 from rattanhollow.routing._directory import ServerDirectory
+from rattanhollow.routing._evacuations import Evacuations
 from rattanhollow.routing._floors import FloorCache
 from rattanhollow.routing._home_regions import HomeRegions, combine_home_regions
 from rattanhollow.routing._router import (
@@ -26,6 +27,7 @@
     "Placement",
     "ZoneTopology",
     "DispatchResult",
+    "Evacuations",
     "HomeRegions",
     "Router",
     "RouterDependencies",
--- a/src/rattanhollow/routing/_directory.py
+++ b/src/rattanhollow/routing/_directory.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from rattanhollow.observe import log_event
+from rattanhollow.routing._evacuations import Evacuations
 from rattanhollow.serving import BackendServer
 from rattanhollow.store import Stored
 
@@ -45,13 +46,18 @@
 
 
 class ServerDirectory:
-    """Backend servers from the store, and leadership from their responses."""
+    """Backend servers from the store, and leadership from their responses.
+
+    Servers in a zone that is evacuated are returned as draining.
+    """
 
     def __init__(
         self,
         read_description: DescriptionReader,
         clock: Callable[[], float] = time.monotonic,
+        evacuations: Evacuations | None = None,
     ) -> None:
+        self.evacuations = evacuations or Evacuations(clock, within_s=0.0)
         self._read_description = read_description
         self._clock = clock
         self._servers: dict[str, BackendServer] = {}
@@ -113,6 +119,8 @@
 
     def may_begin_work(self, server_id: str, drain_s: float) -> bool:
         """Whether a server may get new work ``drain_s`` behind its announced leave."""
+        if self.must_stop(server_id):
+            return False
         leave = self._leaves.get(server_id)
         if leave is None:
             return True
@@ -120,6 +128,11 @@
         allowed_s = min(drain_s, longest_s)
         return self._clock() - leave.heard_at_s < allowed_s
 
+    def must_stop(self, server_id: str) -> bool:
+        """Whether a server must get nothing more, as its zone is evacuated."""
+        server = self._servers.get(server_id)
+        return server is not None and self.evacuations.must_stop(server.zone)
+
     def restarted_at_s(self, server_id: str) -> float | None:
         """Return when a restart of a server was detected, or None."""
         return self._restarted_at_s.get(server_id)
@@ -141,12 +154,17 @@
     def find(self, server_id: str) -> BackendServer | None:
         """Return a server by its identifier, or None."""
         self._remove_expired()
-        return self._servers.get(server_id)
+        server = self._servers.get(server_id)
+        return self._with_evacuation(server) if server is not None else None
 
     def list_servers(self, service: str) -> list[BackendServer]:
         """Return the servers of a service, including draining ones."""
         self._remove_expired()
-        return [item for item in self._servers.values() if item.service == service]
+        return [
+            self._with_evacuation(item)
+            for item in self._servers.values()
+            if item.service == service
+        ]
 
     def services(self) -> set[str]:
         """Return the services that have servers."""
@@ -206,6 +224,11 @@
             if len(self._leaves) > LEAVES_KEPT:
                 del self._leaves[next(iter(self._leaves))]
 
+    def _with_evacuation(self, server: BackendServer) -> BackendServer:
+        if server.draining or not self.evacuations.is_evacuated(server.zone):
+            return server
+        return server._replace(draining=True)
+
     def _notify_change(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -1,6 +1,7 @@
 """Routing of statements: choice of server, retries, and responses to callers."""
 
 import itertools
+import random
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -52,6 +53,8 @@
 HEDGED_READ_BURST = 4.0
 # A primary comes back into the home regions by a replacement, which takes seconds.
 OUTSIDE_HOMES_RETRY_MS = 1_000
+# A zone that is evacuated has a primary elsewhere within seconds, if there can be one.
+EVACUATED_RETRY_MS = 1_000
 # With less time left before the deadline, another attempt is not worthwhile.
 MIN_ATTEMPT_MS = 20
 
@@ -167,6 +170,7 @@
         self._recent_wait_ms: dict[str, tuple[float, float]] = {}
         self._refreshing: set[str] = set()
         self._attempt_numbers = itertools.count(1)
+        self._rng = random.Random(dependencies.name)
         self._hedge_bucket = TokenBucket(dependencies.clock)
         self._hedge_bucket.resize(0.0, HEDGED_READ_BURST)
         self._hedge_bucket.set_initial_tokens(HEDGED_READ_BURST)
@@ -281,6 +285,8 @@
         """
         if self._has_no_home(statement):
             return Outcome(_outside_homes(None))
+        if self._all_must_stop(statement.route.service):
+            return Outcome(_evacuated())
         floor = await self._required_position(statement)
         if floor is None:
             detail = "no primary proved its current log position"
@@ -532,6 +538,27 @@
             self._is_home(server, statement) for server in servers
         )
 
+    def _all_must_stop(self, service: str) -> bool:
+        """Whether evacuations leave no server that may be used."""
+        directory = self._dependencies.directory
+        servers = directory.list_servers(service)
+        return bool(servers) and all(directory.must_stop(s.id) for s in servers)
+
+    def _without_returning(
+        self, usable: list[BackendServer], leader_id: str
+    ) -> list[BackendServer]:
+        """Leave out servers whose zone returns from an evacuation, by its share.
+
+        They stay where no other replica is left.
+        """
+        evacuations = self._dependencies.directory.evacuations
+        kept = []
+        for server in usable:
+            share = evacuations.returning_share(server.zone)
+            if share >= 1.0 or self._rng.random() < share:
+                kept.append(server)
+        return kept if any(s.id != leader_id for s in kept) else usable
+
     def _select_reader(
         self, statement: StatementRequest, skipped: set[str]
     ) -> BackendServer | None:
@@ -550,6 +577,7 @@
             and not self._is_leaving(server)
             and self._is_home(server, statement)
         ]
+        usable = self._without_returning(usable, leader_id)
 
         def cost(server: BackendServer) -> tuple[float, str]:
             topology = self._dependencies.topology
@@ -590,6 +618,12 @@
     return Refused(Reason.BUSY, detail, OUTSIDE_HOMES_RETRY_MS)
 
 
+def _evacuated() -> Refused:
+    """Return the response to a statement whose servers are all evacuated."""
+    detail = "all servers are in zones that are evacuated"
+    return Refused(Reason.BUSY, detail, EVACUATED_RETRY_MS)
+
+
 def _busy_refusal(last: WorkResult | None) -> Refused:
     detail = last.detail if last is not None else "no backend server available"
     retry_after_ms = last.retry_after_ms if last is not None else 0
--- a/src/rattanhollow/serving/_served_backend.py
+++ b/src/rattanhollow/serving/_served_backend.py
@@ -191,6 +191,8 @@
         """Return the end of the log, proven by beginning a read-write transaction."""
         if not self.reachable or self._connector.closed:
             return ProofAnswer(None, f"{self.server.id} is unreachable")
+        if self._parts.must_stop(self.server.id):
+            return ProofAnswer(None, f"{self.server.id} is in an evacuated zone")
         try:
             connection = await self._connector.lend_any()
         except WorkStopped as stopped:
@@ -219,6 +221,10 @@
         """Roll back transactions idle for longer than ``idle_s``."""
         self._transactions.expire(idle_s)
 
+    def end_transactions(self) -> None:
+        """End open transactions, but for a statement that the server runs now."""
+        self._transactions.end_idle()
+
     def close(self) -> None:
         """Close all connections; exchanges under way fail."""
         self._connector.closed = True
@@ -244,6 +250,9 @@
             return not_run(Blocker.NOT_SERVED, f"{self.server.id} is unreachable")
         if self._leaves(work):
             return _leaving(self.server)
+        if work.scope is Scope.WITHIN and self._parts.must_stop(self.server.id):
+            self._transactions.end_idle()
+            return _leaving(self.server)
         if self.switching and requires_leader(work):
             return not_run(Blocker.SWITCHING, "the primary is being replaced")
         now_s = self._parts.clock()
@@ -388,6 +397,11 @@
         if uses_leader:
             # It may have waited for longer than what was found holds.
             await self._check_leader_use(work, connection, deadline_s)
+        if self._parts.must_stop(self.server.id):
+            # A connection that is closed is rolled back, and nothing more is sent.
+            self._transactions.drop(work.transaction)
+            self._connector.close(connection)
+            raise WorkStopped(_leaving(self.server))
         if self._leaves(work):
             self._give_up_transaction(work, connection)
             raise WorkStopped(_leaving(self.server))
--- a/src/rattanhollow/serving/_serving.py
+++ b/src/rattanhollow/serving/_serving.py
@@ -38,7 +38,8 @@
     if the configuration does not have the service, and ``idle_ms()`` how long a
     transaction may stay idle. ``check_leader_use(server)`` returns whether a server may
     be used as the primary, ``may_begin_work(server_id)`` whether it may get new work,
-    ``cold_bound(service)`` what a cold server of a service may get.
+    ``cold_bound(service)`` what a cold server of a service may get, and
+    ``must_stop(server_id)`` whether a server must get nothing more.
     """
 
     def __init__(
@@ -53,7 +54,9 @@
         check_leader_use: CheckLeaderUse,
         may_begin_work: Callable[[str], bool],
         cold_bound: Callable[[str], ColdBound] = lambda service: NO_COLD_BOUND,
+        must_stop: Callable[[str], bool] = lambda server_id: False,
     ) -> None:
+        self._must_stop = must_stop
         self._cold_bound = cold_bound
         self._check_leader_use = check_leader_use
         self._may_begin_work = may_begin_work
@@ -76,6 +79,8 @@
                 self.refresh()
                 for served in self._served.values():
                     served.expire(self._idle_ms() / 1000)
+                    if self._must_stop(served.server.id):
+                        served.end_transactions()
                     first = self._is_first(served.server)
                     served.trim(
                         CONNECTION_IDLE_TIMEOUT_S
@@ -154,6 +159,7 @@
             self._may_begin_work,
             self._cold_bound,
             self._is_first,
+            must_stop=self._must_stop,
         )
         served = ServedBackend(known, limit, parts)
         self._served[server_id] = served
--- a/src/rattanhollow/serving/_transactions.py
+++ b/src/rattanhollow/serving/_transactions.py
@@ -66,6 +66,17 @@
         else:
             self._connector.start_rollback(transaction.connection)
 
+    def end_idle(self) -> None:
+        """Close the connections of transactions that run no statement.
+
+        The server rolls them back without being sent anything.
+        """
+        for name, transaction in list(self._open.items()):
+            if not transaction.running:
+                log_event("transaction.ended", transaction=name)
+                self._open.pop(name)
+                self._connector.close(transaction.connection)
+
     def expire(self, idle_s: float) -> None:
         """Roll back transactions idle for longer than ``idle_s``."""
         now_s = self._clock()
--- a/src/rattanhollow/succession/_guardian.py
+++ b/src/rattanhollow/succession/_guardian.py
@@ -77,7 +77,8 @@
     ``lagging_replicas()`` returns served replicas and how long each has lacked
     every requested position.
     ``query_reachability(server)`` queries other hosts; None if too few respond.
-    ``announce(server)`` notifies the other hosts of a new primary.
+    ``announce(server)`` notifies the other hosts of a new primary, and
+    ``is_evacuated(server)`` is true if the server's zone is evacuated.
     """
 
     services: Callable[[], list[str]]
@@ -95,6 +96,7 @@
     announce: Callable[[BackendServer], Awaitable[None]]
     clock: Callable[[], float]
     replace_parts: ReplaceParts
+    is_evacuated: Callable[[BackendServer], bool] = lambda server: False
 
 
 class _ServiceState:
@@ -110,6 +112,7 @@
         # Whom this host tried to replace under a claim that is in progress still.
         self.unfinished_leader_id: str | None = None
         self.release_not_before_s = 0.0
+        self.waits_for_successor = False
 
 
 class PrimaryMonitor:
@@ -198,7 +201,7 @@
                 is_last_resort=leaderless_s >= LAST_RESORT_AFTER_S,
             )
         silent_s = self._parts.suspected_s(leader)
-        if leader.draining:
+        if leader.draining and not self._waits_for_successor(leader, state):
             return ReplacementTrigger("the primary is draining", silent_s <= 0, leader)
         if self._parts.is_missing(leader):
             reason = "the store no longer describes the primary"
@@ -217,6 +220,24 @@
             return ReplacementTrigger(reason, True, leader, only_finishes=True)
         return None
 
+    def _waits_for_successor(self, leader: BackendServer, state: _ServiceState) -> bool:
+        """Whether a primary in an evacuated zone stays, as no server may succeed it.
+
+        An attempt would stop it and have it lead again, once a second.
+        """
+        servers = self._parts.servers(leader.service)
+        has_successor = any(not server.draining for server in servers)
+        waits = self._parts.is_evacuated(leader) and not has_successor
+        if waits and not state.waits_for_successor:
+            log_event(
+                "succession.waits",
+                service=leader.service,
+                leader=leader.id,
+                reason="all other servers are leaving or in evacuated zones",
+            )
+        state.waits_for_successor = waits
+        return waits
+
     async def _attempt_replacement(
         self, service: str, state: _ServiceState, trigger: ReplacementTrigger
     ) -> None:
--- a/src/rattanhollow_standins/platform/_cluster.py
+++ b/src/rattanhollow_standins/platform/_cluster.py
@@ -41,6 +41,7 @@
 [platform]
 store = {store}:{store_port}
 promotion = {promotion}:{promotion_port}
+requested = {requested}
 
 [bounds]
 stop_s = 3
@@ -123,9 +124,15 @@
 
 
 class LineCluster:
-    """Stand-ins and hosts on loopback addresses; ``net`` keeps clusters apart."""
+    """Stand-ins and hosts on loopback addresses; ``net`` keeps clusters apart.
 
-    def __init__(self, net: int, hosts: int = 3, seed: int = 1) -> None:
+    ``requested`` are the capabilities that the platform asks of the hosts.
+    """
+
+    def __init__(
+        self, net: int, hosts: int = 3, seed: int = 1, requested: str = ""
+    ) -> None:
+        self._requested = requested
         self.net = net
         self.table = ObjectTable()
         self.turned_away: dict[str, int] = {}
@@ -172,6 +179,16 @@
         """Write the operator's configuration."""
         put(self.table, "config", "main", content)
 
+    def evacuate(self, zone: str) -> None:
+        """Ask that nothing more be sent to the databases of a zone."""
+        put(self.table, "evacuations", zone, {})
+
+    def end_evacuation(self, zone: str) -> None:
+        """Let the databases of a zone be used again."""
+        entry = self.table.get("evacuations", zone)
+        assert entry is not None
+        self.table.delete("evacuations", zone, entry.version)
+
     def start_host(self, number: int) -> None:
         """Start a host, or start it again."""
         zones = list(ZONES)
@@ -190,6 +207,7 @@
                 store_port=STORE_PORT,
                 promotion=self._address(0, 2),
                 promotion_port=PROMOTION_PORT,
+                requested=self._requested,
             ),
         )
         host = build_host(settings, platform_ends(settings), self._seed + number)
--- a/src/rattanhollow_standins/soak/_fleet.py
+++ b/src/rattanhollow_standins/soak/_fleet.py
@@ -272,6 +272,7 @@
             peers=PEER_PORT,
             metrics=METRICS_PORT,
             store=self.address(4, number + 1),
+            requested="",
             store_port=PORT,
             promotion=self.address(0, 2),
             promotion_port=PORT,
