--- a/src/rattanhollow/succession/_promote.py
+++ b/src/rattanhollow/succession/_promote.py
@@ -6,7 +6,7 @@
 from rattanhollow.observe import log_event
 from rattanhollow.serving import BackendServer, CommandKind
 from rattanhollow.store import StoreFailure
-from rattanhollow.succession._choose import StoppedGroup
+from rattanhollow.succession._choose import StoppedGroup, find_member
 from rattanhollow.succession._claim import end_claim
 from rattanhollow.succession._orders import HTTP_CONFLICT, PromotionOrders
 from rattanhollow.succession._parts import ReplaceParts, Task
@@ -92,15 +92,34 @@
     The other servers of the group are kept stopped meanwhile. Hosts that are not yet
     told use no other primary either: an earlier order may make one lead again.
     """
+    promoted: Result[BackendServer, str]
     async with trio.open_nursery() as nursery:
         if group.primary is not None:
             nursery.start_soon(parts.stop_leader_use, task.service, record.token, False)
         nursery.start_soon(keep_stopped, task, group, target, parts)
-        promoted = await _order_until_led(task, record, target, is_continued, parts)
+        if await _has_lost_its_log(target, group, parts):
+            promoted = Err("promote: the target lacks what it held when it was chosen")
+        else:
+            promoted = await _order_until_led(task, record, target, is_continued, parts)
         nursery.cancel_scope.cancel()
     return promoted
 
 
+async def _has_lost_its_log(
+    target: BackendServer, group: StoppedGroup, parts: ReplaceParts
+) -> bool:
+    """Whether the target's log is shorter than when it was chosen.
+
+    A server that restarts empty under its identifier may answer to the choice before
+    its restart, and its new description may not be known yet when it is ordered.
+    """
+    chosen = find_member(group, target) or group.primary
+    if chosen is None or chosen.status is None or chosen.server.id != target.id:
+        return False
+    status = await parts.command_sender.send(target, CommandKind.STATUS)
+    return status is not None and status.received < chosen.status.received
+
+
 async def _order_until_led(
     task: Task,
     record: SuccessionRecord,
--- a/tests/test_random_promotions.py
+++ b/tests/test_random_promotions.py
@@ -21,11 +21,12 @@
 # coordinator did not reach went on using the primary. 1120: a replica confirmed commits
 # before it was described. 2070: a host read of a claim and assumed that there was none
 # when the store failed. 832, 1237, 1292, 1396: the target restarted without its log.
+# 3003: it did so after it was ordered, and a late order made it lead.
 SEEDS = {
     "general": [*range(30), 45, 2070],
     "focused": [*range(14), 19, 91, 212, 388],
     "store_cuts": [*range(8), 707, 785, 1120],
-    "lost_logs": [*range(4), 832, 1237, 1292, 1396],
+    "lost_logs": [*range(4), 832, 1237, 1292, 1396, 3003],
 }
 PLAYS = [(variant, seed) for variant in SEEDS for seed in SEEDS[variant]]
 
