Split the router: choice of server, hedging, positions and retries are modules

Cause: the router's one module held four decisions, and load-aware choice would have been a fifth.

Change: _choose_server, _hedging, _required_position and _retries hold the code as it was; _requests holds the types that they share. No change of behaviour.

Measured: test_routing, test_routing_overload, test_home_regions, test_leaving, test_succession, test_timing_of_use, test_regions, test_entries pass unchanged. Of test_ablations, early-replacement and lagging-polls fail, as before this change.

--- a/src/rattanhollow/routing/__init__.py
+++ b/src/rattanhollow/routing/__init__.py
@@ -9,13 +9,8 @@
 from rattanhollow.routing._evacuations import Evacuations
 from rattanhollow.routing._floors import FloorCache
 from rattanhollow.routing._home_regions import HomeRegions, combine_home_regions
-from rattanhollow.routing._router import (
-    Outcome,
-    Placement,
-    Router,
-    RouterDependencies,
-    StatementRequest,
-)
+from rattanhollow.routing._requests import Outcome, Placement, StatementRequest
+from rattanhollow.routing._router import Router, RouterDependencies
 from rattanhollow.routing._zone_topology import ZoneTopology
 
 __all__ = [
