Reads follow the load of servers, and leave a zone that has too few

Cause: each host ranked servers by 20 ms a step and what it had seen itself within a second; a zone's reads all moved or all stayed, and with four times the load that it can take they filled the next zone's queues.

Change: with [crossing] zone_ms or region_ms set, a picture of each server's load (wait, speed, in flight, failures, each with its age), fed by the results of work; the faster of two random servers, drawn by what each can take; a share of reads that leaves the zone or region while that saves the cost of the crossing, regulated from measured times, with hysteresis. The primary gets no read that its slots have no room for. Consistency, home regions and evacuations restrict the candidates first. Without costs the choice is as before. No message changes: a build refuses a result with more fields than it knows, and wait_ms tells enough.

--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -41,6 +41,7 @@
 )
 from rattanhollow.rates import PooledRateLimiter, PooledRateLimiterParts
 from rattanhollow.routing import (
+    CrossingCosts,
     DispatcherDependencies,
     Evacuations,
     FloorCache,
@@ -301,6 +302,7 @@
                 nursery=nursery,
                 name=self._incarnation,
                 meter=self.meter,
+                crossing=lambda: CrossingCosts(*self.settings.crossing),
             )
         )
         session = SessionParts(lambda: self.routes, self.rates.admit, router, now_s)
--- a/src/rattanhollow/observe/_kinds.py
+++ b/src/rattanhollow/observe/_kinds.py
@@ -25,6 +25,11 @@
     "Reads done, by the role of the backend server.",
     ("role",),
 )
+READS_SENT = MetricKind(
+    "rattanhollow_reads_sent",
+    "Attempts at reads by where the server is; only where crossings have a cost.",
+    ("service", "place"),
+)
 QUEUE_WAIT_MS = MetricKind(
     "rattanhollow_queue_wait_ms",
     "Time that work waited for a slot of a served backend server.",
--- a/src/rattanhollow/routing/__init__.py
+++ b/src/rattanhollow/routing/__init__.py
@@ -11,9 +11,11 @@
 from rattanhollow.routing._home_regions import HomeRegions, combine_home_regions
 from rattanhollow.routing._requests import Outcome, Placement, StatementRequest
 from rattanhollow.routing._router import Router, RouterDependencies
+from rattanhollow.routing._zone_overflow import CrossingCosts
 from rattanhollow.routing._zone_topology import ZoneTopology
 
 __all__ = [
+    "CrossingCosts",
     "DispatcherDependencies",
     "WorkDispatcher",
     "StatementRequest",
--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -11,7 +11,7 @@
 from rattanhollow.coordination import Position
 from rattanhollow.observe import Meter, kinds, log_event
 from rattanhollow.routing._agents import DispatchResult, WorkDispatcher
-from rattanhollow.routing._choose_server import ServerChooser
+from rattanhollow.routing._choose_server import ChooserParts, ServerChooser
 from rattanhollow.routing._directory import ServerDirectory
 from rattanhollow.routing._floors import FloorCache
 from rattanhollow.routing._hedging import HedgedReads
@@ -35,6 +35,7 @@
     standalone_refusal,
     transaction_refusal,
 )
+from rattanhollow.routing._zone_overflow import CrossingCosts
 from rattanhollow.routing._zone_topology import ZoneTopology
 from rattanhollow.serving import (
     BackendServer,
@@ -62,6 +63,7 @@
     nursery: trio.Nursery
     name: str
     meter: Meter
+    crossing: Callable[[], CrossingCosts] = CrossingCosts
 
 
 class Router:
@@ -72,10 +74,14 @@
         self._attempt_numbers = itertools.count(1)
         clock, nursery = dependencies.clock, dependencies.nursery
         self._chooser = ServerChooser(
-            dependencies.directory,
-            dependencies.topology,
-            clock,
-            random.Random(dependencies.name),
+            ChooserParts(
+                directory=dependencies.directory,
+                topology=dependencies.topology,
+                clock=clock,
+                rng=random.Random(dependencies.name),
+                meter=dependencies.meter,
+                crossing=dependencies.crossing,
+            )
         )
         self._hedged_reads = HedgedReads(self._attempt, clock, nursery)
         self._positions = RequiredPositions(dependencies.floors, clock, nursery)
@@ -107,7 +113,13 @@
             transaction=placement.transaction,
             budget_ms=self._budget_ms(statement),
         )
-        result = await self._dependencies.dispatcher.run_on_host(placement.host, work)
+        self._chooser.record_start(placement.server, is_read=False)
+        try:
+            result = await self._dependencies.dispatcher.run_on_host(
+                placement.host, work
+            )
+        finally:
+            self._chooser.record_end(placement.server)
         self._record_result(placement.server, result, requested_at_s)
         if result.outcome is WorkOutcome.DONE:
             committed = result.position if work.kind is WorkKind.COMMIT else None
@@ -135,9 +147,7 @@
         Reads and statements that begin a transaction are also retried after an unknown
         outcome.
         """
-        reads = statement.work.kind is WorkKind.READ or (
-            statement.work.kind is WorkKind.EXECUTE and not statement.work.shape_writes
-        )
+        reads = _is_read(statement.work)
         skipped: set[str] = set()
         last: WorkResult | None = None
         failures = 0
@@ -203,7 +213,8 @@
             budget_ms = self._budget_ms(statement)
             if budget_ms < MIN_ATTEMPT_MS:
                 return Outcome(busy_refusal(last))
-            server = self._chooser.select_reader(statement, skipped)
+            spares_primary = bool(skipped) and hopeless
+            server = self._chooser.select_reader(statement, skipped, spares_primary)
             if server is None and skipped and hopeless:
                 return Outcome(busy_refusal(last))
             if server is None:
@@ -258,10 +269,15 @@
             movable=movable,
             transaction=f"{self._dependencies.name}-{next(self._attempt_numbers)}",
         )
-        dispatched = await self._dependencies.dispatcher.run(
-            server, work, statement.homes
-        )
-        self._record_result(server, dispatched.result, requested_at_s)
+        is_read = scope in (Scope.ALONE, Scope.BEGIN_READ_ONLY) and _is_read(work)
+        self._chooser.record_start(server, is_read)
+        try:
+            dispatched = await self._dependencies.dispatcher.run(
+                server, work, statement.homes
+            )
+        finally:
+            self._chooser.record_end(server)
+        self._record_result(server, dispatched.result, requested_at_s, is_read)
         result = dispatched.result
         reason = result.reason.name if result.reason else result.blocker.name
         self._dependencies.meter.count(kinds.ATTEMPTS, result.outcome.name, reason)
@@ -286,14 +302,24 @@
         return dispatched
 
     def _record_result(
-        self, server: BackendServer, result: WorkResult, requested_at_s: float
+        self,
+        server: BackendServer,
+        result: WorkResult,
+        requested_at_s: float,
+        is_read: bool = False,
     ) -> None:
         if result.led and result.position is not None:
             self._dependencies.floors.record_position(
                 server.service, requested_at_s, result.position
             )
             self._dependencies.directory.record_leader_proof(server.service, server.id)
-        self._chooser.record_result(server, result)
+        took_ms = (self._dependencies.clock() - requested_at_s) * 1000
+        self._chooser.record_result(server, result, took_ms if is_read else None)
 
     def _budget_ms(self, statement: StatementRequest) -> int:
         return remaining_ms(statement, self._dependencies.clock)
+
+
+def _is_read(work: Work) -> bool:
+    prepared_read = work.kind is WorkKind.EXECUTE and not work.shape_writes
+    return work.kind is WorkKind.READ or prepared_read
