A fleet test of costs of crossings that are read anew

Cause: the tests of load-aware choice ran no host, so that nothing checked the way from the settings to the router.

Change: a host of a small fleet takes a cost with settings read anew, and counts its reads by place only then.

--- a/tests/test_crossing.py
+++ b/tests/test_crossing.py
@@ -1,8 +1,8 @@
-"""Load-aware choice of servers, and overflow into other zones; no network.
+"""Load-aware choice of servers, and overflow into other zones.
 
 The load: a zone with more reads than its servers can do, crowds that move between
 zones, servers that are slow or fail, a primary that writes keep busy. Hosts are
-simulated, and their choosers are the product's.
+simulated, and their choosers are the product's; the last test runs hosts.
 """
 
 import random
@@ -17,7 +17,7 @@
 from crossing_fleet import COSTS, READ, SERVICE, Fleet
 from rattanhollow.observe import Meter, kinds
 from rattanhollow.routing import CrossingCosts, Router, RouterDependencies, ZoneTopology
-from rattanhollow.routing._choose_server import Candidate, pick
+from rattanhollow.routing._choose_server import PLACES, Candidate, pick
 from rattanhollow.routing._directory import MISSING_GRACE_S
 from rattanhollow.routing._load_picture import (
     SERVERS_KEPT,
@@ -43,7 +43,11 @@
     not_run,
     unknown,
 )
+from rattanhollow.settings import CrossingSettings
 from rattanhollow.statements import Completed, Reason
+from rattanhollow_standins.platform import LineCluster
+from rattanhollow_standins.platform._cluster import SERVICE as CLUSTER_SERVICE
+from test_line_cluster import session
 from test_routing import (
     ZONES,
     Clock,
@@ -490,3 +494,25 @@
             assert "i-2" not in harness.servers
 
     run_scenario(script, scenario)
+
+
+def test_costs_take_effect_when_settings_are_read_anew(with_cluster: Any) -> None:
+    """Hosts went on with the costs of their start."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        host = cluster.hosts[0]
+
+        async def sent() -> int:
+            reader = await session(cluster, 0, "bounded")
+            for _ in range(10):
+                assert not (await reader.query("READ a")).error
+            await reader.close()
+            value = host.meter.value
+            return sum(value(kinds.READS_SENT, CLUSTER_SERVICE, p) for p in PLACES)
+
+        assert await sent() == 0
+        costs = CrossingSettings(zone_ms=10, region_ms=60)
+        host.take_settings(host.settings._replace(crossing=costs))
+        assert await sent() >= 10
+
+    with_cluster(scenario)
