A cold server's turns are taken in order and counted when work is sent

Cause, found in review: - Work was counted before the check of the primary and sent behind it: a slow check gathered several seconds' turns. BEGIN and a session's state were sent uncounted. - A host that became the first serving host used half of the bound at once, though the last one had used its half in the same second; three such in a row exceeded the bound. - Of a crowd of movable work all were let in, and those without a turn waited for one; work whose turn came behind its deadline was held until then. Work that was given up sent a ROLLBACK although nothing was open. - A bound that operators removed or changed did not hold for a server that is served.

Turns are now first come, first served under a lock that is held until the work is sent; new work whose turn is too late is refused on arrival. A host uses a quarter until it has been first for a second.

--- a/src/rattanhollow/serving/_cold_limit.py
+++ b/src/rattanhollow/serving/_cold_limit.py
@@ -60,7 +60,8 @@
         self._sent_at_s: deque[float] = deque()
         self._described: BackendServer | None = None
         self._bound = NO_COLD_BOUND
-        self._fraction = OTHER_HOST_FRACTION
+        self._described_at_s = 0.0
+        self._first_since_s: float | None = None
         self._cold_until_s = float("-inf")
 
     def update(self, server: BackendServer, bound: ColdBound, is_first: bool) -> None:
@@ -68,18 +69,26 @@
 
         ``is_first`` is whether this host is the server's first serving host.
         """
-        self._bound = bound
-        self._fraction = FIRST_HOST_FRACTION if is_first else OTHER_HOST_FRACTION
-        if server == self._described:
+        now_s = self._clock()
+        if not is_first:
+            self._first_since_s = None
+        elif self._first_since_s is None:
+            self._first_since_s = now_s
+        if server == self._described and bound == self._bound:
             return
-        self._described = server
+        self._bound = bound
+        if server != self._described:
+            self._described, self._described_at_s = server, now_s
         since_start_s = self._unix_clock() - server.born_ms / 1000
-        left_s = max(server.cold_ms / 1000, bound.cold_s - since_start_s, 0.0)
+        described_s = now_s - self._described_at_s
+        left_s = max(
+            server.cold_ms / 1000 - described_s, bound.cold_s - since_start_s, 0.0
+        )
         if left_s > 0:
-            self._cold_until_s = self._clock() + left_s
+            self._cold_until_s = now_s + left_s
         else:
             # The server is warm; the ramp begins now, unless it began before.
-            self._cold_until_s = min(self._cold_until_s, self._clock())
+            self._cold_until_s = min(self._cold_until_s, now_s)
 
     @property
     def applies(self) -> bool:
@@ -87,8 +96,11 @@
         ramp_ends_at_s = self._cold_until_s + RAMP_S
         return self._bound.per_s > 0 and self._clock() < ramp_ends_at_s
 
-    def wait_s(self) -> float:
-        """Return how long the next request has to wait, 0 if it may be sent now."""
+    def wait_s(self, ahead: int = 0) -> float:
+        """Return how long a request has to wait, 0 if it may be sent now.
+
+        ``ahead`` is how many others wait that are sent before it.
+        """
         if not self.applies:
             return 0.0
         now_s = self._clock()
@@ -97,17 +109,31 @@
         allowed = self._allowed_per_window(now_s)
         if allowed < 1:
             return max(0.0, self._cold_until_s - now_s)
-        wait_s = max(0.0, self._not_before_s - now_s)
-        if len(self._sent_at_s) >= allowed:
-            wait_s = max(wait_s, self._sent_at_s[-allowed] + WINDOW_S - now_s)
-        return wait_s
-
-    def record_sent(self) -> None:
-        """Record that a request is sent now."""
+        times_s = list(self._sent_at_s)[-allowed:]
+        for _ in range(ahead + 1):
+            next_s = max(now_s, self._not_before_s)
+            if len(times_s) >= allowed:
+                next_s = max(next_s, times_s[-allowed] + WINDOW_S)
+            times_s.append(next_s)
+        return times_s[-1] - now_s
+
+    def record_sent(self, commands: int = 1) -> None:
+        """Record that requests are sent now."""
         if self.applies:
-            self._sent_at_s.append(self._clock())
+            self._sent_at_s.extend([self._clock()] * commands)
 
     def _allowed_per_window(self, now_s: float) -> int:
         warm_s = max(0.0, now_s - self._cold_until_s)
         growth = 2.0 ** (warm_s / RAMP_DOUBLING_S)
-        return int(self._bound.per_window * self._fraction * growth)
+        return int(self._bound.per_window * self._fraction(now_s) * growth)
+
+    def _fraction(self, now_s: float) -> float:
+        """Return the part of the bound that is this host's.
+
+        A host that was first before may have used the first host's part in the last
+        second.
+        """
+        since_s = self._first_since_s
+        if since_s is None or now_s - since_s < WINDOW_S:
+            return OTHER_HOST_FRACTION
+        return FIRST_HOST_FRACTION
--- a/src/rattanhollow/serving/_served_backend.py
+++ b/src/rattanhollow/serving/_served_backend.py
@@ -1,5 +1,8 @@
 """Runs work at one backend server on behalf of all hosts of the fleet."""
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
 import trio
 
 from rattanhollow.observe import kinds, log_event
@@ -68,6 +71,9 @@
         self._transactions = Transactions(self._connector, parts.clock)
         self._health = Health()
         self._cold_limit = ColdLimit(parts.clock, parts.unix_clock)
+        self._cold_turn = trio.Lock()
+        # Units of work that wait or run.
+        self._works = 0
         self._update_cold_limit(server)
         self._lag = Lag()
         self._writes_started_at_s: dict[ServerConnection, float] = {}
@@ -160,11 +166,13 @@
             if transaction is None:
                 detail = "the transaction is not open at this host"
                 return not_run(Blocker.NO_TRANSACTION, detail)
+        self._works += 1
         try:
             result = await self._run(work, transaction, deadline_s)
         except WorkStopped as stopped:
             result = stopped.result
         finally:
+            self._works -= 1
             if transaction is not None:
                 self._transactions.end_statement(transaction)
         self._record_health(result)
@@ -267,29 +275,66 @@
                 )
         if work.movable and self._health.should_divert(now_s):
             return not_run(Blocker.FAILING, f"{self.server.id} fails too many requests")
-        wait_s = self._cold_limit.wait_s() if work.movable else 0.0
-        return _cold(self.server, wait_s) if wait_s else None
+        return self._turn_away_from_cold(work)
+
+    def _turn_away_from_cold(self, work: Work) -> WorkResult | None:
+        """Return the result of new work whose turn at a cold server comes too late."""
+        if work.scope is Scope.WITHIN:
+            return None
+        unsent = max(0, self._works - self._connector.exchanges)
+        wait_s = self._cold_limit.wait_s(unsent)
+        if wait_s and (work.movable or wait_s >= work.budget_ms / 1000):
+            return _cold(self.server, wait_s)
+        return None
 
     def _update_cold_limit(self, server: BackendServer) -> None:
         bound = self._parts.cold_bound(server.service)
-        if bound.per_s > 0:
-            self._cold_limit.update(server, bound, self._parts.is_first_host(server))
+        is_first = bound.per_s > 0 and self._parts.is_first_host(server)
+        self._cold_limit.update(server, bound, is_first)
 
-    async def _wait_while_cold(
-        self, work: Work, connection: ServerConnection, deadline_s: float
-    ) -> None:
-        """Wait until a cold server may get the work, and count it.
+    @asynccontextmanager
+    async def _take_cold_turn(
+        self,
+        work: Work,
+        connection: ServerConnection,
+        deadline_s: float,
+        begun: bool,
+        commands: int = 1,
+    ) -> AsyncIterator[None]:
+        """Wait until a cold server may get commands of work, first come, first served.
+
+        They are counted at the end of the block, right before they are sent: what is
+        counted before another wait could be sent in a bunch. ``begun`` is whether the
+        work's transaction is open.
 
         Raises:
-            WorkStopped: not before the deadline.
+            WorkStopped: not before the deadline, or another server can run the work.
 
         """
-        while wait_s := self._cold_limit.wait_s():
-            if wait_s >= self._remaining_s(deadline_s):
-                self._give_up_transaction(work, connection)
-                raise WorkStopped(_cold(self.server, wait_s))
-            await trio.sleep(wait_s)
-        self._cold_limit.record_sent()
+        if not self._cold_limit.applies:
+            yield
+            return
+        queue = self._cold_turn.statistics()
+        wait_s = self._cold_limit.wait_s(queue.tasks_waiting + queue.locked)
+        can_move = work.movable and not begun
+        if wait_s >= self._remaining_s(deadline_s) or (wait_s and can_move):
+            self._release(work, connection, begun)
+            raise WorkStopped(_cold(self.server, wait_s))
+        async with self._cold_turn:
+            while wait_s := self._cold_limit.wait_s():
+                if wait_s >= self._remaining_s(deadline_s):
+                    self._release(work, connection, begun)
+                    raise WorkStopped(_cold(self.server, wait_s))
+                await trio.sleep(wait_s)
+            yield
+            self._cold_limit.record_sent(commands)
+
+    def _release(self, work: Work, connection: ServerConnection, begun: bool) -> None:
+        """Give up work that was not sent, and its transaction if one is open."""
+        if begun:
+            self._give_up_transaction(work, connection)
+        else:
+            self._connector.give_back(connection)
 
     def _leaves(self, work: Work) -> bool:
         """Whether work is new to a server that must get no new work any longer."""
@@ -386,30 +431,16 @@
 
         If BEGIN is refused, its reply is returned as the statement's reply.
         """
-        if self._leaves(work):
-            # It was let in before, and waited for a slot or a connection.
-            self._connector.give_back(connection)
-            raise WorkStopped(_leaving(self.server))
         refused_begin = await self._prepare(connection, work, deadline_s)
         if refused_begin is not None:
             return refused_begin
-        await self._wait_while_cold(work, connection, deadline_s)
-        if uses_leader:
-            # It may have waited for longer than what was found holds.
-            await self._check_leader_use(work, connection, deadline_s)
-        if self._parts.must_stop(self.server.id):
-            # A connection that is closed is rolled back, and nothing more is sent.
-            self._transactions.drop(work.transaction)
-            self._connector.close(connection)
-            raise WorkStopped(_leaving(self.server))
-        if self._leaves(work):
-            self._give_up_transaction(work, connection)
-            raise WorkStopped(_leaving(self.server))
+        begun = work.scope not in (Scope.ALONE, Scope.PROVEN)
+        async with self._take_cold_turn(work, connection, deadline_s, begun):
+            if uses_leader:
+                # It may have waited for longer than what was found holds.
+                await self._check_leader_use(work, connection, deadline_s)
+            self._check_before_sending(work, connection, deadline_s, begun)
         remaining_s = self._remaining_s(deadline_s)
-        if not remaining_s:
-            self._give_up_transaction(work, connection)
-            detail = "the deadline passed before the statement could be sent"
-            raise WorkStopped(not_run(Blocker.OVERLOADED, detail))
         command = statement_command(connection, work)
         is_commit = work.kind is WorkKind.COMMIT and uses_leader
         if is_commit or writes_data(work):
@@ -436,6 +467,28 @@
             raise WorkStopped(not_run(Blocker.LOST, failure.reason))
         raise WorkStopped(unknown(Blocker.LOST, failure.reason))
 
+    def _check_before_sending(
+        self, work: Work, connection: ServerConnection, deadline_s: float, begun: bool
+    ) -> None:
+        """Check again what may have changed while the work waited.
+
+        Raises:
+            WorkStopped: nothing may be sent any longer.
+
+        """
+        if self._parts.must_stop(self.server.id):
+            # A connection that is closed is rolled back, and nothing more is sent.
+            self._transactions.drop(work.transaction)
+            self._connector.close(connection)
+            raise WorkStopped(_leaving(self.server))
+        if self._leaves(work):
+            self._release(work, connection, begun)
+            raise WorkStopped(_leaving(self.server))
+        if not self._remaining_s(deadline_s):
+            self._release(work, connection, begun)
+            detail = "the deadline passed before the statement could be sent"
+            raise WorkStopped(not_run(Blocker.OVERLOADED, detail))
+
     async def _prepare(
         self, connection: ServerConnection, work: Work, deadline_s: float
     ) -> Reply | None:
@@ -450,6 +503,11 @@
             commands.append(begin)
         if not commands:
             return None
+        is_open = work.scope is Scope.WITHIN
+        async with self._take_cold_turn(
+            work, connection, deadline_s, is_open, len(commands)
+        ):
+            self._check_before_sending(work, connection, deadline_s, is_open)
         remaining_s = self._remaining_s(deadline_s)
         prepared = await self._connector.exchange(connection, commands, remaining_s)
         if prepared.is_err():
