Work that no home region or zone may run is refused at once

Cause, found in review: without a known primary, a write without a server in its home regions was held until its deadline; so were reads whose home regions' zones, or all zones, are being evacuated, writes of such a service without a primary, and reads that need a proof of a primary that must get nothing more.

--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -244,6 +244,9 @@
             if server is not None and not self._is_home(server, statement):
                 return Outcome(_outside_homes(server))
             if server is None:
+                unservable = self._refuse_unservable(statement)
+                if unservable is not None:
+                    return Outcome(unservable)
                 skipped.clear()
                 await self._dependencies.directory.wait_for_change(RETRY_PAUSE_S)
                 continue
@@ -283,14 +286,15 @@
 
         It is refused at once if the queues of all servers exceed its deadline.
         """
-        if self._has_no_home(statement):
-            return Outcome(_outside_homes(None))
-        if self._all_must_stop(statement.route.service):
-            return Outcome(_evacuated())
+        unservable = self._refuse_unservable(statement)
+        if unservable is not None:
+            return Outcome(unservable)
         floor = await self._required_position(statement)
         if floor is None:
             detail = "no primary proved its current log position"
-            return Outcome(Refused(Reason.BUSY, detail))
+            stopped = self._primary_must_stop(statement.route.service)
+            retry_after_ms = EVACUATED_RETRY_MS if stopped else 0
+            return Outcome(Refused(Reason.BUSY, detail, retry_after_ms))
         skipped: set[str] = set()
         last: WorkResult | None = None
         hopeless = True
@@ -302,6 +306,9 @@
             if server is None and skipped and hopeless:
                 return Outcome(_busy_refusal(last))
             if server is None:
+                unservable = self._refuse_unservable(statement)
+                if unservable is not None:
+                    return Outcome(unservable)
                 skipped.clear()
                 hopeless = True
                 await trio.sleep(RETRY_PAUSE_S)
@@ -491,6 +498,8 @@
             response = await floors.request_proof(service)
             if response.is_ok():
                 return response.unwrap()
+            if self._primary_must_stop(service):
+                return None
             await trio.sleep(RETRY_PAUSE_S)
             position = floors.cached_position(service, since_s)
         return position
@@ -531,18 +540,23 @@
         region = self._dependencies.topology.region(server.zone)
         return is_allowed(region, statement.homes)
 
-    def _has_no_home(self, statement: StatementRequest) -> bool:
-        """Whether all known servers are outside the home regions."""
-        servers = self._dependencies.directory.list_servers(statement.route.service)
-        return bool(servers) and not any(
-            self._is_home(server, statement) for server in servers
-        )
-
-    def _all_must_stop(self, service: str) -> bool:
-        """Whether evacuations leave no server that may be used."""
+    def _refuse_unservable(self, statement: StatementRequest) -> Refused | None:
+        """Return the response to a statement that no known server may run."""
         directory = self._dependencies.directory
-        servers = directory.list_servers(service)
-        return bool(servers) and all(directory.must_stop(s.id) for s in servers)
+        servers = directory.list_servers(statement.route.service)
+        if not servers:
+            return None
+        homes = [server for server in servers if self._is_home(server, statement)]
+        if not homes:
+            return _outside_homes(None)
+        if all(directory.evacuations.is_evacuated(server.zone) for server in homes):
+            return _evacuated()
+        return None
+
+    def _primary_must_stop(self, service: str) -> bool:
+        """Whether the primary can prove nothing, as its zone is evacuated."""
+        leader = self._dependencies.directory.leader(service)
+        return leader is not None and self._dependencies.directory.must_stop(leader)
 
     def _without_returning(
         self, usable: list[BackendServer], leader_id: str
@@ -620,7 +634,7 @@
 
 def _evacuated() -> Refused:
     """Return the response to a statement whose servers are all evacuated."""
-    detail = "all servers are in zones that are evacuated"
+    detail = "all servers that may be used are in zones that are evacuated"
     return Refused(Reason.BUSY, detail, EVACUATED_RETRY_MS)
 
 
--- a/tests/test_home_regions.py
+++ b/tests/test_home_regions.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+import trio
 
 from rattanhollow.configuration import Consistency
 from rattanhollow.membership import HostRecord
@@ -183,3 +184,32 @@
         return await run_on_host(host, work)
 
     return run
+
+
+@pytest.mark.parametrize("homes", [frozenset(), frozenset({"nowhere"})])
+def test_a_write_without_a_home_server_is_refused_at_once_without_a_leader(
+    homes: frozenset[str],
+) -> None:
+    """While no primary was known, it was held until its deadline."""
+
+    async def scenario(harness: RouterHarness) -> None:
+        harness.directory.record_leader_denial("i-0")
+        request = make_request(WorkKind.WRITE)._replace(homes=homes)
+        answer = not_run_refusal(await harness.router.write(request))
+        assert "home regions" in answer.detail and answer.retry_after_ms > 0
+        assert (harness.servers, trio.current_time()) == ([], 0.0)
+
+    run_scenario(succeed, scenario)
+
+
+def test_a_read_whose_home_zones_are_evacuated_is_refused_at_once() -> None:
+    """A server elsewhere, which it may not use, had it held until its deadline."""
+
+    async def scenario(harness: RouterHarness) -> None:
+        harness.directory.evacuations.begin("tayside-a", is_news=True)
+        request = make_request()._replace(homes=frozenset({"tayside-a"}))
+        answer = not_run_refusal(await harness.router.read(request))
+        assert "evacuated" in answer.detail and answer.retry_after_ms > 0
+        assert (harness.servers, trio.current_time()) == ([], 0.0)
+
+    run_scenario(succeed, scenario)
