An evacuated zone's servers get nothing more by three further ways

Cause, found in review: a server whose description lapsed was forgotten with its zone, and its open transactions went on behind the bound; a caller's ROLLBACK was sent there; and a statement that waited for a slot set its session's state there. What must stop is now asked by the server, with its zone, instead of its identifier.

EvacuatedStage no longer sets may_begin_work, so that new work is refused by must_stop alone.

--- a/src/rattanhollow/routing/_directory.py
+++ b/src/rattanhollow/routing/_directory.py
@@ -119,8 +119,6 @@
 
     def may_begin_work(self, server_id: str, drain_s: float) -> bool:
         """Whether a server may get new work ``drain_s`` behind its announced leave."""
-        if self.must_stop(server_id):
-            return False
         leave = self._leaves.get(server_id)
         if leave is None:
             return True
@@ -128,10 +126,12 @@
         allowed_s = min(drain_s, longest_s)
         return self._clock() - leave.heard_at_s < allowed_s
 
-    def must_stop(self, server_id: str) -> bool:
-        """Whether a server must get nothing more, as its zone is evacuated."""
-        server = self._servers.get(server_id)
-        return server is not None and self.evacuations.must_stop(server.zone)
+    def must_stop(self, server: BackendServer) -> bool:
+        """Whether a server must get nothing more, as its zone is evacuated.
+
+        That of a server holds whose description has lapsed, too.
+        """
+        return self.evacuations.must_stop(server.zone)
 
     def restarted_at_s(self, server_id: str) -> float | None:
         """Return when a restart of a server was detected, or None."""
--- a/src/rattanhollow/serving/_connector.py
+++ b/src/rattanhollow/serving/_connector.py
@@ -57,7 +57,7 @@
     leaving server may not for long. ``cold_bound(service)`` is what the operators
     allow a server of the service while it is cold, and ``is_first_host(server)``
     whether this host is its first serving host. ``unix_clock()`` is the time of day.
-    ``must_stop(server_id)`` is whether a server must get nothing more at all.
+    ``must_stop(server)`` is whether a server must get nothing more at all.
     """
 
     backend: BackendAdapter
@@ -69,7 +69,7 @@
     cold_bound: Callable[[str], ColdBound] = lambda service: NO_COLD_BOUND
     is_first_host: Callable[[BackendServer], bool] = lambda server: True
     unix_clock: Callable[[], float] = time.time
-    must_stop: Callable[[str], bool] = lambda server_id: False
+    must_stop: Callable[[BackendServer], bool] = lambda server: False
 
 
 class Connector:
--- a/src/rattanhollow/serving/_served_backend.py
+++ b/src/rattanhollow/serving/_served_backend.py
@@ -154,6 +154,8 @@
     async def run(self, work: Work) -> WorkResult:
         """Run one unit of work and return its result."""
         if work.kind is WorkKind.ROLLBACK:
+            if self._parts.must_stop(self.server):
+                self._transactions.end_idle()
             self._transactions.roll_back(work.transaction)
             return WorkResult(WorkOutcome.DONE)
         turned_away = self._turn_away(work)
@@ -199,7 +201,7 @@
         """Return the end of the log, proven by beginning a read-write transaction."""
         if not self.reachable or self._connector.closed:
             return ProofAnswer(None, f"{self.server.id} is unreachable")
-        if self._parts.must_stop(self.server.id):
+        if self._parts.must_stop(self.server):
             return ProofAnswer(None, f"{self.server.id} is in an evacuated zone")
         try:
             connection = await self._connector.lend_any()
@@ -258,7 +260,7 @@
             return not_run(Blocker.NOT_SERVED, f"{self.server.id} is unreachable")
         if self._leaves(work):
             return _leaving(self.server)
-        if work.scope is Scope.WITHIN and self._parts.must_stop(self.server.id):
+        if work.scope is Scope.WITHIN and self._parts.must_stop(self.server):
             self._transactions.end_idle()
             return _leaving(self.server)
         if self.switching and requires_leader(work):
@@ -338,8 +340,10 @@
 
     def _leaves(self, work: Work) -> bool:
         """Whether work is new to a server that must get no new work any longer."""
-        is_new = work.scope is not Scope.WITHIN
-        return is_new and not self._parts.may_begin_work(self.server.id)
+        if work.scope is Scope.WITHIN:
+            return False
+        may_begin = self._parts.may_begin_work(self.server.id)
+        return not may_begin or self._parts.must_stop(self.server)
 
     def _uses_leader(self, work: Work, transaction: Transaction | None) -> bool:
         """Whether the server acknowledges work, or what it begins, as the primary."""
@@ -476,7 +480,7 @@
             WorkStopped: nothing may be sent any longer.
 
         """
-        if self._parts.must_stop(self.server.id):
+        if self._parts.must_stop(self.server):
             # A connection that is closed is rolled back, and nothing more is sent.
             self._transactions.drop(work.transaction)
             self._connector.close(connection)
--- a/src/rattanhollow/serving/_serving.py
+++ b/src/rattanhollow/serving/_serving.py
@@ -39,7 +39,7 @@
     transaction may stay idle. ``check_leader_use(server)`` returns whether a server may
     be used as the primary, ``may_begin_work(server_id)`` whether it may get new work,
     ``cold_bound(service)`` what a cold server of a service may get, and
-    ``must_stop(server_id)`` whether a server must get nothing more.
+    ``must_stop(server)`` whether a server must get nothing more.
     """
 
     def __init__(
@@ -54,7 +54,7 @@
         check_leader_use: CheckLeaderUse,
         may_begin_work: Callable[[str], bool],
         cold_bound: Callable[[str], ColdBound] = lambda service: NO_COLD_BOUND,
-        must_stop: Callable[[str], bool] = lambda server_id: False,
+        must_stop: Callable[[BackendServer], bool] = lambda server: False,
     ) -> None:
         self._must_stop = must_stop
         self._cold_bound = cold_bound
@@ -79,7 +79,7 @@
                 self.refresh()
                 for served in self._served.values():
                     served.expire(self._idle_ms() / 1000)
-                    if self._must_stop(served.server.id):
+                    if self._must_stop(served.server):
                         served.end_transactions()
                     first = self._is_first(served.server)
                     served.trim(
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -11,7 +11,14 @@
 import trio
 
 from rattanhollow.routing import Evacuations, ServerDirectory
-from rattanhollow.serving import Scope, WorkKind, WorkOutcome, WorkResult
+from rattanhollow.serving import (
+    ProofAnswer,
+    Scope,
+    ServedBackend,
+    WorkKind,
+    WorkOutcome,
+    WorkResult,
+)
 from rattanhollow.statements import NOTHING_KEPT, Refused
 from rattanhollow.succession import PrimaryMonitor, PrimaryMonitorParts
 from rattanhollow.succession._guardian import _ServiceState
@@ -122,14 +129,64 @@
     run_scenario(succeed, scenario)
 
 
+@pytest.mark.parametrize("kind", [WorkKind.READ, WorkKind.WRITE])
+def test_a_last_zone_refuses_new_work_at_once(kind: WorkKind) -> None:
+    """Within the time of the evacuation, work without a server waited for its deadline.
+
+    The primary is unknown, as while it is replaced.
+    """
+
+    async def scenario(harness: RouterHarness) -> None:
+        evacuate(harness, "lothian-a", "tayside-a", "highland-a")
+        harness.directory.record_leader_denial("i-0")
+        run = harness.router.write if kind is WorkKind.WRITE else harness.router.read
+        answer = (await run(make_request(kind))).answer
+        assert isinstance(answer, Refused) and answer.reason in NOTHING_KEPT
+        assert "evacuated" in answer.detail and answer.retry_after_ms > 0
+        assert trio.current_time() == 0.0 and harness.servers == []
+
+    run_scenario(succeed, scenario)
+
+
+def test_reads_that_need_a_proof_of_a_stopped_primary_are_refused_at_once() -> None:
+    """They asked it for their whole time, though it must get nothing more."""
+
+    async def scenario(harness: RouterHarness) -> None:
+        async def prove_nothing(service: str) -> ProofAnswer:
+            return ProofAnswer(None, "in an evacuated zone")
+
+        harness.floors._prove = prove_nothing
+        evacuate(harness, "lothian-a")
+        await trio.sleep(STOPPED_S)
+        began_s = trio.current_time()
+        answer = (await harness.router.read(make_request())).answer
+        assert isinstance(answer, Refused) and answer.retry_after_ms > 0
+        assert trio.current_time() == began_s and harness.servers == []
+
+    run_scenario(succeed, scenario)
+
+
+def test_a_server_that_the_store_forgot_gets_nothing_more_either() -> None:
+    """Its transactions went on behind the bound once its description had lapsed."""
+    clock = Clock()
+    directory = make_directory(clock)
+    primary = directory.find("i-0")
+    assert primary is not None
+    directory.evacuations.begin(primary.zone, is_news=False)
+    assert directory.must_stop(primary)
+    directory.apply_description(None, "i-0")
+    clock.now_s = 60.0
+    assert directory.find("i-0") is None
+    assert directory.must_stop(primary)
+
+
 class EvacuatedStage:
     """A stage whose primary must get nothing more once ``is_over``."""
 
     def __init__(self, stage: Stage) -> None:
         self.is_over = False
         stage.parts = stage.parts._replace(
-            may_begin_work=lambda server_id: not self.is_over,
-            must_stop=lambda server_id: self.is_over,
+            must_stop=lambda server: self.is_over,
         )
         self.primary = stage.serve(0)
 
@@ -192,6 +249,63 @@
     on_stage(scenario)
 
 
+def _record_exchanges(served: ServedBackend) -> list[Any]:
+    """Return a list to which the commands of later exchanges are added."""
+    connector, sent = served._connector, []
+    exchange = connector.exchange
+
+    async def record(connection: Any, commands: Any, timeout_s: float) -> Any:
+        sent.append(commands)
+        return await exchange(connection, commands, timeout_s)
+
+    connector.exchange = record  # type: ignore[method-assign]
+    return sent
+
+
+def test_a_callers_rollback_is_not_sent_behind_the_bound() -> None:
+    """A transaction whose statement ended late sent one more command."""
+
+    async def scenario(stage: Stage) -> None:
+        evacuated = EvacuatedStage(stage)
+        await evacuated.primary.run(BEGIN)
+        evacuated.is_over = True
+        sent = _record_exchanges(evacuated.primary)
+        rollback = work(WorkKind.ROLLBACK, **WITHIN)
+        assert (await evacuated.primary.run(rollback)).outcome is WorkOutcome.DONE
+        await trio.sleep(1)
+        assert evacuated.primary.idle and sent == []
+
+    on_stage(scenario)
+
+
+def test_a_statement_that_waited_sets_no_state_behind_the_bound() -> None:
+    """The session's values and prepared statements were sent all the same."""
+
+    async def scenario(stage: Stage) -> None:
+        evacuated = EvacuatedStage(stage)
+        primary = evacuated.primary
+        assert (await primary.run(BEGIN)).open
+        stage.databases[0].work_s = 0.5
+        results: list[WorkResult] = []
+
+        async def send_late() -> None:
+            item = work(values=(("tz", "utc"),), **WITHIN)
+            results.append(await primary.run(item))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(primary.run, work())
+            await trio.sleep(0.1)
+            nursery.start_soon(send_late)
+            await trio.sleep(0.1)
+            evacuated.is_over = True
+            sent = _record_exchanges(primary)
+        assert results[0].outcome is WorkOutcome.NOT_RUN
+        assert primary.idle and sent == []
+
+    on_stage(scenario)
+
+
 class Monitored:
     """A monitor of one service, without servers to command."""
 
