--- a/src/rattanhollow_standins/platform/_serve.py
+++ b/src/rattanhollow_standins/platform/_serve.py
@@ -1,5 +1,6 @@
 """Stand-in databases and promotions over the network."""
 
+from contextlib import suppress
 from functools import partial
 from typing import Any
 
@@ -143,6 +144,11 @@
     """Serve the call that promotes, until cancelled."""
 
     async def handle(stream: trio.SocketStream) -> None:
+        # A host that is killed resets its connections.
+        with suppress(trio.BrokenResourceError):
+            await answer(stream)
+
+    async def answer(stream: trio.SocketStream) -> None:
         http = h11.Connection(h11.SERVER)
         head: h11.Request | None = None
         body = b""
