Soaks evacuate availability zones

One more fault: a random zone is evacuated for some seconds, sometimes again right behind the end, beside all other faults. Nothing may run at its databases more than five seconds behind the acknowledgement; an outage of the store counts as time in which hosts can't know.

--- a/src/rattanhollow_standins/soak/_faults.py
+++ b/src/rattanhollow_standins/soak/_faults.py
@@ -10,6 +10,7 @@
 import trio
 
 from rattanhollow_standins.platform import DatabaseServer
+from rattanhollow_standins.platform._cluster import ZONES
 from rattanhollow_standins.soak._fleet import SERVICE, HostProcess, SoakFleet
 from rattanhollow_standins.soak._link import FaultyLink, LinkFault
 
@@ -31,6 +32,8 @@
 LAPSE_S = (1.0, 3.5)
 # A primary that is lost is replaced within that, if it is at all.
 CHOICE_WITHIN_S = 5.0
+# Some seconds longer than hosts have to empty a zone.
+EVACUATED_S = (4.0, 11.0)
 # From the choice of a primary until it leads.
 WINDOW_S = 1.2
 
@@ -47,6 +50,14 @@
 AROUND_PROMOTIONS = FaultMix(12, 14.0, True)
 
 
+class Span(NamedTuple):
+    """A time in which a zone was evacuated; ``zone`` is empty for a store outage."""
+
+    zone: str
+    from_s: float
+    until_s: float
+
+
 class LateSpan(NamedTuple):
     """A time in which a share of the orders, of the given kinds, comes late."""
 
@@ -66,6 +77,9 @@
         # Times of all that isn't planned work.
         self.unplanned_s: list[float] = []
         self.played: Counter[str] = Counter()
+        self.evacuations: list[Span] = []
+        self.outages: list[Span] = []
+        self._evacuated: set[str] = set()
         self._fleet = fleet
         self._rng = rng
         self._busy: set[int] = set()
@@ -95,11 +109,13 @@
             self._crash_primary,
             self._replica,
             self._orders,
+            self._evacuate,
         ]
         if mix.around_promotions:
             kinds += 2 * [self._replace_database, self._restart_replica]
             kinds += 2 * [self._late_orders, self._cut_primary]
             kinds += 14 * [self._disturb_choice]
+            kinds += 3 * [self._evacuate]
         async with trio.open_nursery() as nursery:
             for _ in range(mix.faults):
                 await trio.sleep(self._rng.uniform(0, 2 * mix.within_s / mix.faults))
@@ -199,8 +215,10 @@
         faults = self._fleet.table.faults
         kind = self._rng.choice(("down", "slow", "lost", "watch", "history"))
         self._begin("store", f"store {kind} for {for_s:.2f}")
+        began_s = trio.current_time()
         if kind == "down":
             faults.down = True
+            self.outages.append(Span("", began_s, began_s + for_s))
         elif kind == "slow":
             faults.delay_s = 0.3
         elif kind == "lost":
@@ -214,6 +232,26 @@
         faults.delay_s, faults.lose_answers = 0.0, 0
         self._note("store good")
 
+    async def _evacuate(self, for_s: float) -> None:
+        """Evacuate a zone, sometimes again right behind the end."""
+        zone = self._rng.choice(list(ZONES))
+        if zone in self._evacuated:
+            return
+        self._evacuated.add(zone)
+        spans = [self._rng.uniform(*EVACUATED_S)]
+        if self._rng.random() < 0.3:
+            spans.insert(0, for_s)
+        for span_s in spans:
+            began_s = trio.current_time()
+            self._begin("zone evacuated", f"zone {zone} evacuated for {span_s:.2f}")
+            self._fleet.evacuate(zone)
+            await trio.sleep(span_s)
+            self._fleet.end_evacuation(zone)
+            self.evacuations.append(Span(zone, began_s, trio.current_time()))
+            self._note(f"zone {zone} returns")
+            await trio.sleep(self._rng.uniform(0, 0.5))
+        self._evacuated.discard(zone)
+
     async def _crash_primary(self, for_s: float) -> None:
         leader = self._fleet.group.leader
         others = [s for s in self._fleet.group.servers.values() if s is not leader]
--- a/src/rattanhollow_standins/soak/_fleet.py
+++ b/src/rattanhollow_standins/soak/_fleet.py
@@ -166,6 +166,16 @@
             tenants[0]["api_keys"].append(WITHDRAWN_KEY)  # type: ignore[attr-defined]
         put(self.table, "config", "main", configuration(version, tenants=tenants))
 
+    def evacuate(self, zone: str) -> None:
+        """Ask that nothing more be sent to the databases of a zone."""
+        put(self.table, "evacuations", zone, {})
+
+    def end_evacuation(self, zone: str) -> None:
+        """Let the databases of a zone be used again."""
+        entry = self.table.get("evacuations", zone)
+        assert entry is not None
+        self.table.delete("evacuations", zone, entry.version)
+
     async def client(self, host: HostProcess, route: str, key: str) -> LineClient:
         """Begin a session; raises OSError or Closed where that fails."""
         stream = await trio.open_tcp_stream(host.address, CALLER_PORT)
@@ -272,7 +282,7 @@
             peers=PEER_PORT,
             metrics=METRICS_PORT,
             store=self.address(4, number + 1),
-            requested="",
+            requested="places",
             store_port=PORT,
             promotion=self.address(0, 2),
             promotion_port=PORT,
--- a/src/rattanhollow_standins/soak/_run.py
+++ b/src/rattanhollow_standins/soak/_run.py
@@ -26,6 +26,8 @@
 # What operators allow until all is served again, and a change is in force.
 RECOVER_S = 15.0
 IN_FORCE_S = 4.0
+# How soon behind an evacuation's acknowledgement nothing more runs in the zone.
+EVACUATE_S = 5.0
 # A cut counts as one by planned work where nothing else went wrong for so long.
 CALM_S = 5.0
 GRACE_S = 3.0
@@ -161,6 +163,7 @@
     ]
     broken += _pinned(fleet, ledger)
     broken += _over_rate(fleet)
+    broken += _used_though_evacuated(fleet, faults)
     broken += _cuts(fleet, ledger, faults)
     return broken
 
@@ -179,6 +182,32 @@
     return broken
 
 
+def _used_though_evacuated(fleet: SoakFleet, faults: Faults) -> list[str]:
+    """Return the databases of evacuated zones that ran something too late.
+
+    Hosts can't know of an evacuation before an outage of the store has ended.
+    """
+    broken = []
+    for span in faults.evacuations:
+        known_s = span.from_s
+        for outage in faults.outages:
+            if outage.from_s <= known_s + EVACUATE_S and outage.until_s > known_s:
+                known_s = outage.until_s
+        late_s = {
+            server.id: run.at_s - span.from_s
+            for server in fleet.servers
+            for run in server.runs
+            if server.zone == span.zone
+            and known_s + EVACUATE_S < run.at_s < span.until_s
+        }
+        broken += [
+            f"EVACUATED: {name} ran {s:.2f} behind that of {span.zone}, of which"
+            f" {known_s - span.from_s:.2f} without the store"
+            for name, s in late_s.items()
+        ]
+    return broken
+
+
 def _cuts(fleet: SoakFleet, ledger: Ledger, faults: Faults) -> list[str]:
     """Return requests that a planned stop cut, with no other fault near."""
     broken = []
