--- a/src/rattanhollow/routing/_choose_server.py
+++ b/src/rattanhollow/routing/_choose_server.py
@@ -12,6 +12,7 @@
 from rattanhollow.routing._home_regions import is_allowed
 from rattanhollow.routing._load_picture import LoadPicture, ServerLoad
 from rattanhollow.routing._requests import StatementRequest
+from rattanhollow.routing._retries import evacuated, outside_homes
 from rattanhollow.routing._zone_overflow import (
     BoundaryKey,
     CrossingCosts,
@@ -20,7 +21,7 @@
 )
 from rattanhollow.routing._zone_topology import ZoneTopology
 from rattanhollow.serving import BackendServer, Blocker, WorkResult
-from rattanhollow.statements import Reason
+from rattanhollow.statements import Reason, Refused
 
 # Added to the cost of a server that fails its work. Like all wait estimates, it
 # expires within a second.
@@ -196,18 +197,23 @@
         region = self._topology.region(server.zone)
         return is_allowed(region, statement.homes)
 
-    def has_no_home(self, statement: StatementRequest) -> bool:
-        """Whether all known servers are outside the home regions."""
+    def refuse_unservable(self, statement: StatementRequest) -> Refused | None:
+        """Return the response to a statement that no known server may run."""
         servers = self._directory.list_servers(statement.route.service)
-        return bool(servers) and not any(
-            self.is_home(server, statement) for server in servers
-        )
-
-    def all_must_stop(self, service: str) -> bool:
-        """Whether evacuations leave no server that may be used."""
-        directory = self._directory
-        servers = directory.list_servers(service)
-        return bool(servers) and all(directory.must_stop(s.id) for s in servers)
+        if not servers:
+            return None
+        homes = [server for server in servers if self.is_home(server, statement)]
+        if not homes:
+            return outside_homes(None)
+        evacuations = self._directory.evacuations
+        if all(evacuations.is_evacuated(server.zone) for server in homes):
+            return evacuated()
+        return None
+
+    def primary_must_stop(self, service: str) -> bool:
+        """Whether the primary can prove nothing, as its zone is evacuated."""
+        leader = self._directory.leader(service)
+        return leader is not None and self._directory.must_stop(leader)
 
     def _without_returning(
         self, usable: list[BackendServer], leader_id: str
--- a/src/rattanhollow/routing/_required_position.py
+++ b/src/rattanhollow/routing/_required_position.py
@@ -22,8 +22,13 @@
     """Finds the position that each read must see; refreshes old ones ahead of time."""
 
     def __init__(
-        self, floors: FloorCache, clock: Callable[[], float], nursery: trio.Nursery
+        self,
+        floors: FloorCache,
+        clock: Callable[[], float],
+        nursery: trio.Nursery,
+        primary_must_stop: Callable[[str], bool],
     ) -> None:
+        self._primary_must_stop = primary_must_stop
         self._floors = floors
         self._clock = clock
         self._nursery = nursery
@@ -60,6 +65,8 @@
             response = await floors.request_proof(service)
             if response.is_ok():
                 return response.unwrap()
+            if self._primary_must_stop(service):
+                return None
             await trio.sleep(RETRY_PAUSE_S)
             position = floors.cached_position(service, since_s)
         return position
--- a/src/rattanhollow/routing/_retries.py
+++ b/src/rattanhollow/routing/_retries.py
@@ -60,10 +60,17 @@
 
 def evacuated() -> Refused:
     """Return the response to a statement whose servers are all evacuated."""
-    detail = "all servers are in zones that are evacuated"
+    detail = "all servers that may be used are in zones that are evacuated"
     return Refused(Reason.BUSY, detail, EVACUATED_RETRY_MS)
 
 
+def without_position(primary_must_stop: bool) -> Refused:
+    """Return the response to a read without a proof of the position it must see."""
+    detail = "no primary proved its current log position"
+    retry_after_ms = EVACUATED_RETRY_MS if primary_must_stop else 0
+    return Refused(Reason.BUSY, detail, retry_after_ms)
+
+
 def busy_refusal(last: WorkResult | None) -> Refused:
     """Return the response to a statement that no server ran in time."""
     detail = last.detail if last is not None else "no backend server available"
--- a/src/rattanhollow/routing/_router.py
+++ b/src/rattanhollow/routing/_router.py
@@ -28,12 +28,12 @@
     MAX_PRIMARY_READ_RETRIES,
     busy_refusal,
     completed,
-    evacuated,
     may_retry,
     outside_homes,
     queue_exceeds,
     standalone_refusal,
     transaction_refusal,
+    without_position,
 )
 from rattanhollow.routing._zone_overflow import CrossingCosts
 from rattanhollow.routing._zone_topology import ZoneTopology
@@ -46,7 +46,7 @@
     WorkOutcome,
     WorkResult,
 )
-from rattanhollow.statements import Reason, Refused
+from rattanhollow.statements import Reason
 
 
 class RouterDependencies(NamedTuple):
@@ -84,7 +84,9 @@
             )
         )
         self._hedged_reads = HedgedReads(self._attempt, clock, nursery)
-        self._positions = RequiredPositions(dependencies.floors, clock, nursery)
+        self._positions = RequiredPositions(
+            dependencies.floors, clock, nursery, self._chooser.primary_must_stop
+        )
 
     async def read(self, statement: StatementRequest) -> Outcome:
         """Run a read outside a transaction."""
@@ -159,6 +161,9 @@
             if server is not None and not self._chooser.is_home(server, statement):
                 return Outcome(outside_homes(server))
             if server is None:
+                unservable = self._chooser.refuse_unservable(statement)
+                if unservable is not None:
+                    return Outcome(unservable)
                 skipped.clear()
                 await self._dependencies.directory.wait_for_change(RETRY_PAUSE_S)
                 continue
@@ -198,14 +203,13 @@
 
         It is refused at once if the queues of all servers exceed its deadline.
         """
-        if self._chooser.has_no_home(statement):
-            return Outcome(outside_homes(None))
-        if self._chooser.all_must_stop(statement.route.service):
-            return Outcome(evacuated())
+        unservable = self._chooser.refuse_unservable(statement)
+        if unservable is not None:
+            return Outcome(unservable)
         floor = await self._positions.find(statement)
         if floor is None:
-            detail = "no primary proved its current log position"
-            return Outcome(Refused(Reason.BUSY, detail))
+            stopped = self._chooser.primary_must_stop(statement.route.service)
+            return Outcome(without_position(stopped))
         skipped: set[str] = set()
         last: WorkResult | None = None
         hopeless = True
@@ -218,6 +222,9 @@
             if server is None and skipped and hopeless:
                 return Outcome(busy_refusal(last))
             if server is None:
+                unservable = self._chooser.refuse_unservable(statement)
+                if unservable is not None:
+                    return Outcome(unservable)
                 skipped.clear()
                 hopeless = True
                 await trio.sleep(RETRY_PAUSE_S)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -183,3 +183,24 @@
     assert directory.may_begin_work("i-7", DRAIN_S)
     clock.now_s = 13.1
     assert not directory.may_begin_work("i-7", DRAIN_S)
+
+
+@pytest.mark.parametrize("scope", [Scope.PROVEN, Scope.BEGIN])
+def test_a_transaction_that_was_begun_in_vain_is_rolled_back(scope: Scope) -> None:
+    """Its connection went back to the pool with an open transaction."""
+
+    async def scenario(stage: Stage) -> None:
+        # On arrival, before BEGIN, and before the statement: the leave comes there.
+        answers = iter([True, True, False])
+        stage.parts = stage.parts._replace(
+            may_begin_work=lambda server_id: next(answers, True)
+        )
+        primary = stage.serve(0)
+        begun = work(WorkKind.READ, scope=scope, transaction="t")
+        assert_refused_as_leaving(await primary.run(begun))
+        await trio.sleep(0.5)
+        written = await primary.run(work(WorkKind.WRITE))
+        assert written.outcome is WorkOutcome.DONE
+        assert stage.databases[0].log
+
+    on_stage(scenario)
