A large configuration travels as differences, and whole copies in pieces

Cause: one object of about 300 KB was sent whole to each host of a zone at each change, requested whole by comparisons that timed out and were repeated, and fetched whole by four polls per zone and deadline. Liveness checks, proofs and statements waited behind it on links of 10 Mbit/s.

Change: objects from 16 KiB on travel as steps that name their base version and the digest of the result. Whole copies are requested in pieces of 8 KiB, one in flight, from the nearest host that has them; a sender paces what it sends to all hosts together, and a transfer resumes at any host. Polls of a large configuration ask for what changed behind the known version. Smaller objects use the same messages as before; recorded messages keep their bytes, and hosts of an earlier build are still given whole copies.

--- a/src/rattanhollow/host/_answer_peers.py
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -9,12 +9,15 @@
     CopyNews,
     CopyQuestion,
     DepositQuestion,
+    DifferenceNews,
+    DifferenceQuestion,
     FirstDepositQuestion,
     FloorQuestion,
     HostAnswer,
     HostQuestion,
     LeaderNews,
     Message,
+    PieceQuestion,
     PoolQuestion,
     ReachAnswer,
     ReachQuestion,
@@ -66,6 +69,13 @@
     if isinstance(question, ChangeNews):
         parts.gossip.receive_changes(question)
         return None
+    if isinstance(question, DifferenceNews):
+        parts.gossip.receive_differences(question)
+        return None
+    if isinstance(question, DifferenceQuestion):
+        return await parts.gossip.difference_response(question)
+    if isinstance(question, PieceQuestion):
+        return await parts.gossip.piece_response(question)
     if isinstance(question, ReachQuestion):
         served = parts.serving.serve(question.server)
         reaches = served is not None and await served.check_reachable()
--- a/src/rattanhollow/host/_polls.py
+++ b/src/rattanhollow/host/_polls.py
@@ -11,6 +11,7 @@
 import trio
 
 from rattanhollow.membership import HostDirectory, HostRecord
+from rattanhollow.observe import log_event
 from rattanhollow.store import Follower, ObjectStore
 
 # How often each availability zone reads the configuration within the time in which
@@ -19,6 +20,9 @@
 POLLS_IN_TIME = 4
 # Evacuations are rare, and change nothing for a host that hears of its relays.
 EVACUATION_POLL_FRACTION = 0.3
+# A large configuration is not read whole at each poll: the store is asked for what
+# changed. Such a call has the full price, where three of four lists have a tenth of it.
+LARGE_POLL_FRACTION = 0.5
 
 
 class PollParts(NamedTuple):
@@ -53,7 +57,7 @@
         interval_s = parts.in_force_s() / POLLS_IN_TIME
         await trio.sleep(interval_s * turns * rng.uniform(0.5, 1.5))
         exact = rng.random() * POLLS_IN_TIME < 1
-        if await _compare(parts.store, parts.configurations, exact):
+        if await _compare_configurations(parts, exact):
             parts.spread(parts.configurations)
         if parts.evacuations and rng.random() < EVACUATION_POLL_FRACTION:
             if await _compare(parts.store, parts.evacuations, exact):
@@ -62,6 +66,25 @@
             await _compare(parts.store, parts.servers, exact)
 
 
+async def _compare_configurations(parts: PollParts, exact: bool) -> bool:
+    """Read what changed, or all where little would be saved or changes are unknown."""
+    follower = parts.configurations
+    changes_since = parts.store.changes_since
+    if changes_since is None or not follower.large_names():
+        return await _compare(parts.store, follower, exact)
+    if parts.rng.random() >= LARGE_POLL_FRACTION:
+        return False
+    known = follower.changes
+    events = await changes_since(follower.kind, follower.version)
+    if events.is_err():
+        # The store has dropped this part of its history, or answers no watches.
+        log_event("store.look_failed", kind=follower.kind, reason=events.unwrap_err())
+        return await _compare(parts.store, follower, exact)
+    for event in events.unwrap():
+        follower.take_event(event)
+    return follower.changes != known
+
+
 async def _compare(store: ObjectStore, follower: Follower, exact: bool) -> bool:
     """Read all objects of a kind; whether that told something new."""
     listed = await (store.list if exact else store.list_lagging)(follower.kind)
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -183,6 +183,7 @@
             self.peers,
             rng,
             settings.configuration_ms / 1000,
+            places.region,
         )
         self._stopping = False
         # Whether the store's list of hosts has this one, and when it was deleted.
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -12,6 +12,7 @@
     TokenWant,
 )
 from rattanhollow.serving import ProofAnswer, ProofQuestion, Work, WorkResult
+from rattanhollow.store import Step
 
 PROTOCOL_VERSION = 2
 LARGEST_MESSAGE_BYTES = 2 << 20
@@ -231,6 +232,73 @@
     changes: tuple[CopyChange, ...]
 
 
+class CopyDifference(NamedTuple):
+    """A change of a copy whose large objects come as steps from earlier versions.
+
+    ``change`` has the other objects. Neither objects nor steps: the change is too
+    large for one message, and its receiver asks for it.
+    """
+
+    change: CopyChange
+    steps: tuple[Step, ...] = ()
+
+
+class DifferenceNews(NamedTuple):
+    """Tells what has changed, where large objects have.
+
+    ``pass_on`` where a relay is to tell its availability zone, ``into_region`` where
+    it is to tell the other relays of its region, too.
+    """
+
+    differences: tuple[CopyDifference, ...]
+    pass_on: bool = False
+    into_region: bool = False
+
+
+class DifferenceQuestion(NamedTuple):
+    """Asks for what changed behind a copy.
+
+    ``large`` has name and version of each large object that the asker has.
+    """
+
+    state: CopyState
+    large: tuple[tuple[str, int], ...]
+
+
+class DifferenceAnswer(NamedTuple):
+    """What changed; None where that isn't known, is nothing, or is too large."""
+
+    difference: CopyDifference | None
+
+
+class PieceQuestion(NamedTuple):
+    """Asks for the next piece of the copy with ``digest``.
+
+    ``version`` is what the asker has: where another copy is newer than that, its
+    first piece may be sent instead.
+    """
+
+    kind: str
+    version: int
+    digest: int
+    offset: int
+
+
+class PieceAnswer(NamedTuple):
+    """A piece of an encoded copy, which has ``total_bytes`` and ``data_digest``.
+
+    Without bytes where the host has no newer copy, or ``retry_ms`` later.
+    """
+
+    version: int
+    digest: int
+    data_digest: int
+    total_bytes: int
+    offset: int
+    data: bytes
+    retry_ms: int = 0
+
+
 class ReachQuestion(NamedTuple):
     """Asks whether a host reaches a backend server."""
 
@@ -327,6 +395,11 @@
     | CopyAnswer
     | CopyNews
     | ChangeNews
+    | DifferenceNews
+    | DifferenceQuestion
+    | DifferenceAnswer
+    | PieceQuestion
+    | PieceAnswer
     | ReachQuestion
     | ReachAnswer
     | StopUseQuestion
@@ -367,6 +440,11 @@
     "copy": CopyAnswer,
     "news": CopyNews,
     "changes": ChangeNews,
+    "differences": DifferenceNews,
+    "difference?": DifferenceQuestion,
+    "difference": DifferenceAnswer,
+    "piece?": PieceQuestion,
+    "piece": PieceAnswer,
     "reach?": ReachQuestion,
     "reach": ReachAnswer,
     "stop use?": StopUseQuestion,
--- a/src/rattanhollow/platform/_objects.py
+++ b/src/rattanhollow/platform/_objects.py
@@ -31,6 +31,9 @@
 # wait ends without a version to go on from. What a silent watch misses is heard
 # from other hosts.
 WATCH_WAIT_MS = 15_000
+# A watch that only looks whether there is anything; a server might take 0 for a wait
+# of its own choice.
+LOOK_WAIT_MS = 1
 # Answers come in milliseconds, also at the end of a wait.
 WATCH_ALLOWANCE_S = 2.0
 # A database describes itself in a few hundred bytes; hosts pass all entries on in one
@@ -120,7 +123,14 @@
         for event in events.unwrap():
             yield Ok(event)
 
-    return ObjectStore(get, list_kind, list_lagging, put, delete, watch)
+    async def changes_since(
+        kind: str, version: int
+    ) -> Result[list[Event], StoreFailure]:
+        path = f"{kind}?watch={version}&wait_ms={LOOK_WAIT_MS}"
+        answer = await call("GET", path, timeout_s=LIST_TIMEOUT_S)
+        return answer.and_then(lambda body: _events(kind, body))
+
+    return ObjectStore(get, list_kind, list_lagging, put, delete, watch, changes_since)
 
 
 def _name_of(method: str, path: str) -> str:
--- a/src/rattanhollow/store/__init__.py
+++ b/src/rattanhollow/store/__init__.py
@@ -11,25 +11,45 @@
     StoreFailure,
     Trouble,
 )
+from rattanhollow.store._difference import (
+    LARGE_OBJECT_BYTES,
+    Step,
+    Unfit,
+    apply_steps,
+    compress,
+    decompress,
+    digest_bytes,
+    encode_content,
+    make_step,
+)
 from rattanhollow.store._follow import Changes, Follower, follow
 from rattanhollow.store._json import Unreadable, decode_json, fault_of
 from rattanhollow.store._update import update
 
 __all__ = [
+    "LARGE_OBJECT_BYTES",
     "Changes",
     "Event",
     "EventType",
     "Follower",
     "Listing",
     "ObjectStore",
+    "Step",
     "Stored",
     "StoreFailure",
     "Trouble",
+    "Unfit",
     "Unreadable",
+    "apply_steps",
+    "compress",
     "decode_json",
+    "decompress",
+    "digest_bytes",
+    "encode_content",
     "fault_of",
     "follow",
     "http_store",
+    "make_step",
     "update",
 ]
 
--- a/src/rattanhollow/store/_api.py
+++ b/src/rattanhollow/store/_api.py
@@ -1,7 +1,7 @@
 """What the rest of the system needs of the platform's object store."""
 
 import enum
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from typing import Any, NamedTuple
 
 from result import Result
@@ -68,7 +68,9 @@
     old, and costs less where the store can do that; ``put(kind, name, spec, version)``
     creates at version 0 and otherwise replaces exactly that version;
     ``delete(kind, name, version)``; ``watch(kind, version)`` yields events
-    after ``version`` and ends when the watch does.
+    after ``version`` and ends when the watch does. ``changes_since(kind, version)``
+    returns at once what a watch would yield, with a bookmark at the end; None where
+    the store has no such call.
     """
 
     get: Callable[[str, str], Awaitable[Result[Stored, StoreFailure]]]
@@ -79,3 +81,6 @@
     ]
     delete: Callable[[str, str, int], Awaitable[Result[None, StoreFailure]]]
     watch: Callable[[str, int], AsyncIterator[Result[Event, StoreFailure]]]
+    changes_since: (
+        Callable[[str, int], Awaitable[Result[Sequence[Event], StoreFailure]]] | None
+    ) = None
--- a/src/rattanhollow/store/_follow.py
+++ b/src/rattanhollow/store/_follow.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 import trio
@@ -16,6 +16,12 @@
     Stored,
     Trouble,
 )
+from rattanhollow.store._difference import (
+    LARGE_OBJECT_BYTES,
+    Step,
+    encode_content,
+    make_step,
+)
 
 RETRY_LOW_S = 0.1
 RETRY_HIGH_S = 0.6
@@ -29,6 +35,10 @@
 GATHER_S = 0.05
 # Hosts compare copies every second or two: far fewer objects go meanwhile.
 GONE_KEPT = 256
+# The steps kept of a large object: changes of minutes, and a few hundred bytes each.
+STEPS_KEPT = 32
+# What encoding a content may raise that others wrote into the store.
+_NOT_ENCODABLE = (ValueError, TypeError, OverflowError, RecursionError)
 
 
 class Changes(NamedTuple):
@@ -67,6 +77,11 @@
         # went behind another version are among them.
         self._gone: dict[str, int] = {}
         self._gone_known_from = 0
+        # Set where other hosts are sent differences of large objects.
+        self.keeps_steps = False
+        # The encoded size of each object, and the last steps of the large ones.
+        self._sizes: dict[str, int] = {}
+        self._steps: dict[str, list[Step]] = {}
         self._on_change = on_change
 
     def take_list(self, listing: Listing) -> None:
@@ -106,12 +121,51 @@
         gone = [name for name, went in self._gone.items() if went > version]
         return Changes(items, gone)
 
-    def take_changes(self, version: int, changes: Changes) -> None:
-        """Take what changed behind this copy's version, until ``version``."""
+    @property
+    def encoded_bytes(self) -> int:
+        """The size of all objects together, uncompressed."""
+        return sum(self._sizes.values())
+
+    def encoded_bytes_of(self, name: str) -> int:
+        """Return the size of one object."""
+        return self._sizes.get(name, 0)
+
+    def is_large(self, name: str) -> bool:
+        """Whether an object travels as differences."""
+        return self.encoded_bytes_of(name) >= LARGE_OBJECT_BYTES
+
+    def large_names(self) -> list[str]:
+        """Return the names of the objects that travel as differences."""
+        return [name for name in self._sizes if self.is_large(name)]
+
+    def steps_since(self, name: str, version: int) -> list[Step] | None:
+        """Return the steps of an object behind a version, None where one is unknown.
+
+        ``version`` may be any at which the object was as its newest version up to it.
+        """
+        known = self.items.get(name)
+        if known is None:
+            return None
+        steps = [s for s in self._steps.get(name, []) if s.version > version]
+        if not steps:
+            return [] if known.version <= version else None
+        return steps if steps[0].base_version <= version else None
+
+    def last_base(self) -> int:
+        """Return the version before the last change of a large object, 0 if unknown."""
+        return max((s[-1].base_version for s in self._steps.values() if s), default=0)
+
+    def take_changes(
+        self, version: int, changes: Changes, steps: Sequence[Step] = ()
+    ) -> None:
+        """Take what changed behind this copy's version, until ``version``.
+
+        ``steps`` are those that gave the large objects among the items.
+        """
         for name in changes.gone:
             self._forget(name, version)
         for item in changes.items:
-            self._take(item)
+            self._take(item, [step for step in steps if step.name == item.name])
         self.version = version
 
     def take_event(self, event: Event) -> None:
@@ -129,18 +183,41 @@
         """Take one object that was read or written beside the watch."""
         self._take(item)
 
-    def _take(self, item: Stored) -> None:
+    def _take(self, item: Stored, steps: Sequence[Step] = ()) -> None:
         known = self.items.get(item.name)
         if known is not None and known.version >= item.version:
             return
         self.items[item.name] = item
+        if self.keeps_steps:
+            self._sizes[item.name] = _encoded_bytes(item)
+            self._note_steps(known, item, steps)
         self._gone.pop(item.name, None)
         self.changes += 1
         self._report(item, item.name)
 
+    def _note_steps(
+        self, known: Stored | None, item: Stored, steps: Sequence[Step]
+    ) -> None:
+        """Keep what turned the known version of a large object into the newest."""
+        if known is None or not self.is_large(item.name):
+            self._steps.pop(item.name, None)
+            return
+        steps = [step for step in steps if step.base_version >= known.version]
+        if not steps:
+            base, result = (known.version, known.spec), (item.version, item.spec)
+            try:
+                steps = [make_step(item.name, base, result)]
+            except _NOT_ENCODABLE:
+                self._steps.pop(item.name, None)
+                return
+        kept = [*self._steps.get(item.name, ()), *steps]
+        self._steps[item.name] = kept[-STEPS_KEPT:]
+
     def _forget(self, name: str, version: int) -> None:
         if self.items.pop(name, None) is None:
             return
+        self._sizes.pop(name, None)
+        self._steps.pop(name, None)
         self._gone[name] = version
         if len(self._gone) > GONE_KEPT:
             oldest = min(self._gone, key=lambda gone: self._gone[gone])
@@ -159,6 +236,14 @@
         self.heard_at_s = time.monotonic()
 
 
+def _encoded_bytes(item: Stored) -> int:
+    try:
+        return len(encode_content(item.spec))
+    except _NOT_ENCODABLE:
+        # It can't be sent to other hosts in any way.
+        return 0
+
+
 async def follow(
     store: ObjectStore,
     follower: Follower,
--- a/src/rattanhollow_standins/store/_local.py
+++ b/src/rattanhollow_standins/store/_local.py
@@ -107,8 +107,26 @@
                 mark = Stored(kind, "", version, {})
                 yield Ok(Event(EventType.BOOKMARK, mark))
 
+    async def changes_since(
+        kind: str, version: int
+    ) -> Result[list[Event], StoreFailure]:
+        failure = await gate("look")
+        changes = table.since(kind, version)
+        if failure is not None:
+            return Err(failure)
+        if changes is None:
+            return Err(StoreFailure(Trouble.GONE, str(version)))
+        events = []
+        for change in changes:
+            deleted = change.type == "DELETED"
+            event = EventType.DELETED if deleted else EventType.CHANGED
+            entry = Entry(change.version, change.spec)
+            events.append(Event(event, _stored(kind, change.name, entry)))
+        mark = Stored(kind, "", table.version, {})
+        return Ok([*events, Event(EventType.BOOKMARK, mark)])
+
     list_lagging = partial(list_kind, call="list lagging")
-    return ObjectStore(get, list_kind, list_lagging, put, delete, watch)
+    return ObjectStore(get, list_kind, list_lagging, put, delete, watch, changes_since)
 
 
 def _stored(kind: str, name: str, entry: Entry) -> Stored:
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -25,8 +25,11 @@
     ChangeNews,
     CopyNews,
     CopyQuestion,
+    DifferenceNews,
+    DifferenceQuestion,
     Message,
     PeerAddress,
+    PieceQuestion,
 )
 from rattanhollow.peer._messages import encode
 from rattanhollow.store import (
@@ -36,6 +39,7 @@
     ObjectStore,
     Stored,
     StoreFailure,
+    Trouble,
     follow,
 )
 from rattanhollow_standins.store import ObjectTable, local_store
@@ -72,6 +76,10 @@
         self.hosts[host.record.name] = host
         await host.run(first_start)
 
+    def links(self, name: str) -> Any:
+        """Return what the host ``name`` uses as its links."""
+        return self
+
     def is_dark(self, peer: PeerAddress) -> bool:
         """Whether a host is known not to respond."""
         return False
@@ -82,12 +90,7 @@
         await trio.sleep(LINK_DELAY_S)
         if peer.name in self.unnotified or peer.name not in self.hosts:
             return
-        gossip = self.hosts[peer.name].gossip
-        if isinstance(notification, ChangeNews):
-            gossip.receive_changes(notification)
-        else:
-            assert isinstance(notification, CopyNews)
-            gossip.receive_copies(notification)
+        await self.hosts[peer.name].respond(notification)
 
     async def ask(
         self, peer: PeerAddress, request: Message, timeout_ms: int
@@ -98,8 +101,8 @@
         host = self.hosts.get(peer.name)
         if host is None:
             return Err(AskFailure("not started", sent=False))
-        assert isinstance(request, CopyQuestion)
-        response = host.gossip.comparison_response(request)
+        response = await host.respond(request)
+        assert response is not None
         self.sent_bytes += len(encode(1, response))
         return Ok(response)
 
@@ -117,7 +120,7 @@
         self.followers = [
             Follower(kind, lambda stored, name: None) for kind in ("config", "servers")
         ]
-        links: Any = fleet
+        links: Any = fleet.links(name)
         all_followers = [*self.followers, self.directory.follower]
         self.gossip = Gossip(
             all_followers,
@@ -126,9 +129,28 @@
             links,
             self.rng,
             PROPAGATION_DEADLINE_S,
+            lambda zone: zone.partition("-")[0],
         )
         self.record = record
 
+    async def respond(self, message: Message) -> Message | None:
+        """Handle a message of another host."""
+        gossip = self.gossip
+        if isinstance(message, CopyQuestion):
+            return gossip.comparison_response(message)
+        if isinstance(message, DifferenceQuestion):
+            return await gossip.difference_response(message)
+        if isinstance(message, PieceQuestion):
+            return await gossip.piece_response(message)
+        if isinstance(message, ChangeNews):
+            gossip.receive_changes(message)
+        elif isinstance(message, DifferenceNews):
+            gossip.receive_differences(message)
+        else:
+            assert isinstance(message, CopyNews)
+            gossip.receive_copies(message)
+        return None
+
     async def run(self, first_start: bool) -> None:
         """Run these parts until cancelled."""
         polls = PollParts(
@@ -165,6 +187,9 @@
         kind: str, version: int
     ) -> AsyncIterator[Result[Event, StoreFailure]]:
         table.count("watch")
+        if table.faults.down:
+            yield Err(StoreFailure(Trouble.UNREACHABLE, "stand-in is down"))
+            return
         with trio.move_on_after(WATCH_DURATION_S):
             while not table.since(kind, version):
                 await table.wait_for_change()
--- a/tests/test_recorded_formats.py
+++ b/tests/test_recorded_formats.py
@@ -1,9 +1,10 @@
 """Peer messages and stored records keep the format of earlier builds.
 
-``recorded_formats.json`` holds what the build at 11a1c23 wrote. A stored field that is
-renamed, or a message whose fields change in number or type, would be misread by hosts
-of the other build during a rolling update. Where a stored record has gained a field,
-``earlier_records`` holds what was written without it.
+``recorded_formats.json`` holds what the build at 11a1c23 wrote, and, for a message
+that is newer, the first build that had it. A stored field that is renamed, or a message
+whose fields change in number or type, would be misread by hosts of the other build
+during a rolling update. Where a stored record has gained a field, ``earlier_records``
+holds what was written without it.
 """
 
 import enum
