Bound the memory of steps, and check large configurations on real links

A configuration that is rewritten as a whole at each change would keep 32 steps of its full size. Steps over 8 KiB are dropped: the copy goes in pieces.

--- a/src/rattanhollow/store/_follow.py
+++ b/src/rattanhollow/store/_follow.py
@@ -37,6 +37,8 @@
 GONE_KEPT = 256
 # The steps kept of a large object: changes of minutes, and a few hundred bytes each.
 STEPS_KEPT = 32
+# A larger step is not sent: the whole copy, in pieces, takes hardly longer.
+LARGEST_STEP_BYTES = 8 * 1024
 # What encoding a content may raise that others wrote into the store.
 _NOT_ENCODABLE = (ValueError, TypeError, OverflowError, RecursionError)
 
@@ -210,6 +212,9 @@
             except _NOT_ENCODABLE:
                 self._steps.pop(item.name, None)
                 return
+        if any(len(step.content) > LARGEST_STEP_BYTES for step in steps):
+            self._steps.pop(item.name, None)
+            return
         kept = [*self._steps.get(item.name, ()), *steps]
         self._steps[item.name] = kept[-STEPS_KEPT:]
 
--- a/tests/test_config_distribution.py
+++ b/tests/test_config_distribution.py
@@ -27,6 +27,8 @@
     PieceAnswer,
 )
 from rattanhollow.store import (
+    LARGE_OBJECT_BYTES,
+    EventType,
     Follower,
     Step,
     Stored,
@@ -35,6 +37,9 @@
     encode_content,
     make_step,
 )
+from rattanhollow_standins.platform import LineCluster
+from rattanhollow_standins.platform._cluster import configuration as line_configuration
+from rattanhollow_standins.platform._cluster import route as line_route
 
 ROUTES, HOSTS = 1_000, 24
 # What the page allows a liveness check to wait on a link of 10 Mbit/s.
@@ -339,3 +344,40 @@
     steps = follower.steps_since("main", 40)
     assert steps is not None and len(steps) == 19
     assert follower.steps_since("main", 1) is None
+    _rename(renamed := configuration(100, 60), 100)
+    renamed["tenants"] = [{"name": str(random.Random(n).random())} for n in range(900)]
+    follower.offer(Stored("config", "main", 60, renamed))
+    assert follower.steps_since("main", 59) is None and follower.last_base() == 0
+
+
+def test_hosts_on_real_links_pass_on_a_large_configuration(with_cluster: Any) -> None:
+    """A host that the store turns away needs the pieces and steps of the others."""
+
+    async def until_in_force(cluster: LineCluster, version: int) -> None:
+        with trio.fail_after(8.0):
+            while any(h.routes.version < version for h in cluster.hosts.values()):
+                await trio.sleep(0.02)
+
+    async def scenario(cluster: LineCluster) -> None:
+        cluster.turned_away[cluster.host_address(2)] = 429
+        # The answer of the watch that is waiting.
+        cluster.configure(line_configuration(2))
+        await until_in_force(cluster, 2)
+        routes = line_configuration(1)["routes"]
+        routes += [line_route(f"r-{n}", "primary") for n in range(300)]
+        content = line_configuration(3, routes=routes)
+        assert len(encode_content(content)) > LARGE_OBJECT_BYTES
+        cluster.configure(content)
+        await until_in_force(cluster, 3)
+        routes = [{**routes[0], "priority": 0}, *routes[1:]]
+        cluster.configure(line_configuration(4, routes=routes))
+        await until_in_force(cluster, 4)
+        turned_away = cluster.hosts[2]
+        assert turned_away.routes == cluster.hosts[0].routes
+        store, kind = cluster.hosts[0]._ends.store, "config"
+        assert store.changes_since is not None
+        known = (await store.list(kind)).unwrap().version
+        events = (await store.changes_since(kind, known)).unwrap()
+        assert [event.type for event in events] == [EventType.BOOKMARK]
+
+    with_cluster(scenario)
