Refuse work that scarce slots and tokens can't serve in time

Cause: where slots run out, work waited in one queue until its deadline and was refused then, or ran too late to be of use; two fifths of the operations over a rate waited for a token in vain; the work of callers who had left stayed queued.

Change, with [admission] scarce_slots or where the platform asks for it: the queue of a server orders by priority, organisation and target, refuses on arrival or within 50 ms of when it becomes clear, and spreads the returns at its own drain rate, with room kept for them. An operation waits for a token only if one is expected in time. The end of a caller's connection withdraws what waits, also at the serving host (new message "withdrawal"). A refused statement of a transaction rolls the transaction back there.

With the switch off the existing tests of queues and rates pass unchanged.

--- a/src/rattanhollow/flow/_token_bucket.py
+++ b/src/rattanhollow/flow/_token_bucket.py
@@ -44,10 +44,10 @@
         self._tokens -= 1
         return True
 
-    def time_to_next_token_s(self) -> float:
-        """Return the time until the next token at the current rate."""
+    def time_to_next_token_s(self, count: int = 1) -> float:
+        """Return the time until the next ``count`` tokens at the current rate."""
         self._refill()
-        missing = max(0.0, 1 - self._tokens)
+        missing = max(0.0, count - self._tokens)
         if not missing:
             return 0.0
         return missing / self._rate_per_s if self._rate_per_s > 0 else MAX_WAIT_S
--- a/src/rattanhollow/host/_answer_peers.py
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -26,7 +26,7 @@
 )
 from rattanhollow.rates import BrokerService
 from rattanhollow.routing import FloorCache, ServerDirectory
-from rattanhollow.serving import ProofQuestion, Serving, Work
+from rattanhollow.serving import ProofQuestion, Serving, WithdrawalNews, Work
 from rattanhollow.succession import LeaderUseChecker
 
 
@@ -48,6 +48,9 @@
     """Return the answer of host ``own``, None where it has none."""
     if isinstance(question, Work):
         return await parts.serving.run_work(question)
+    if isinstance(question, WithdrawalNews):
+        parts.serving.withdraw(question.server, question.transaction)
+        return None
     if isinstance(question, ProofQuestion):
         return await parts.serving.prove(question.server)
     if isinstance(question, FloorQuestion):
--- a/src/rattanhollow/host/_ends.py
+++ b/src/rattanhollow/host/_ends.py
@@ -18,6 +18,7 @@
     ``caller(stream)`` speaks with a caller. ``promote(service, server, holder,
     fencing_token)`` answers with the status of the order. ``evacuation_kind`` is the
     kind of the store's objects that evacuate zones, empty where there are none.
+    ``scarce_slots`` is whether the platform asks for admission under scarcity.
     """
 
     caller: Callable[[trio.SocketStream], CallerConnection]
@@ -30,5 +31,6 @@
     configuration_name: str
     server_kind: str
     evacuation_kind: str
+    scarce_slots: bool
     readiness_path: str
     metrics_path: str
--- a/src/rattanhollow/host/_platform.py
+++ b/src/rattanhollow/host/_platform.py
@@ -29,6 +29,7 @@
         configuration_name=platform.CONFIGURATION_NAME,
         server_kind=platform.SERVER_KIND,
         evacuation_kind=platform.evacuation_kind(settings.requested),
+        scarce_slots=platform.asks_scarce_slots(settings.requested),
         readiness_path=platform.READINESS_PATH,
         metrics_path=platform.METRICS_PATH,
     )
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -18,6 +18,7 @@
 from rattanhollow.host._polls import PollParts, poll_store
 from rattanhollow.host._stop import Stopping, stop_serving
 from rattanhollow.host._watch_primaries import WatchedParts, build_guardian
+from rattanhollow.host._withdrawing_peers import WithdrawingPeers
 from rattanhollow.membership import (
     Gossip,
     HostDirectory,
@@ -100,7 +101,8 @@
             incarnation=self._incarnation,
         )
         self.registration = Registration(ends.store, record, rng, reports=False)
-        self.peers = Peers(
+        self._scarce_slots = settings.admission.scarce_slots or ends.scarce_slots
+        self.peers = (WithdrawingPeers if self._scarce_slots else Peers)(
             place.address, None, self.hosts.has_public_key, self._answer_peer
         )
         self._neighbours = NeighbourWatch(
@@ -125,6 +127,7 @@
             self._may_begin_work,
             self._cold_bound,
             self.directory.must_stop,
+            self._scarce_slots,
         )
         places = ZoneTopology(place.zone, place.regions)
         self.agents = WorkDispatcher(
@@ -145,6 +148,7 @@
                 settle_s=settings.rate_settle_ms / 1000,
                 slack=settings.rate_slack,
                 meter=meter,
+                scarce=self._scarce_slots,
             )
         )
         self._places = places
@@ -304,7 +308,9 @@
             )
         )
         session = SessionParts(lambda: self.routes, self.rates.admit, router, now_s)
-        return ServeParts(session, self.sessions, self._may_serve, self.meter)
+        return ServeParts(
+            session, self.sessions, self._may_serve, self.meter, self._scarce_slots
+        )
 
     def _may_serve(self) -> bool:
         return self.routes.version > 0
--- a/src/rattanhollow/observe/_kinds.py
+++ b/src/rattanhollow/observe/_kinds.py
@@ -35,6 +35,11 @@
     "The wait that was estimated for the same work.",
     ("server",),
 )
+QUEUE_REFUSALS = MetricKind(
+    "rattanhollow_queue_refusals",
+    "Work that was refused at the queue for slots, where slots are scarce.",
+    ("server", "cause"),
+)
 SERVER_MS = MetricKind(
     "rattanhollow_server_ms",
     "Time that a served backend server worked on a statement.",
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -11,7 +11,13 @@
     TokenGrant,
     TokenWant,
 )
-from rattanhollow.serving import ProofAnswer, ProofQuestion, Work, WorkResult
+from rattanhollow.serving import (
+    ProofAnswer,
+    ProofQuestion,
+    WithdrawalNews,
+    Work,
+    WorkResult,
+)
 
 PROTOCOL_VERSION = 2
 LARGEST_MESSAGE_BYTES = 2 << 20
@@ -337,6 +343,7 @@
     | FloorAnswer
     | ReplacementOverNews
     | LeaderNews
+    | WithdrawalNews
 )
 
 MESSAGE_TYPES: dict[str, Any] = {
@@ -377,6 +384,7 @@
     "floor": FloorAnswer,
     "replacement over": ReplacementOverNews,
     "leader": LeaderNews,
+    "withdrawal": WithdrawalNews,
 }
 _NAMES = {record: name for name, record in MESSAGE_TYPES.items()}
 _DECODERS = {
--- a/src/rattanhollow/platform/_caller.py
+++ b/src/rattanhollow/platform/_caller.py
@@ -25,6 +25,10 @@
 )
 
 RECEIVE_BYTES = 16_384
+# How much of a caller is kept while its request is handled. A caller that sends more is
+# not read, and found to have left only afterwards.
+READ_AHEAD_CHARACTERS = RECEIVE_BYTES
+READ_AHEAD_LINES = 64
 # A request that crossed the farewell arrives within a round trip.
 LINGER_S = 0.15
 LOST = (trio.BrokenResourceError, trio.ClosedResourceError)
@@ -54,6 +58,7 @@
         self._reader = LineReader()
         self._lines: list[str] = []
         self._opened = False
+        self._ended: Farewell | BadLine | None = None
 
     @property
     def mid_request(self) -> bool:
@@ -63,22 +68,45 @@
     async def receive(self) -> Received:
         """Return the next thing that the caller says; the first is an `Opening`."""
         while not self._lines:
-            try:
-                data = await self._stream.receive_some(RECEIVE_BYTES)
-            except LOST as error:
-                return Farewell(f"lost: {error}")
-            if not data:
-                return Farewell("closed")
-            try:
-                self._lines = self._reader.feed(bytes(data))
-            except LineTooLong:
-                return BadLine(framing_lost=True)
+            if self._ended is None:
+                await self._read()
+            if self._ended is not None:
+                return self._ended
         text = self._lines.pop(0)
         if self._opened:
             return parse_request(text)
         self._opened = True
         return parse_opening(text)
 
+    async def until_left(self) -> None:
+        """Return once the caller has closed its side; may be cancelled.
+
+        What it sends meanwhile is kept for `receive`, up to a limit.
+        """
+        while self._ended is None and self._may_read_ahead():
+            await self._read()
+        if not isinstance(self._ended, Farewell):
+            await trio.sleep_forever()
+
+    def _may_read_ahead(self) -> bool:
+        kept = self._reader.pending_bytes + sum(len(text) for text in self._lines)
+        return kept < READ_AHEAD_CHARACTERS and len(self._lines) < READ_AHEAD_LINES
+
+    async def _read(self) -> None:
+        """Add the lines that arrive next, or record how the connection ended."""
+        try:
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+        except LOST as error:
+            self._ended = Farewell(f"lost: {error}")
+            return
+        if not data:
+            self._ended = Farewell("closed")
+            return
+        try:
+            self._lines += self._reader.feed(bytes(data))
+        except LineTooLong:
+            self._ended = BadLine(framing_lost=True)
+
     async def welcome(self) -> bool:
         """Tell the caller that its session has begun; False where it is gone."""
         return await self._send(line(words.READY, "I", words.NOTHING))
--- a/src/rattanhollow/platform/_entries.py
+++ b/src/rattanhollow/platform/_entries.py
@@ -26,6 +26,8 @@
 EVACUATION_KIND = "evacuations"
 # The part of the platform's rules that has home regions, cold servers and evacuations.
 _PLACES = "places"
+# The part that has scarce slots, bursts and callers that leave.
+_PRESSURE = "pressure"
 
 _STATES = ("ready", "draining")
 _ROLES = (words.PRIMARY, "replica")
@@ -84,6 +86,11 @@
     return EVACUATION_KIND if _PLACES in requested else ""
 
 
+def asks_scarce_slots(requested: frozenset[str]) -> bool:
+    """Whether the platform asks hosts to refuse what scarce slots can't run in time."""
+    return _PRESSURE in requested
+
+
 def read_routes(spec: dict[str, Any]) -> Result[RouteTable, str]:
     """Return the configuration, or why it can't be used."""
     try:
--- a/src/rattanhollow/rates/_pooled.py
+++ b/src/rattanhollow/rates/_pooled.py
@@ -17,6 +17,7 @@
     kept_fraction,
     shard_of,
 )
+from rattanhollow.flow import ReturnSchedule
 from rattanhollow.membership import HostDirectory, HostRecord
 from rattanhollow.observe import Meter, kinds
 from rattanhollow.peer import (
@@ -39,6 +40,7 @@
 )
 from rattanhollow.rates._region_brokers import RegionBrokers
 from rattanhollow.rates._share import HostShare
+from rattanhollow.rates._token_forecast import Shortage, token_wait_s
 
 # Shorter than the lifetime of a deposit, so that each is renewed several times.
 BROKER_REQUEST_INTERVAL_S = 0.4
@@ -64,6 +66,9 @@
 MAX_WAITERS_RATIO = 2.0
 # How long an organisation counts as over its rate after a response that said so.
 NO_TOKENS_PERIOD_S = 0.25
+# How long such a response tells when tokens come: others' deposits change within the
+# interval of two requests.
+SHORTAGE_PERIOD_S = BROKER_REQUEST_INTERVAL_S
 # Delay before the brokers of all regions are queried again that granted too few tokens
 # together. It grows with each such round to the maximum, so that a flood sends few
 # requests while a short peak finds the tokens that other regions have left.
@@ -74,6 +79,9 @@
 MIN_PREFETCH_TOKENS = 1.0
 # Callers that retry sooner compete for the same few tokens.
 MIN_RETRY_AFTER_MS = 50
+# Returns of refused operations are given times for at most this fraction of the tokens
+# that a host can expect, so that new operations get some as well.
+RETURN_RATIO = 0.5
 
 
 class PooledRateLimiterParts(NamedTuple):
@@ -83,6 +91,7 @@
     ``process_started_at_s`` is when this host's process began by ``clock``,
     ``settle_s`` is the time after its registration until all other hosts count
     a host, ``slack`` the number of operations allowed above rate and burst.
+    ``scarce`` is whether operations wait only for a token that can come in time.
     """
 
     organisations: Callable[[], dict[str, Organisation]]
@@ -95,6 +104,7 @@
     settle_s: float
     slack: int
     meter: Meter
+    scarce: bool = False
 
 
 class Admission(NamedTuple):
@@ -132,6 +142,7 @@
         )
         self._depositor = Depositor(parts.clock())
         self._states: dict[str, OrganisationState] = {}
+        self._returns = ReturnSchedule()
         # When the state of an organisation that was withdrawn was last used.
         self._dropped_at_s: dict[str, float] = {}
         self._stamps: dict[str, Stamp] = {}
@@ -200,8 +211,12 @@
             return Admission(True)
         crowded = len(state.waiters) >= self._queue_limit(limits)
         if crowded and now_s < state.empty_until_s:
-            return _refuse(state, limits, "no token available recently")
-        waiter = Waiter()
+            return self._refuse(state, limits, "no token available recently")
+        waiter = Waiter(now_s + wait_s)
+        if self._parts.scarce and not self._is_starting():
+            due_s = self._token_wait_s(state, limits, len(state.waiters))
+            if due_s > wait_s:
+                return self._refuse(state, limits, "no token can come in time")
         state.waiters.append(waiter)
         self._wake_up.set()
         try:
@@ -212,7 +227,42 @@
         if waiter.admitted:
             return Admission(True)
         decided = "no token" if waiter.decided.is_set() else "no token in time"
-        return _refuse(state, limits, decided)
+        return self._refuse(state, limits, decided)
+
+    def _token_wait_s(
+        self, state: OrganisationState, limits: Organisation, ahead: int
+    ) -> float:
+        """Return the shortest time until an operation behind others has a token."""
+        shortage = Shortage(
+            state.told_at_s + SHORTAGE_PERIOD_S,
+            state.next_request_at_s,
+            state.told_at_s + state.wait_ms / 1000,
+        )
+        own_s = state.bucket.time_to_next_token_s(ahead + 1)
+        now_s = self._parts.clock()
+        share_per_s = limits.rate_per_s / max(1, self._parts.hosts.count)
+        income_per_s = max(share_per_s, state.income_per_s)
+        return token_wait_s(ahead, own_s, income_per_s, shortage, now_s)
+
+    def _refuse(
+        self, state: OrganisationState, limits: Organisation, reason: str
+    ) -> Admission:
+        """Refuse an operation; where tokens are scarce, its return gets its own time.
+
+        The times of one organisation are as far apart as its tokens come in here.
+        """
+        refused = _refuse(state, limits, reason)
+        if not self._parts.scarce:
+            return refused
+        now_s = self._parts.clock()
+        earliest_s = now_s + max(
+            MIN_RETRY_AFTER_MS / 1000,
+            self._token_wait_s(state, limits, len(state.waiters)),
+        )
+        fraction = 1 / max(1, self._parts.hosts.count)
+        spacing_s = 1 / (limits.rate_per_s * fraction * RETURN_RATIO)
+        due_s, _ = self._returns.book(limits.name, now_s, earliest_s, spacing_s)
+        return refused._replace(retry_after_ms=int((due_s - now_s) * 1000) + 1)
 
     async def _wait_for_token(
         self, state: OrganisationState, waiter: Waiter, until_s: float
@@ -225,7 +275,7 @@
             own_s = state.bucket.time_to_next_token_s() + TIMER_SLACK_S
             with trio.move_on_after(min(left_s, own_s)):
                 await waiter.decided.wait()
-            if state.waiters and state.waiters[0] is waiter and state.bucket.take():
+            if state.waiters and state.waiters[0] is waiter and state.take_own():
                 state.waiters.popleft().decide(admitted=True)
 
     async def _clear_previous_deposits(self) -> None:
@@ -431,15 +481,26 @@
             return
         state.min_wait_ms = min(state.min_wait_ms, grant.wait_ms)
         if not self._try_next_region(grant.organisation):
-            self._end_short_round(state, now_s)
+            self._end_short_round(grant.organisation, state, now_s)
 
-    def _end_short_round(self, state: OrganisationState, now_s: float) -> None:
+    def _end_short_round(
+        self, organisation: str, state: OrganisationState, now_s: float
+    ) -> None:
         """Decide about the waiters for whom no region had enough tokens."""
         state.empty_until_s = now_s + NO_TOKENS_PERIOD_S
         delay_s = MIN_ROUND_DELAY_S * ROUND_DELAY_GROWTH**state.short_rounds
         state.next_request_at_s = now_s + min(MAX_ROUND_DELAY_S, delay_s)
         state.short_rounds += 1
         state.wait_ms, state.min_wait_ms = state.min_wait_ms, MAX_RETRY_AFTER_MS
+        state.told_at_s = now_s
+        limits = self._parts.organisations().get(organisation)
+        if self._parts.scarce and limits is not None and limits.rate_per_s:
+            if not self._is_starting():
+                refusable = limits
+                state.refuse_hopeless(
+                    lambda ahead: self._token_wait_s(state, refusable, ahead), now_s
+                )
+            return
         own_ms = state.bucket.time_to_next_token_s() * 1000
         wait_too_long = min(own_ms, state.wait_ms) > MAX_WAIT_S * 1000
         # Each host that starts deposits more, so waits get shorter during startup.
--- a/src/rattanhollow/serving/__init__.py
+++ b/src/rattanhollow/serving/__init__.py
@@ -19,6 +19,12 @@
     LeaderUse,
     always_allowed,
 )
+from rattanhollow.serving._presence import (
+    CURRENT_CALLER,
+    CallerPresence,
+    WithdrawalNews,
+)
+from rattanhollow.serving._scarce_slot_waits import work_of_left_caller
 from rattanhollow.serving._served_backend import ServedBackend
 from rattanhollow.serving._serving import Serving
 from rattanhollow.serving._work import (
@@ -35,11 +41,13 @@
 )
 
 __all__ = [
+    "CURRENT_CALLER",
     "LEADER_USE_VALID_S",
     "NO_COLD_BOUND",
     "BackendAdapter",
     "BackendServer",
     "Blocker",
+    "CallerPresence",
     "ColdBound",
     "ColdLimit",
     "Command",
@@ -57,6 +65,7 @@
     "ServerStatus",
     "Serving",
     "ServingParts",
+    "WithdrawalNews",
     "Work",
     "WorkKind",
     "WorkOutcome",
@@ -64,4 +73,5 @@
     "always_allowed",
     "not_run",
     "unknown",
+    "work_of_left_caller",
 ]
--- a/src/rattanhollow/serving/_connector.py
+++ b/src/rattanhollow/serving/_connector.py
@@ -58,6 +58,7 @@
     allow a server of the service while it is cold, and ``is_first_host(server)``
     whether this host is its first serving host. ``unix_clock()`` is the time of day.
     ``must_stop(server_id)`` is whether a server must get nothing more at all.
+    ``scarce_slots`` is whether queues for slots refuse what they can't do in time.
     """
 
     backend: BackendAdapter
@@ -70,6 +71,7 @@
     is_first_host: Callable[[BackendServer], bool] = lambda server: True
     unix_clock: Callable[[], float] = time.time
     must_stop: Callable[[str], bool] = lambda server_id: False
+    scarce_slots: bool = False
 
 
 class Connector:
--- a/src/rattanhollow/serving/_served_backend.py
+++ b/src/rattanhollow/serving/_served_backend.py
@@ -23,6 +23,10 @@
 from rattanhollow.serving._lag import Lag
 from rattanhollow.serving._leader_use import LeaderUse, LeaderUseGuard
 from rattanhollow.serving._reachability import SILENT_AFTER_S, Reachability
+from rattanhollow.serving._scarce_slot_waits import (
+    ScarceSlotWaits,
+    work_of_left_caller,
+)
 from rattanhollow.serving._slot_waits import SlotWaits
 from rattanhollow.serving._stopped import ServerFull, WorkStopped
 from rattanhollow.serving._transactions import Transaction, Transactions
@@ -64,7 +68,10 @@
             self._reachability.note_request,
             self._note_failed_opening,
         )
-        self._slots = SlotWaits(server.slots, server.id, parts.clock, parts.meter)
+        self._slots = _slot_waits(server, parts)
+        # The work in hand, and that for which nobody waits, by its transaction.
+        self._in_hand: set[str] = set()
+        self._withdrawn: set[str] = set()
         self._transactions = Transactions(self._connector, parts.clock)
         self._health = Health()
         self._cold_limit = ColdLimit(parts.clock, parts.unix_clock)
@@ -160,17 +167,31 @@
             if transaction is None:
                 detail = "the transaction is not open at this host"
                 return not_run(Blocker.NO_TRANSACTION, detail)
+        self._in_hand.add(work.transaction)
         try:
             result = await self._run(work, transaction, deadline_s)
         except WorkStopped as stopped:
             result = stopped.result
         finally:
+            self._in_hand.discard(work.transaction)
+            self._withdrawn.discard(work.transaction)
             if transaction is not None:
                 self._transactions.end_statement(transaction)
+        if self._parts.scarce_slots and result.blocker is Blocker.OVERLOADED:
+            # The caller is told that its transaction is aborted, and sends no rollback.
+            self._transactions.roll_back(work.transaction)
         self._record_health(result)
         self._log_failure(work, result)
         return result._replace(wait_ms=self.wait_ms)
 
+    def withdraw(self, transaction: str) -> None:
+        """Drop work for which nobody waits, unless its statement has been sent."""
+        if transaction not in self._in_hand:
+            return
+        self._withdrawn.add(transaction)
+        if isinstance(self._slots, ScarceSlotWaits):
+            self._slots.withdraw(transaction)
+
     async def command(self, command: Command, timeout_s: float) -> Reply | None:
         """Run a command of the proxy itself; None if no reply arrived."""
         try:
@@ -344,6 +365,8 @@
             connection = transaction.connection if transaction is not None else None
             await self._check_leader_use(work, connection, deadline_s)
         while True:
+            if work.transaction in self._withdrawn:
+                raise WorkStopped(work_of_left_caller(work))
             await self._slots.take(work, deadline_s)
             if transaction is None and not self._connector.can_provide():
                 self._slots.free(None)
@@ -410,6 +433,9 @@
             self._give_up_transaction(work, connection)
             detail = "the deadline passed before the statement could be sent"
             raise WorkStopped(not_run(Blocker.OVERLOADED, detail))
+        if work.transaction in self._withdrawn:
+            self._give_up_transaction(work, connection)
+            raise WorkStopped(work_of_left_caller(work))
         command = statement_command(connection, work)
         is_commit = work.kind is WorkKind.COMMIT and uses_leader
         if is_commit or writes_data(work):
@@ -577,6 +603,16 @@
         self._slots.turn_away_all()
 
 
+def _slot_waits(
+    server: BackendServer, parts: ServingParts
+) -> SlotWaits | ScarceSlotWaits:
+    if not parts.scarce_slots:
+        return SlotWaits(server.slots, server.id, parts.clock, parts.meter)
+    return ScarceSlotWaits(
+        server.slots, server.id, parts.clock, parts.meter, parts.nursery
+    )
+
+
 def _cold(server: BackendServer, wait_s: float) -> WorkResult:
     detail = f"{server.id} is cold, and gets no more work for now"
     return not_run(Blocker.OVERLOADED, detail, int(wait_s * 1000) + 1)
--- a/src/rattanhollow/serving/_serving.py
+++ b/src/rattanhollow/serving/_serving.py
@@ -9,11 +9,14 @@
 from rattanhollow.serving._cold_limit import NO_COLD_BOUND, ColdBound
 from rattanhollow.serving._connector import ServingParts
 from rattanhollow.serving._leader_use import CheckLeaderUse
+from rattanhollow.serving._presence import CURRENT_CALLER
+from rattanhollow.serving._scarce_slot_waits import work_of_left_caller
 from rattanhollow.serving._served_backend import ServedBackend
 from rattanhollow.serving._work import (
     Blocker,
     ProofAnswer,
     Work,
+    WorkKind,
     WorkResult,
     not_run,
 )
@@ -39,7 +42,8 @@
     transaction may stay idle. ``check_leader_use(server)`` returns whether a server may
     be used as the primary, ``may_begin_work(server_id)`` whether it may get new work,
     ``cold_bound(service)`` what a cold server of a service may get, and
-    ``must_stop(server_id)`` whether a server must get nothing more.
+    ``must_stop(server_id)`` whether a server must get nothing more. ``scarce_slots``
+    is whether queues for slots refuse what they can't do in time.
     """
 
     def __init__(
@@ -55,7 +59,9 @@
         may_begin_work: Callable[[str], bool],
         cold_bound: Callable[[str], ColdBound] = lambda service: NO_COLD_BOUND,
         must_stop: Callable[[str], bool] = lambda server_id: False,
+        scarce_slots: bool = False,
     ) -> None:
+        self._scarce_slots = scarce_slots
         self._must_stop = must_stop
         self._cold_bound = cold_bound
         self._check_leader_use = check_leader_use
@@ -122,7 +128,19 @@
                 Blocker.NOT_SERVED,
                 f"backend server {work.server} is not known to this host",
             )
-        return await served.run(work)
+        caller = CURRENT_CALLER.get()
+        if caller is None or work.kind is WorkKind.ROLLBACK:
+            return await served.run(work)
+        if caller.gone:
+            return work_of_left_caller(work)
+        with caller.withdrawing(lambda: served.withdraw(work.transaction)):
+            return await served.run(work)
+
+    def withdraw(self, server_id: str, transaction: str) -> None:
+        """Drop work for which nobody waits, unless it has been sent to the server."""
+        served = self._served.get(server_id)
+        if served is not None:
+            served.withdraw(transaction)
 
     async def prove(self, server_id: str) -> ProofAnswer:
         """Return a log position that the server proves as the primary."""
@@ -160,6 +178,7 @@
             self._cold_bound,
             self._is_first,
             must_stop=self._must_stop,
+            scarce_slots=self._scarce_slots,
         )
         served = ServedBackend(known, limit, parts)
         self._served[server_id] = served
--- a/src/rattanhollow/session/_end.py
+++ b/src/rattanhollow/session/_end.py
@@ -39,6 +39,12 @@
     async def receive(self) -> Received:
         """Return the next thing that the caller says; the first is an `Opening`."""
 
+    async def until_left(self) -> None:
+        """Return once the caller has closed its side; may be cancelled.
+
+        What it sends meanwhile is kept for `receive`, up to a limit.
+        """
+
     async def welcome(self) -> bool:
         """Tell the caller that its session has begun."""
 
--- a/src/rattanhollow/session/_serve.py
+++ b/src/rattanhollow/session/_serve.py
@@ -7,6 +7,7 @@
 
 from rattanhollow.configuration import digest_of
 from rattanhollow.observe import Meter, kinds, log_event
+from rattanhollow.session._departures import handle_while_connected
 from rattanhollow.session._end import (
     BadLine,
     CallerConnection,
@@ -21,12 +22,16 @@
 
 
 class ServeParts(NamedTuple):
-    """What serving callers needs; ``may_serve()`` tells whether this host may."""
+    """What serving callers needs; ``may_serve()`` tells whether this host may.
+
+    ``withdraws`` is whether the statements of callers who leave stop waiting.
+    """
 
     session: SessionParts
     sessions: Sessions
     may_serve: Callable[[], bool]
     meter: Meter
+    withdraws: bool = False
 
 
 async def serve_caller(connection: CallerConnection, parts: ServeParts) -> None:
@@ -102,7 +107,7 @@
                 return
         else:
             began_s = parts.session.clock()
-            answer = await _handle(session, received)
+            answer = await _handle(connection, session, received, parts.withdraws)
             took_ms = (parts.session.clock() - began_s) * 1000
             _report(received, answer, session, took_ms, parts.meter)
             if isinstance(answer, Refused) and answer.ends:
@@ -115,8 +120,12 @@
     await connection.dismiss(session.farewell())
 
 
-async def _handle(session: Session, request: Request) -> Answer:
+async def _handle(
+    connection: CallerConnection, session: Session, request: Request, withdraws: bool
+) -> Answer:
     with trio.CancelScope() as session.running:
+        if withdraws:
+            return await handle_while_connected(connection, session.handle, request)
         return await session.handle(request)
     return session.broken_off(request)
 
--- a/src/rattanhollow/session/_session.py
+++ b/src/rattanhollow/session/_session.py
@@ -19,6 +19,7 @@
     combine_home_regions,
 )
 from rattanhollow.serving import Scope, Work, WorkKind
+from rattanhollow.session._departures import admit_while_connected
 from rattanhollow.statements import (
     Answer,
     Begin,
@@ -236,7 +237,9 @@
         if route is None or not (self._key_digest or route.open):
             return Refused(Reason.NO_ROUTE)
         if self.organisation:
-            admission = await self._parts.admit(self.organisation, route.target_ms)
+            admission = await admit_while_connected(
+                self._parts.admit, self.organisation, route.target_ms
+            )
             if not admission.admitted:
                 return Refused(
                     Reason.OVER_RATE, admission.detail, admission.retry_after_ms
--- a/src/rattanhollow/settings/_host.py
+++ b/src/rattanhollow/settings/_host.py
@@ -68,6 +68,12 @@
     slack: int
 
 
+class AdmissionSettings(NamedTuple):
+    """Whether work is refused as soon as scarce slots can't run it in time."""
+
+    scarce_slots: bool
+
+
 class CrossingSettings(NamedTuple):
     """The wait that a read must save to leave its zone or region, 0 for no such rule.
 
@@ -104,6 +110,7 @@
     evacuate_ms: int
     cold: ColdSettings
     crossing: CrossingSettings
+    admission: AdmissionSettings
     requested: frozenset[str]
     rate_settle_ms: int
     rate_slack: int
@@ -183,6 +190,9 @@
         "zone_ms": Field(integer(0, HOUR_MS), 0),
         "region_ms": Field(integer(0, HOUR_MS), 0),
     },
+    "admission": {
+        "scarce_slots": Field(boolean, False),
+    },
     "rates": {
         "settle_ms": Field(_DURATION_MS, 1_500),
         "slack": Field(integer(0, 1_000_000), 0),
@@ -218,6 +228,7 @@
         evacuate_ms=bounds["evacuate_ms"],
         cold=ColdSettings(bounds["cold_over"], bounds["cold_slack"]),
         crossing=CrossingSettings(**values["crossing"]),
+        admission=AdmissionSettings(**values["admission"]),
         requested=requested,
         rate_settle_ms=values["rates"]["settle_ms"],
         rate_slack=values["rates"]["slack"],
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -48,7 +48,8 @@
     """Hosts ``h0``, ``h1``, … with the rate limiters of those that run.
 
     ``rates_per_s`` has one rate, which is also the burst, for each organisation;
-    ``slack`` is how many operations a window may have beyond them.
+    ``slack`` is how many operations a window may have beyond them, ``scarce`` whether
+    operations wait only for a token that can come in time.
     """
 
     def __init__(
@@ -57,7 +58,9 @@
         hosts: int,
         rates_per_s: tuple[float, ...],
         slack: int = SLACK,
+        scarce: bool = False,
     ) -> None:
+        self.scarce = scarce
         self.rng = rng
         self.slack = slack
         self.organisations = {
@@ -120,6 +123,7 @@
                 settle_s=1.5,
                 slack=self.slack,
                 meter=Meter(),
+                scarce=self.scarce,
             )
         )
         self.running[name] = rates
--- a/tests/test_line_cluster.py
+++ b/tests/test_line_cluster.py
@@ -466,3 +466,44 @@
         assert host.rates._share.fraction == 1 / 3
 
     with_cluster(scenario)
+
+
+def test_callers_that_leave_free_their_places_at_the_serving_host(
+    with_cluster: Any,
+) -> None:
+    """Sixty callers of a host that doesn't serve the primary leave while they wait.
+
+    Their statements would keep the primary busy for more than five seconds.
+    """
+
+    async def scenario(cluster: LineCluster) -> None:
+        serving = next(
+            number
+            for number, host in cluster.hosts.items()
+            if (server := host.directory.find("i-0")) is not None
+            and host.agents.is_preferred_host_for(server)
+        )
+        entry = (serving + 1) % 3
+        primary = cluster.group.servers["i-0"]
+        clients = [await session(cluster, entry, "newest") for _ in range(60)]
+        staying = await session(cluster, entry, "newest")
+        assert not (await staying.query("WRITE a 0")).error
+        primary.work_s = 0.3
+        before = len(primary.runs)
+        async with trio.open_nursery() as nursery:
+            for client in clients:
+                nursery.start_soon(send_and_leave, client)
+        await trio.sleep(0.1)
+        assert not (await staying.query("WRITE a 1")).error
+        assert len(primary.runs) - before <= 2 * primary.slot_count + 1
+        served = cluster.hosts[serving].serving.find("i-0")
+        assert served is not None
+        await trio.sleep(0.4)
+        assert served.idle
+
+    async def send_and_leave(client: LineClient) -> None:
+        with trio.move_on_after(0.15):
+            await client.query("WRITE a 2")
+        await client.close()
+
+    with_cluster(scenario, requested="pressure")
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -13,7 +13,7 @@
     r"|NOSTMT|LAGGING|READONLY|X-Lease-Holder|X-Fencing-Token|X-Instance-Id"
     r"|api_keys|max_stale_ms|target_latency_ms|db_role|cold_left_ms|seq_no"
     r"|sync_replicas|allowed_regions|max_conns|tx_idle_ms|allow_stale|bounded_staleness"
-    r"|read_your_writes|RATTANHOLLOW_BOOT|/promotion|/readiness|/objects)\b"
+    r"|read_your_writes|pressure|RATTANHOLLOW_BOOT|/promotion|/readiness|/objects)\b"
 )
 # Modules that decide: the adapter may use their types, not call them.
 DECIDING = (
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from rattanhollow.host import build_host, platform_ends
 from rattanhollow.settings import (
     SettingsError,
     line_host_settings_from,
@@ -91,3 +92,18 @@
     given = "[bounds]\nevacuate_ms = 3000\ncold_over = 1.5\ncold_slack = 5\n"
     settings = line_host_settings_from("h.ini", HOST + given)
     assert (settings.evacuate_ms, settings.cold) == (3_000, (1.5, 5))
+
+
+@pytest.mark.parametrize(
+    ("added", "requested", "on"),
+    [
+        ("", "base,config", False),
+        ("[admission]\nscarce_slots = yes", "base,config", True),
+        ("", "base,pressure", True),
+    ],
+)
+def test_scarce_slots_are_asked_for(added: str, requested: str, on: bool) -> None:
+    """Without the setting or the platform's word, queues are as they were."""
+    content = HOST.replace("base,config", requested) + added
+    settings = line_host_settings_from("h.ini", content)
+    assert build_host(settings, platform_ends(settings), 1)._scarce_slots is on
