Callers that leave wait for no connection, either

Cause: work that waits for a server connection, outside the queue for slots, stayed until its deadline when its caller left. Change: the wait ends when the work is withdrawn. Measured: the new test passes; test_serving passes.

--- a/src/rattanhollow/serving/_connector.py
+++ b/src/rattanhollow/serving/_connector.py
@@ -136,15 +136,22 @@
         """Whether a connection is idle or another one may be opened."""
         return self._pool.can_provide(self._parts.clock())
 
-    async def wait_until_available(self, work: Work, deadline_s: float) -> None:
+    async def wait_until_available(
+        self,
+        work: Work,
+        deadline_s: float,
+        is_withdrawn: Callable[[], bool] = lambda: False,
+    ) -> None:
         """Wait until a connection is idle or another one may be opened.
 
+        Ends also once ``is_withdrawn()`` is true.
+
         Raises:
             WorkStopped: not before the deadline, or another server can do the work
                 while this one has no room.
 
         """
-        while not self.can_provide():
+        while not (self.can_provide() or is_withdrawn()):
             movable = work.movable and self._pool.at_server_limit
             if movable or self._parts.clock() >= deadline_s:
                 counts = self._pool.counts
--- a/src/rattanhollow/serving/_served_backend.py
+++ b/src/rattanhollow/serving/_served_backend.py
@@ -370,7 +370,9 @@
             await self._slots.take(work, deadline_s)
             if transaction is None and not self._connector.can_provide():
                 self._slots.free(None)
-                await self._connector.wait_until_available(work, deadline_s)
+                await self._connector.wait_until_available(
+                    work, deadline_s, lambda: work.transaction in self._withdrawn
+                )
                 continue
             try:
                 return await self._run_in_slot(work, transaction, deadline_s)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -413,6 +413,23 @@
     on_scarce_stage(scenario)
 
 
+def test_callers_that_leave_wait_for_no_connection() -> None:
+    """Open transactions hold all connections; who waits for one leaves."""
+
+    async def scenario(stage: Stage, serving: Serving) -> None:
+        stage.databases[0].work_s = 0.01
+        for number in range(8):
+            begin = work(WorkKind.WRITE, scope=Scope.BEGIN, transaction=f"tx{number}")
+            assert (await serving.run_work(begin)).open
+        results: list[WorkResult] = []
+        with trio.fail_after(0.5):
+            item = work(transaction="t", budget_ms=30_000)
+            await call_and_leave(serving, item, 0.2, results)
+        assert results[0].outcome is WorkOutcome.NOT_RUN
+
+    on_scarce_stage(scenario)
+
+
 def test_a_refused_statement_ends_its_transaction() -> None:
     """The caller is told that it is aborted: its connection must not stay taken."""
 
