--- a/src/rattanhollow/serving/_connector.py
+++ b/src/rattanhollow/serving/_connector.py
@@ -58,6 +58,7 @@
     allow a server of the service while it is cold, and ``is_first_host(server)``
     whether this host is its first serving host. ``unix_clock()`` is the time of day.
     ``must_stop(server)`` is whether a server must get nothing more at all.
+    ``scarce_slots`` is whether queues for slots refuse what they can't do in time.
     """
 
     backend: BackendAdapter
@@ -70,6 +71,7 @@
     is_first_host: Callable[[BackendServer], bool] = lambda server: True
     unix_clock: Callable[[], float] = time.time
     must_stop: Callable[[BackendServer], bool] = lambda server: False
+    scarce_slots: bool = False
 
 
 class Connector:
@@ -134,15 +136,22 @@
         """Whether a connection is idle or another one may be opened."""
         return self._pool.can_provide(self._parts.clock())
 
-    async def wait_until_available(self, work: Work, deadline_s: float) -> None:
+    async def wait_until_available(
+        self,
+        work: Work,
+        deadline_s: float,
+        is_withdrawn: Callable[[], bool] = lambda: False,
+    ) -> None:
         """Wait until a connection is idle or another one may be opened.
 
+        Ends also once ``is_withdrawn()`` is true.
+
         Raises:
             WorkStopped: not before the deadline, or another server can do the work
                 while this one has no room.
 
         """
-        while not self.can_provide():
+        while not (self.can_provide() or is_withdrawn()):
             movable = work.movable and self._pool.at_server_limit
             if movable or self._parts.clock() >= deadline_s:
                 counts = self._pool.counts
