Hosts that restart together ask the store on each other's behalf

Cause: a host that started again created its record in vain, read and replaced it, and listed everything itself; all did so at once. One host of each region now lists exactly for all that start within a quarter of a second, and answers with version and digest; copies come from relays. A record of the previous start is replaced by one call. A host accepts callers once its copies are proven to be at least as new as the store was at its start; without the store it uses other hosts' copies after 3 s instead of at once. Failed writes of records are repeated after 0.5 to 1.5 s instead of 1.0 s.

--- a/src/rattanhollow/host/_answer_peers.py
+++ b/src/rattanhollow/host/_answer_peers.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from rattanhollow.host._leader_use import stop_use_here
-from rattanhollow.membership import Gossip, HostRecord, NeighbourWatch
+from rattanhollow.membership import Gossip, HostRecord, NeighbourWatch, StartCopies
 from rattanhollow.peer import (
     ChangeNews,
     CopyNews,
@@ -21,6 +21,7 @@
     ReplacementOverNews,
     StopUseAnswer,
     StopUseQuestion,
+    StoreStateQuestion,
     UseAnswer,
     UseQuestion,
 )
@@ -40,6 +41,7 @@
     directory: ServerDirectory
     floors: FloorCache
     leader_uses: LeaderUseChecker
+    start_copies: StartCopies
 
 
 async def answer_peer(
@@ -60,6 +62,8 @@
         return parts.broker.handle_deposit_request(question)
     if isinstance(question, CopyQuestion):
         return parts.gossip.comparison_response(question)
+    if isinstance(question, StoreStateQuestion):
+        return await parts.start_copies.lists.answer(question)
     if isinstance(question, CopyNews):
         parts.gossip.receive_copies(question)
         return None
--- a/src/rattanhollow/host/_begin.py
+++ b/src/rattanhollow/host/_begin.py
@@ -15,6 +15,8 @@
 # Two comparisons with a relay fit into it where its news was lost; callers come
 # many seconds later.
 COPY_WAIT_S = 3.0
+# How long a host that starts again waits for the list of hosts before it registers.
+RECORD_WAIT_S = 1.0
 
 
 async def wait_for_relays(
@@ -31,3 +33,11 @@
         await hosts.listed.wait()
         if not is_relay():
             await follower.listed.wait()
+
+
+async def find_own_record(name: str, hosts: Follower) -> int:
+    """Return the version of a host's record from its previous start, or 0."""
+    with trio.move_on_after(RECORD_WAIT_S):
+        await hosts.listed.wait()
+    found = hosts.items.get(name)
+    return found.version if found is not None else 0
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -11,7 +11,7 @@
 from rattanhollow.configuration import NO_ROUTES, RouteTable
 from rattanhollow.coordination import ranked
 from rattanhollow.host._answer_peers import Answerers, answer_peer
-from rattanhollow.host._begin import wait_for_relays
+from rattanhollow.host._begin import find_own_record, wait_for_relays
 from rattanhollow.host._clock import now_s
 from rattanhollow.host._ends import Ends
 from rattanhollow.host._leader_use import HostLinks, is_stopped_elsewhere
@@ -19,11 +19,14 @@
 from rattanhollow.host._stop import Stopping, stop_serving
 from rattanhollow.host._watch_primaries import WatchedParts, build_guardian
 from rattanhollow.membership import (
+    HOST_KIND,
     Gossip,
     HostDirectory,
     HostRecord,
     NeighbourWatch,
     Registration,
+    StartCopies,
+    StartCopiesParts,
 )
 from rattanhollow.net import (
     CALLER_KEEPALIVE,
@@ -99,7 +102,9 @@
             public_key="",
             incarnation=self._incarnation,
         )
-        self.registration = Registration(ends.store, record, rng, reports=False)
+        self.registration = Registration(
+            ends.store, record, rng, reports=False, find_version=self._find_record
+        )
         self.peers = Peers(
             place.address, None, self.hosts.has_public_key, self._answer_peer
         )
@@ -184,6 +189,18 @@
             rng,
             settings.configuration_ms / 1000,
         )
+        self._start_copies = StartCopies(
+            StartCopiesParts(
+                store=ends.store,
+                followers=[f for f in self._followers if f.kind != HOST_KIND],
+                own=self._own,
+                hosts=self.hosts,
+                peers=self.peers,
+                gossip=self.gossip,
+                region_of=places.region,
+                rng=rng,
+            )
+        )
         self._stopping = False
         # Whether the store's list of hosts has this one, and when it was deleted.
         self._listed = False
@@ -200,6 +217,10 @@
         address = settings.place.address
         metrics = await listen_at(address, settings.listen.metrics_port)
         async with trio.open_nursery() as nursery:
+            if settings.first_start:
+                self._start_copies.finished.set()
+            else:
+                nursery.start_soon(self._start_copies.run)
             for follower in self._followers:
                 nursery.start_soon(self._follow, follower)
             nursery.start_soon(serve_http, readiness, self._answer_readiness)
@@ -225,6 +246,7 @@
         await self._servers.listed.wait()
         if self._evacuation_objects is not None:
             await self._evacuation_objects.listed.wait()
+        await self._start_copies.finished.wait()
         nursery.start_soon(self._accept, serve, callers, nursery)
         self.ready = not self._stopping
         log_event("host.ready", host=self.settings.place.name)
@@ -268,9 +290,17 @@
         gossip = self.gossip
         if self.settings.first_start:
             await wait_for_relays(follower, self.hosts.follower, gossip.is_relay)
+        elif follower is not self.hosts.follower:
+            await self._start_copies.finished.wait()
         store = self._ends.store
         await follow(store, follower, self._rng, gossip.is_relay, gossip.notify_zone)
 
+    async def _find_record(self) -> int:
+        """Return the version of the record of this host's previous start, or 0."""
+        if self.settings.first_start:
+            return 0
+        return await find_own_record(self.settings.place.name, self.hosts.follower)
+
     def _poll_parts(self) -> PollParts:
         return PollParts(
             store=self._ends.store,
@@ -395,7 +425,8 @@
         if stored is None:
             self.evacuations.end(zone)
         else:
-            is_news = self._evacuation_objects.listed.is_set()
+            listed = self._evacuation_objects.listed.is_set()
+            is_news = listed and self._start_copies.finished.is_set()
             self.evacuations.begin(zone, is_news)
 
     def _take_routes(self, stored: Stored | None, name: str) -> None:
@@ -453,6 +484,7 @@
             self.directory,
             self.floors,
             self._leader_uses,
+            self._start_copies,
         )
         return await answer_peer(question, self._own(), parts)
 
--- a/src/rattanhollow/membership/__init__.py
+++ b/src/rattanhollow/membership/__init__.py
@@ -11,6 +11,7 @@
     NeighbourWatch,
     Registration,
 )
+from rattanhollow.membership._start_copies import StartCopies, StartCopiesParts
 
 __all__ = [
     "HOST_KIND",
@@ -23,4 +24,6 @@
     "NeighbourWatch",
     "PeerAccess",
     "Registration",
+    "StartCopies",
+    "StartCopiesParts",
 ]
--- a/src/rattanhollow/membership/_gossip.py
+++ b/src/rattanhollow/membership/_gossip.py
@@ -86,6 +86,16 @@
         rounds = RELAY_ROUNDS_PER_DEADLINE if self.is_relay() else ROUNDS_PER_DEADLINE
         return self._propagation_deadline_s / rounds
 
+    async def compare_now(self, record: HostRecord) -> None:
+        """Compare cached copies, beside the periodic comparisons.
+
+        A relay compares with the host ``record``, any other host with a relay.
+        """
+        if self.is_relay():
+            await self._compare_with(record)
+        else:
+            await self._compare_with_random_relay()
+
     def notify_zone(self, follower: Follower) -> None:
         """If this host is a relay, notify its zone of changes it was not sent yet."""
         own = self._own()
--- a/src/rattanhollow/membership/_hosts.py
+++ b/src/rattanhollow/membership/_hosts.py
@@ -7,7 +7,7 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 import trio
@@ -121,9 +121,16 @@
         self._on_change()
 
 
+async def _unknown_version() -> int:
+    return 0
+
+
 class Registration:
     """Keeps this host's record in the store, and with ``reports`` also its report.
 
+    ``find_version()`` returns the version of the record of a previous start, 0 if none
+    is known: replacing it takes one call, finding it by a refused creation three.
+
     ``written`` is set once the store has the record. ``is_first_registration`` is
     False if the store still had the record of a previous start of this host, and
     None until that is known.
@@ -135,8 +142,10 @@
         record: HostRecord,
         rng: random.Random,
         reports: bool = True,
+        find_version: Callable[[], Awaitable[int]] = _unknown_version,
     ) -> None:
         self.record = record
+        self._find_version = find_version
         self._writes_report = reports
         self._store = store
         self._rng = rng
@@ -189,7 +198,8 @@
                 report = HostReport(self.record.name, self._version)
                 is_written = await self._write(REPORT_KIND, to_spec(report))
             if not is_written:
-                await trio.sleep(RETRY_PAUSE_S)
+                # Many hosts that start together must not come back together.
+                await trio.sleep(RETRY_PAUSE_S * self._rng.uniform(0.5, 1.5))
                 continue
             await self._write_needed.wait()
             if self._writes_report:
@@ -199,15 +209,17 @@
     async def _write(self, kind: str, desired_spec: dict[str, Any]) -> bool:
         def change(spec: dict[str, Any] | None) -> Result[dict[str, Any] | None, Any]:
             if self.is_first_registration is None:
-                # An equal record is from a creation whose response was lost.
-                self.is_first_registration = spec is None or spec == desired_spec
+                # An equal record is from a write whose response was lost.
+                is_first = spec is None or spec == desired_spec
+                self.is_first_registration = is_first and not known_version
             return Ok(None if spec == desired_spec else desired_spec)
 
-        name = self.record.name
+        name, known_version = self.record.name, 0
         if self.is_first_registration is None:
-            created = await self._store.put(kind, name, desired_spec, 0)
-            if created.is_ok():
-                self.is_first_registration = True
+            known_version = await self._find_version()
+            put = await self._store.put(kind, name, desired_spec, known_version)
+            if put.is_ok():
+                self.is_first_registration = not known_version
                 return True
         written = await update(self._store, kind, name, change, attempts=2)
         return written.is_ok()
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -272,6 +272,18 @@
     is_stopped: bool
 
 
+class StoreStateQuestion(NamedTuple):
+    """Asks what the store holds now, at the earliest when this is received."""
+
+    kinds: tuple[str, ...]
+
+
+class StoreStateAnswer(NamedTuple):
+    """The states of the kinds of which the store was asked successfully."""
+
+    states: tuple[CopyState, ...]
+
+
 class FloorQuestion(NamedTuple):
     """Asks how far the log of a service's primary reached lately."""
 
@@ -337,6 +349,8 @@
     | FloorAnswer
     | ReplacementOverNews
     | LeaderNews
+    | StoreStateQuestion
+    | StoreStateAnswer
 )
 
 MESSAGE_TYPES: dict[str, Any] = {
@@ -377,6 +391,8 @@
     "floor": FloorAnswer,
     "replacement over": ReplacementOverNews,
     "leader": LeaderNews,
+    "store state?": StoreStateQuestion,
+    "store state": StoreStateAnswer,
 }
 _NAMES = {record: name for name, record in MESSAGE_TYPES.items()}
 _DECODERS = {
