A host that hears of an evacuation late stops as early as the others

Cause, found in review: a host that was cut off or suspended for three seconds counted from when it heard, and used the zone for up to six seconds behind the acknowledgement, where five are allowed. What it heard behind a pause in its comparisons of copies now counts as older by that pause. Not covered: the watches of all relays fall silent, and polls take more than two seconds.

Measured: the new tests in test_evacuations and test_fleet_news fail before (no such age) and pass now; test_evacuations with clusters passes.

--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -87,7 +87,11 @@
         self.ready = False
         self.sessions = Sessions()
         self.hosts = HostDirectory(self._hosts_changed)
-        self.evacuations = Evacuations(now_s, settings.evacuate_ms / 1000)
+        self.evacuations = Evacuations(
+            now_s,
+            settings.evacuate_ms / 1000,
+            lambda: self.gossip.compared_at_s,
+        )
         self.directory = ServerDirectory(ends.read_server, now_s, self.evacuations)
         self.meter = meter
         self._ends = ends
@@ -188,6 +192,7 @@
             self.peers,
             rng,
             settings.configuration_ms / 1000,
+            now_s,
         )
         self._start_copies = StartCopies(
             StartCopiesParts(
--- a/src/rattanhollow/membership/_gossip.py
+++ b/src/rattanhollow/membership/_gossip.py
@@ -8,6 +8,7 @@
 
 import hashlib
 import random
+import time
 from collections.abc import Callable, Sequence
 
 import trio
@@ -42,7 +43,7 @@
     """Compares cached copies with other hosts and notifies them of changes.
 
     ``propagation_deadline_s`` is the time within which every host has to know a
-    change.
+    change. ``clock`` must include time during which the host was suspended.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         peers: Peers,
         rng: random.Random,
         propagation_deadline_s: float,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._followers = {follower.kind: follower for follower in followers}
         self._own = own
@@ -63,6 +65,9 @@
         # The version up to which the hosts of the zone were notified, by kind.
         self._notified_versions: dict[str, int] = {}
         self._nursery: trio.Nursery | None = None
+        self._clock = clock
+        # When the last comparison began that another host answered.
+        self.compared_at_s = clock()
 
     def is_relay(self) -> bool:
         """Whether this host watches the store on behalf of its zone."""
@@ -207,6 +212,8 @@
         partners = self._partners()
         if partners:
             await self._compare_with(self._rng.choice(partners), full_kind)
+        else:
+            self.compared_at_s = self._clock()
 
     def _pending_notification(self, follower: Follower) -> CopyNews | ChangeNews | None:
         """Return what the zone was not notified of yet; at first, the full copy."""
@@ -229,6 +236,7 @@
             CopyState(kind, 0 if kind == full_kind else f.version, digest_copy(f))
             for kind, f in self._followers.items()
         )
+        asked_at_s = self._clock()
         result = await self._peers.ask(
             record.peer, CopyQuestion(states), QUERY_TIMEOUT_MS
         )
@@ -247,6 +255,7 @@
                 self.notify_zone(follower)
             elif not full_kind:
                 await self._compare_with(record, full_kind=change.kind)
+        self.compared_at_s = max(self.compared_at_s, asked_at_s)
 
     def _follower_if_older(self, newer: Copy | CopyChange) -> Follower | None:
         """Return this host's cached copy if that of the other host is newer."""
--- a/src/rattanhollow/routing/_evacuations.py
+++ b/src/rattanhollow/routing/_evacuations.py
@@ -18,28 +18,49 @@
 RETURN_S = 5.0
 
 
+# Hosts compare their copies that often; where one has not for longer, it was cut off or
+# suspended, and an evacuation that it hears of then may be older by as much.
+USUAL_CONTACT_S = 1.5
+
+
 class _Evacuation(NamedTuple):
     heard_at_s: float
-    # Whether it was news when it was heard; otherwise it may be of any age.
-    is_news: bool
+    # How much earlier than usual it has to end, as it was heard late.
+    late_s: float
 
 
 class Evacuations:
-    """The evacuated zones, and those that return to use; ``within_s`` to empty one."""
+    """The evacuated zones, and those that return to use; ``within_s`` to empty one.
 
-    def __init__(self, clock: Callable[[], float], within_s: float) -> None:
+    ``last_contact_s()`` is when this host last compared its copies with another one.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        within_s: float,
+        last_contact_s: Callable[[], float] | None = None,
+    ) -> None:
         self.within_s = within_s
+        self._last_contact_s = last_contact_s or clock
         self._clock = clock
         self._evacuated: dict[str, _Evacuation] = {}
         self._returned_at_s: dict[str, float] = {}
 
     def begin(self, zone: str, is_news: bool) -> None:
-        """Record that a zone is to be evacuated, unless that is known."""
+        """Record that a zone is to be evacuated, unless that is known.
+
+        One that is no news when it is heard may be of any age.
+        """
         if zone in self._evacuated:
             return
-        self._evacuated[zone] = _Evacuation(self._clock(), is_news)
+        now_s = self._clock()
+        late_s = max(0.0, now_s - self._last_contact_s() - USUAL_CONTACT_S)
+        if not is_news:
+            late_s = float("inf")
+        self._evacuated[zone] = _Evacuation(now_s, late_s)
         self._returned_at_s.pop(zone, None)
-        log_event("evacuation.begin", zone=zone, news=is_news)
+        log_event("evacuation.begin", zone=zone, news=is_news, late_s=round(late_s, 1))
 
     def end(self, zone: str) -> None:
         """Record that a zone's servers may be used again."""
@@ -62,9 +83,8 @@
         evacuation = self._evacuated.get(zone)
         if evacuation is None:
             return False
-        allowed_s = max(0.0, self.within_s - STOP_MARGIN_S)
-        heard_s = self._clock() - evacuation.heard_at_s
-        return not evacuation.is_news or heard_s >= allowed_s
+        allowed_s = max(0.0, self.within_s - STOP_MARGIN_S - evacuation.late_s)
+        return self._clock() - evacuation.heard_at_s >= allowed_s
 
     def returning_share(self, zone: str) -> float:
         """Return the share of its usual reads that a zone's servers may get, 0 to 1."""
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -152,6 +152,7 @@
             links,
             self.rng,
             PROPAGATION_DEADLINE_S,
+            trio.current_time,
         )
         self.record = record
         self.start_copies = StartCopies(
@@ -273,19 +274,18 @@
     With ``restarts`` the store has their records from a previous start.
     """
     fleet = MemoryFleet(seed, most_calls)
-    if restarts:
-        first_start = False
-        for number in range(count):
-            record = MemoryHost(f"h{number}", fleet, -1).record
-            fleet.table.create("hosts", record.name, to_spec(record))
     costs: list[float] = []
 
     async def main() -> None:
         rng = random.Random(seed)
+        for number in range(count if restarts else 0):
+            record = MemoryHost(f"h{number}", fleet, -1).record
+            fleet.table.create("hosts", record.name, to_spec(record))
         async with trio.open_nursery() as nursery:
             for number in range(count):
                 at_s = rng.uniform(0.2, 1.1)
-                nursery.start_soon(fleet.start, number, at_s, first_start)
+                is_first = first_start and not restarts
+                nursery.start_soon(fleet.start, number, at_s, is_first)
             for wait_s in (START_DURATION_S, idle_s):
                 fleet.table.calls.clear()
                 await trio.sleep(wait_s)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -68,6 +68,22 @@
     assert evacuated("a", Clock(), is_news=False).must_stop("a")
 
 
+@pytest.mark.parametrize("cut_s", [0.0, 1.0, 3.0, 10.0])
+def test_a_host_that_hears_late_stops_as_early_as_all(cut_s: float) -> None:
+    """A host that was cut off or suspended used the zone for three seconds more."""
+    clock = Clock()
+    zones = Evacuations(clock, WITHIN_S, last_contact_s=lambda: 0.0)
+    clock.now_s = cut_s
+    zones.begin("a", is_news=True)
+    acknowledged_s = 0.0
+    stops_s = acknowledged_s + max(cut_s, WITHIN_S - 0.4)
+    clock.now_s = stops_s
+    assert zones.must_stop("a")
+    if cut_s <= 1.0:
+        clock.now_s = cut_s + STOPPED_S - 0.1
+        assert not zones.must_stop("a")
+
+
 def test_a_second_evacuation_begins_anew() -> None:
     """One right behind the end of the first, and one of another zone."""
     clock = Clock()
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -106,3 +106,22 @@
             nursery.cancel_scope.cancel()
 
     run_jumping(main)
+
+
+def test_a_host_knows_when_others_last_answered() -> None:
+    """A host that was cut off took news for new that had been told for long."""
+    fleet = MemoryFleet()
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            await _start_all(fleet, nursery, 12)
+            for host in fleet.hosts.values():
+                age_s = trio.current_time() - host.gossip.compared_at_s
+                assert age_s < PROPAGATION_DEADLINE_S / 2
+            fleet.silent = set(fleet.hosts)
+            await trio.sleep(10.0)
+            for host in fleet.hosts.values():
+                assert trio.current_time() - host.gossip.compared_at_s >= 10.0
+            nursery.cancel_scope.cancel()
+
+    run_jumping(main)
