--- a/src/rattanhollow/membership/_gossip.py
+++ b/src/rattanhollow/membership/_gossip.py
@@ -8,6 +8,7 @@
 
 import hashlib
 import random
+import time
 from collections.abc import Callable, Sequence
 
 import trio
@@ -67,6 +68,7 @@
     ``propagation_deadline_s`` is the time within which every host has to know a
     change. ``region_of(zone)`` is the region of an availability zone; by default
     all zones are in one.
+    ``clock`` must include time during which the host was suspended.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         rng: random.Random,
         propagation_deadline_s: float,
         region_of: Callable[[str], str] = lambda zone: "",
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._followers = {follower.kind: follower for follower in followers}
         self._own = own
@@ -103,6 +106,9 @@
                 apply_items=self._apply_items,
             )
         )
+        self._clock = clock
+        # When the last comparison began that another host answered.
+        self.compared_at_s = clock()
 
     def is_relay(self) -> bool:
         """Whether this host watches the store on behalf of its zone."""
@@ -126,6 +132,16 @@
         rounds = RELAY_ROUNDS_PER_DEADLINE if self.is_relay() else ROUNDS_PER_DEADLINE
         return self._propagation_deadline_s / rounds
 
+    async def compare_now(self, record: HostRecord) -> None:
+        """Compare cached copies, beside the periodic comparisons.
+
+        A relay compares with the host ``record``, any other host with a relay.
+        """
+        if self.is_relay():
+            await self._compare_with(record)
+        else:
+            await self._compare_with_random_relay()
+
     def notify_zone(self, follower: Follower) -> None:
         """If this host is a relay, notify its zone of changes it was not sent yet."""
         own = self._own()
@@ -366,6 +382,8 @@
         partners = self._partners()
         if partners:
             await self._compare_with(self._rng.choice(partners), full_kind)
+        else:
+            self.compared_at_s = self._clock()
 
     def _pending_notification(
         self, follower: Follower
@@ -394,6 +412,7 @@
             CopyState(kind, 0 if kind == full_kind else f.version, digest_copy(f))
             for kind, f in self._followers.items()
         )
+        asked_at_s = self._clock()
         result = await self._peers.ask(
             record.peer, CopyQuestion(states), QUERY_TIMEOUT_MS
         )
@@ -415,6 +434,7 @@
                     self._nursery.start_soon(self._fetch_announced, change, record)
             elif not full_kind:
                 await self._compare_with(record, full_kind=change.kind)
+        self.compared_at_s = max(self.compared_at_s, asked_at_s)
 
     async def _fetch_announced(
         self, change: CopyChange, record: HostRecord | None
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -346,6 +346,18 @@
     is_stopped: bool
 
 
+class StoreStateQuestion(NamedTuple):
+    """Asks what the store holds now, at the earliest when this is received."""
+
+    kinds: tuple[str, ...]
+
+
+class StoreStateAnswer(NamedTuple):
+    """The states of the kinds of which the store was asked successfully."""
+
+    states: tuple[CopyState, ...]
+
+
 class FloorQuestion(NamedTuple):
     """Asks how far the log of a service's primary reached lately."""
 
@@ -417,6 +429,8 @@
     | ReplacementOverNews
     | LeaderNews
     | WithdrawalNews
+    | StoreStateQuestion
+    | StoreStateAnswer
 )
 
 MESSAGE_TYPES: dict[str, Any] = {
@@ -463,6 +477,8 @@
     "replacement over": ReplacementOverNews,
     "leader": LeaderNews,
     "withdrawal": WithdrawalNews,
+    "store state?": StoreStateQuestion,
+    "store state": StoreStateAnswer,
 }
 _NAMES = {record: name for name, record in MESSAGE_TYPES.items()}
 _DECODERS = {
--- a/src/rattanhollow/settings/_host.py
+++ b/src/rattanhollow/settings/_host.py
@@ -95,12 +95,14 @@
     ``rate_settle_ms`` is how long a new host takes no part of the organisations' rates,
     so that all others count it, ``rate_slack`` how many operations operators allow
     above rate and burst.
-    ``first_start`` where the whole fleet starts for the first time. ``requested`` are
-    the capabilities that the platform asks for, in its own words.
+    ``first_start`` where the whole fleet starts for the first time, ``shared_start``
+    where hosts that start together list the store on behalf of one another.
+    ``requested`` are the capabilities that the platform asks for, in its own words.
     """
 
     place: PlaceSettings
     first_start: bool
+    shared_start: bool
     listen: ListenAddresses
     upstreams: Upstreams
     stop_s: int
@@ -165,6 +167,7 @@
         "zone": Field(text),
         "regions": Field(regions),
         "first_start": Field(boolean, False),
+        "shared_start": Field(boolean, False),
     },
     "listen": {
         "callers": Field(endpoint),
@@ -215,10 +218,12 @@
     values = read_ini(file, content, LAYOUT)
     bounds = values["bounds"]
     first_start = values["host"].pop("first_start")
+    shared_start = values["host"].pop("shared_start")
     requested = values["platform"].pop("requested")
     return LineHostSettings(
         place=PlaceSettings(**values["host"]),
         first_start=first_start,
+        shared_start=shared_start,
         listen=ListenAddresses(**values["listen"]),
         upstreams=Upstreams(**values["platform"]),
         stop_s=bounds["stop_s"],
