Begin work only with twice its mean time left where slots are scarce

Cause: a trial with hosts on loopback had two writes in doubt, probably sent with little more than the mean time per statement left and cut off by their deadline. Change: a reserve of twice the mean time, at most 100 ms above it.

--- a/src/rattanhollow/serving/_scarce_queue.py
+++ b/src/rattanhollow/serving/_scarce_queue.py
@@ -31,6 +31,9 @@
 # Work that waits is refused only if it would miss its deadline even with this fraction
 # of its estimated wait, as the time per statement varies.
 REVIEW_RATIO = 0.8
+# Work is begun only with twice the mean time per statement left, up to this much more
+# than the mean: a write that its deadline cuts off has an unknown outcome.
+MAX_RUN_MARGIN_S = 0.1
 
 ON_ARRIVAL = "the queue for slots can't run it before its deadline"
 WHILE_WAITING = "the queue for slots can no longer run it before its deadline"
@@ -224,7 +227,9 @@
             waiting.priority, waiting.organisation, waiting.request_id, now_s
         )
         for late in (False, True):
+            begin_by_s = waiting.deadline_s - self._run_s
             by_s = waiting.deadline_s if late else waiting.target_s
+            begin_by_s = min(begin_by_s, by_s - self._cost_s)
             if late:
                 ahead = bisect_right(queue.late, by_s, key=_deadline_s)
                 turns = queue.late_turns(ahead)
@@ -232,10 +237,9 @@
                 ahead = bisect_right(queue.prompt, by_s, key=_target_s)
                 turns = queue.prompt_turns(ahead)
             wait_s = self._wait_s(waiting, level, turns, now_s)
-            fits = now_s + wait_s + self._cost_s <= by_s
-            if fits and not claimed:
+            if now_s + wait_s <= begin_by_s and not claimed:
                 wait_s += self._wait_for_returns_s(waiting, turns, wait_s, now_s)
-            if now_s + wait_s + self._cost_s <= by_s:
+            if now_s + wait_s <= begin_by_s:
                 self._add(waiting, late)
                 return None
         return self._refuse(waiting, ON_ARRIVAL, wait_s, now_s)
@@ -260,9 +264,8 @@
                     wait_s = self._grants(priority, level, own) * self._interval_s(
                         now_s
                     )
-                    if now_s + REVIEW_RATIO * wait_s + self._cost_s > (
-                        waiting.deadline_s
-                    ):
+                    likely_s = now_s + REVIEW_RATIO * wait_s
+                    if not self.has_time_for(waiting, likely_s):
                         found.append((waiting, wait_s))
         refused = []
         for waiting, wait_s in found:
@@ -295,7 +298,7 @@
 
     def has_time_for(self, waiting: Waiting[T], now_s: float) -> bool:
         """Whether work that begins now can be done before its deadline."""
-        return now_s + self._cost_s <= waiting.deadline_s
+        return now_s + self._run_s <= waiting.deadline_s
 
     def refuse_granted(self, waiting: Waiting[T], now_s: float) -> Refusal:
         """Refuse work that got a slot with too little time left."""
@@ -315,6 +318,10 @@
     def _cost_s(self) -> float:
         return self._slots.cost_ms / 1000
 
+    @property
+    def _run_s(self) -> float:
+        return self._cost_s + min(self._cost_s, MAX_RUN_MARGIN_S)
+
     def _interval_s(self, now_s: float) -> float:
         """Return the time between two grants; it grows while no slot becomes free."""
         silent_s = 0.0
@@ -379,7 +386,7 @@
         excess_s = max(
             MIN_RETRY_AFTER_S,
             waiting.retry_at_least_s,
-            wait_s + self._cost_s - allowed_s,
+            wait_s + self._run_s - allowed_s,
         )
         if not waiting.returns:
             return Refusal(detail, excess_s)
