--- a/src/rattanhollow/settings/_host.py
+++ b/src/rattanhollow/settings/_host.py
@@ -24,6 +24,8 @@
 _PORT = integer(1, HIGHEST_PORT)
 _DURATION_MS = integer(1, HOUR_MS)
 _DURATION_S = integer(1, HOUR_MS // 1000)
+HIGHEST_MEMORY_MB = 1_000_000
+HIGHEST_DESCRIPTORS = 1_000_000
 
 
 class Endpoint(NamedTuple):
@@ -187,6 +189,10 @@
         "settle_ms": Field(_DURATION_MS, 1_500),
         "slack": Field(integer(0, 1_000_000), 0),
     },
+    "limits": {
+        "memory_mb": Field(_or_default(integer(64, HIGHEST_MEMORY_MB), 0), 0),
+        "descriptors": Field(_or_default(integer(64, HIGHEST_DESCRIPTORS), 0), 0),
+    },
     "membership": {
         "ask_interval_ms": Field(_DURATION_MS, 1_000),
         "ask_timeout_ms": Field(_DURATION_MS, 800),
