One budget for what a host holds for its callers; HTTP addresses are bounded

Cause: lines received, statements, responses and the values of sessions were held without any common bound, and any number of connections was accepted. They are now accounted for in one place (`limits/`), by connection, organisation and process: what holds more than its part is read from no more, lines without room are refused as not run before they are decoded, at the limit the connection that holds most is closed. Descriptors are reserved; a readiness or metrics address ends the connection that waited longest for a further one. `[limits]` takes effect; a host without it holds at most 1 GiB for callers. A response in hand no longer keeps its rows while the session waits, values in log lines have at most 4,000 characters, and both readers of the wire search and join each piece once.

--- a/src/rattanhollow/explain/_cause.py
+++ b/src/rattanhollow/explain/_cause.py
@@ -21,6 +21,13 @@
     "lost": "the exchange with the backend server broke off",
     "no transaction": "its transaction was lost at the serving host before",
 }
+_BY_LIMIT = {
+    "connection": "it held more memory than one connection may",
+    "organisation": "its organisation held too much memory, and it held most of that",
+    "process": "the host's memory for callers was full, and it held most of that",
+    "paused": "the host's memory for callers stayed short, and it held most of that",
+    "callers": "the host was full, and another caller needed its place",
+}
 _AROUND = {
     "server.unreachable": "the server did not answer its serving host",
     "peer.dark": "the serving host left questions unanswered",
@@ -37,6 +44,10 @@
     and services that it met, shortly before or meanwhile.
     """
     refused = next((x for x in reversed(own) if x.event == "request.refused"), None)
+    closed = next((x for x in reversed(own) if x.event == "caller.closed"), None)
+    if refused is None and closed is not None:
+        limit = closed.get("limit")
+        return f"its connection was closed: {_BY_LIMIT.get(limit, limit)}"
     if refused is None:
         done = any(line.event == "request.done" for line in own)
         return "it was answered" if done else "no host logged its end"
--- a/src/rattanhollow/host/_ends.py
+++ b/src/rattanhollow/host/_ends.py
@@ -7,6 +7,7 @@
 from result import Result
 
 from rattanhollow.configuration import RouteTable
+from rattanhollow.limits import Account
 from rattanhollow.serving import BackendAdapter, BackendServer
 from rattanhollow.session import CallerConnection
 from rattanhollow.store import ObjectStore, Stored
@@ -15,12 +16,12 @@
 class Ends(NamedTuple):
     """Everything outside the host.
 
-    ``caller(stream)`` speaks with a caller. ``promote(service, server, holder,
+    ``caller(stream, account)`` speaks with a caller. ``promote(service, server, holder,
     fencing_token)`` answers with the status of the order. ``evacuation_kind`` is the
     kind of the store's objects that evacuate zones, empty where there are none.
     """
 
-    caller: Callable[[trio.SocketStream], CallerConnection]
+    caller: Callable[[trio.SocketStream, Account], CallerConnection]
     backend: BackendAdapter
     store: ObjectStore
     promote: Callable[[str, str, str, int], Awaitable[Result[int, str]]]
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -18,6 +18,7 @@
 from rattanhollow.host._polls import PollParts, poll_store
 from rattanhollow.host._stop import Stopping, stop_serving
 from rattanhollow.host._watch_primaries import WatchedParts, build_guardian
+from rattanhollow.limits import Account, ByteBudget, ConnectionLimit, derive_limits
 from rattanhollow.membership import (
     Gossip,
     HostDirectory,
@@ -52,15 +53,21 @@
 )
 from rattanhollow.serving import NO_COLD_BOUND, ColdBound, ProofAnswer, Serving
 from rattanhollow.session import (
+    CallerConnection,
     ServeParts,
     SessionParts,
     Sessions,
     serve_caller,
 )
 from rattanhollow.settings import LineHostSettings
+from rattanhollow.statements import Reason, Refused
 from rattanhollow.store import Follower, Stored, follow
 from rattanhollow.succession import LeaderUseChecker
 
+FULL = "this host has as many callers as it may"
+FULL_RETRY_MS = 1_000
+# Refusals that wait for the caller to read them hold a descriptor each.
+TURNED_AWAY_AT_ONCE = 8
 # A host nearby asks the primary across regions, at worst; then this one does.
 NEARBY_TIMEOUT_MS = 300
 # Hosts hear of a leave up to a second late, and work takes its way to the server.
@@ -83,6 +90,13 @@
         self.routes: RouteTable = NO_ROUTES
         self.ready = False
         self.sessions = Sessions()
+        self.limits = derive_limits(settings.limits)
+        self.held = ByteBudget(
+            self.limits.byte_limits,
+            now_s,
+            lambda: meter.count(kinds.CALLERS_PAUSED),
+        )
+        self._callers = ConnectionLimit(self.limits.callers, now_s)
         self.hosts = HostDirectory(self._hosts_changed)
         self.evacuations = Evacuations(now_s, settings.evacuate_ms / 1000)
         self.directory = ServerDirectory(ends.read_server, now_s, self.evacuations)
@@ -191,6 +205,7 @@
         self._stopped = trio.Event()
         self._accepting = trio.CancelScope()
         self._connections = 0
+        self._turning_away = 0
         self._serve_gauges()
 
     async def run(self) -> None:
@@ -202,8 +217,9 @@
         async with trio.open_nursery() as nursery:
             for follower in self._followers:
                 nursery.start_soon(self._follow, follower)
-            nursery.start_soon(serve_http, readiness, self._answer_readiness)
-            nursery.start_soon(serve_http, metrics, self._answer_metrics)
+            most = self.limits.http_connections
+            nursery.start_soon(serve_http, readiness, self._answer_readiness, most)
+            nursery.start_soon(serve_http, metrics, self._answer_metrics, most)
             nursery.start_soon(self.peers.run, settings.listen.peer_port)
             nursery.start_soon(self.registration.run)
             nursery.start_soon(self._neighbours.run)
@@ -311,14 +327,55 @@
 
     async def _serve_caller(self, parts: ServeParts, stream: trio.SocketStream) -> None:
         tune_socket(stream, CALLER_KEEPALIVE)
+        account = self.held.open()
+        connection = self._ends.caller(stream, account)
+        if not self._callers.enter(account.scope):
+            self.held.remove(account)
+            await self._turn_away(connection)
+            return
         self._connections += 1
+        opened = partial(self._callers.use, account.scope)
         try:
-            await serve_caller(self._ends.caller(stream), parts)
+            with account.scope:
+                await serve_caller(connection, parts, account, opened)
         except Exception as error:
             # One session must not end the process.
             log_failure("session.failed", error)
         finally:
             self._connections -= 1
+            self._callers.leave(account.scope)
+            self.held.remove(account)
+            if account.scope.cancelled_caught:
+                self._report_closed(account)
+
+    async def _turn_away(self, connection: CallerConnection) -> None:
+        """Refuse a caller for whom no descriptor is left."""
+        reason = Reason.BUSY
+        self.meter.count(kinds.SESSIONS_REFUSED, reason.name)
+        log_event("session.refused", route="", reason=reason.name, detail=FULL)
+        try:
+            if self._turning_away < TURNED_AWAY_AT_ONCE:
+                self._turning_away += 1
+                try:
+                    await connection.dismiss(Refused(reason, FULL, FULL_RETRY_MS))
+                finally:
+                    self._turning_away -= 1
+        finally:
+            with trio.CancelScope(shield=True):
+                await connection.close()
+
+    def _report_closed(self, account: Account) -> None:
+        limit = account.closed_for or "callers"
+        self.meter.count(kinds.CALLERS_CLOSED, limit)
+        log_event(
+            "caller.closed",
+            limit=limit,
+            organisation=account.organisation,
+            request=account.request,
+            connection_held_bytes=account.held_at_close_bytes,
+            held_bytes=self.held.held_bytes,
+            connections=self._connections,
+        )
 
     async def _note_registration(self) -> None:
         await self.registration.written.wait()
@@ -437,6 +494,8 @@
         gauge = self.meter.gauge
         gauge(kinds.CONFIGURATION_VERSION, lambda: self.routes.version)
         gauge(kinds.SESSIONS, lambda: len(self.sessions))
+        gauge(kinds.CONNECTIONS, lambda: self._connections)
+        gauge(kinds.HELD_BYTES, lambda: self.held.held_bytes)
         gauge(kinds.HOSTS, lambda: len(self.hosts.all()))
         gauge(kinds.STORE_SILENT_S, self._store_silent_s)
 
--- a/src/rattanhollow/net/_http_server.py
+++ b/src/rattanhollow/net/_http_server.py
@@ -6,6 +6,7 @@
 import h11
 import trio
 
+from rattanhollow.limits import ConnectionLimit
 from rattanhollow.observe import log_failure
 
 RECEIVE_BYTES = 8_192
@@ -23,24 +24,40 @@
 Answer = Callable[[str, str], HttpReply]
 
 
-async def serve_http(listener: trio.SocketListener, answer: Answer) -> None:
-    """Answer each request by ``answer(method, path)``, until cancelled."""
+async def serve_http(
+    listener: trio.SocketListener, answer: Answer, connections_at_most: int
+) -> None:
+    """Answer each request by ``answer(method, path)``, until cancelled.
+
+    A further connection ends the one that has waited longest behind its last
+    response: a balancer that asks often is served beside any number that stay.
+    """
+    limit = ConnectionLimit(connections_at_most, trio.current_time, grace_s=0.0)
 
     async def serve_one(stream: trio.SocketStream) -> None:
+        scope = trio.CancelScope()
+        if not limit.enter(scope):
+            await trio.aclose_forcefully(stream)
+            return
         try:
-            await _serve(stream, answer)
+            with scope:
+                await _serve(stream, answer, lambda: limit.rest(scope))
         except (trio.BrokenResourceError, h11.ProtocolError, OSError):
             return
         except Exception as error:
             # One request must not end the process.
             log_failure("http.failed", error)
         finally:
-            await trio.aclose_forcefully(stream)
+            limit.leave(scope)
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(stream)
 
     await trio.serve_listeners(serve_one, [listener])
 
 
-async def _serve(stream: trio.SocketStream, answer: Answer) -> None:
+async def _serve(
+    stream: trio.SocketStream, answer: Answer, answered: Callable[[], None]
+) -> None:
     http = h11.Connection(h11.SERVER)
     reply = HttpReply(400)
     while True:
@@ -53,7 +70,11 @@
         elif isinstance(event, h11.Request):
             reply = answer(event.method.decode(), event.target.decode())
         elif isinstance(event, h11.EndOfMessage):
-            await _send(stream, http, reply)
+            with trio.move_on_after(REQUEST_TIMEOUT_S) as sending:
+                await _send(stream, http, reply)
+            if sending.cancelled_caught:
+                return
+            answered()
             if http.our_state is not h11.DONE:
                 return
             http.start_next_cycle()
--- a/src/rattanhollow/observe/_kinds.py
+++ b/src/rattanhollow/observe/_kinds.py
@@ -63,4 +63,18 @@
 )
 SESSIONS = MetricKind("rattanhollow_sessions", "Sessions open now.")
 HOSTS = MetricKind("rattanhollow_hosts", "Hosts that the store lists.")
+STATEMENTS_NOT_HELD = MetricKind(
+    "rattanhollow_statements_not_held",
+    "Statements refused because the memory for callers was short.",
+)
+CALLERS_CLOSED = MetricKind(
+    "rattanhollow_callers_closed",
+    "Callers' connections closed, by the limit that was reached.",
+    ("limit",),
+)
+CALLERS_PAUSED = MetricKind(
+    "rattanhollow_callers_paused", "Pauses of connections that held most."
+)
+HELD_BYTES = MetricKind("rattanhollow_held_bytes", "Memory held for callers.")
+CONNECTIONS = MetricKind("rattanhollow_connections", "Callers' connections open now.")
 LINES_OMITTED = MetricKind("rattanhollow_log_lines_omitted", "Log lines not written.")
--- a/src/rattanhollow/observe/_logs.py
+++ b/src/rattanhollow/observe/_logs.py
@@ -20,6 +20,8 @@
 HIDDEN_FIELDS = frozenset({"task_uuid", "task_level", "timestamp", "message_type"})
 NEEDS_QUOTES = frozenset(' "=\n\t')
 PLACES_LOGGED = 6
+# Callers choose identifiers and names of routes, up to the length of a line.
+VALUE_CHARACTERS = 4_000
 # Lines of one event's name: at once, and over time. Requests that end well are
 # the most and say the least; what fails or changes has its own room.
 LINES_AT_ONCE = 200
@@ -144,7 +146,7 @@
 
 
 def _value(value: Any) -> str:
-    text = str(value)
+    text = str(value)[:VALUE_CHARACTERS]
     if text and not NEEDS_QUOTES.intersection(text):
         return text
     escaped = text.replace("\\", "\\\\").replace('"', '\\"')
--- a/src/rattanhollow/pgwire/_frames.py
+++ b/src/rattanhollow/pgwire/_frames.py
@@ -32,7 +32,8 @@
 
     def __init__(self, limit_bytes: int) -> None:
         self._limit_bytes = limit_bytes
-        self._pending = b""
+        self._pending = bytearray()
+        self._needed_bytes = HEADER_BYTES
 
     @property
     def pending_bytes(self) -> int:
@@ -46,18 +47,27 @@
             ProtocolViolation: a length below four bytes or above the limit.
 
         """
-        buffer = self._pending + data if self._pending else data
+        if self._pending:
+            self._pending += data
+            # Joining the pieces of a large frame at each one takes quadratic time.
+            if len(self._pending) < self._needed_bytes:
+                return []
+            data = bytes(self._pending)
+            self._pending.clear()
+        buffer = data
         frames: list[Frame] = []
         start = 0
         size = len(buffer)
+        self._needed_bytes = HEADER_BYTES
         while size - start >= HEADER_BYTES:
             kind, length = HEADER.unpack_from(buffer, start)
             if length < LENGTH_FIELD_BYTES or length >= self._limit_bytes:
                 raise ProtocolViolation(f"frame length {length} out of bounds")
             end = start + 1 + length
             if end > size:
+                self._needed_bytes = end - start
                 break
             frames.append(Frame(kind, buffer[start:end]))
             start = end
-        self._pending = buffer[start:] if start else buffer
+        self._pending += buffer[start:] if start else buffer
         return frames
--- a/src/rattanhollow/platform/_caller.py
+++ b/src/rattanhollow/platform/_caller.py
@@ -1,10 +1,13 @@
 """The caller's end of the line protocol."""
 
+from collections import deque
+
 import trio
 
+from rattanhollow.limits import Account, Purpose, text_bytes
 from rattanhollow.platform import _words as words
-from rattanhollow.platform._lines import LineReader, LineTooLong, line
-from rattanhollow.session import BadLine, Farewell, Opening, Received
+from rattanhollow.platform._lines import LineReader, LineTooLong, line, text_of
+from rattanhollow.session import BadLine, Farewell, NoRoom, Opening, Received
 from rattanhollow.statements import (
     Answer,
     Begin,
@@ -27,6 +30,12 @@
 RECEIVE_BYTES = 16_384
 # A request that crossed the farewell arrives within a round trip.
 LINGER_S = 0.15
+# The text, and the command that is sent to the backend server.
+COPIES_HELD = 2
+# Shorter lines are never refused for memory, so that a COMMIT or ROLLBACK always runs.
+SMALL_LINE_BYTES = 4_096
+LINE_HEAD_BYTES = 80
+REQUEST_ID_BYTES = 100
 LOST = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 _CODES = {
@@ -49,10 +58,11 @@
 class LineCaller:
     """One caller's connection; one task reads and answers."""
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(self, stream: trio.SocketStream, account: Account) -> None:
         self._stream = stream
+        self._account = account
         self._reader = LineReader()
-        self._lines: list[str] = []
+        self._lines: deque[bytearray] = deque()
         self._opened = False
 
     @property
@@ -63,6 +73,7 @@
     async def receive(self) -> Received:
         """Return the next thing that the caller says; the first is an `Opening`."""
         while not self._lines:
+            await self._account.wait_for_room()
             try:
                 data = await self._stream.receive_some(RECEIVE_BYTES)
             except LOST as error:
@@ -70,10 +81,20 @@
             if not data:
                 return Farewell("closed")
             try:
-                self._lines = self._reader.feed(bytes(data))
+                self._lines.extend(self._reader.feed_raw(bytes(data)))
             except LineTooLong:
                 return BadLine(framing_lost=True)
-        text = self._lines.pop(0)
+            self._hold_received()
+        raw = self._lines.popleft()
+        self._hold_received()
+        # Its memory is refused before the line is decoded, which may take four times
+        # as much; many lines may arrive at once.
+        held_bytes = COPIES_HELD * len(raw) * (1 if raw.isascii() else 4)
+        if len(raw) <= SMALL_LINE_BYTES:
+            self._account.hold(Purpose.STATEMENT, held_bytes)
+        elif not self._account.try_hold(Purpose.STATEMENT, held_bytes):
+            return NoRoom(request_id_of(raw))
+        text = text_of(raw)
         if self._opened:
             return parse_request(text)
         self._opened = True
@@ -85,7 +106,12 @@
 
     async def answer(self, answer: Answer, state: SessionState) -> bool:
         """Send an answer; False where the caller is gone."""
-        return await self._send(encode_answer(answer, state))
+        rows = answer.rows if isinstance(answer, Completed) else ()
+        data = encode_answer(answer, state)
+        self._account.hold(Purpose.RESPONSE, len(data) + text_bytes(*rows))
+        sent = await self._send(data)
+        self._account.hold(Purpose.RESPONSE, 0)
+        return sent
 
     async def refuse(self, refused: Refused) -> bool:
         """Send an error that ends the session; False where the caller is gone."""
@@ -111,6 +137,11 @@
         """Close at once."""
         await trio.aclose_forcefully(self._stream)
 
+    def _hold_received(self) -> None:
+        lines_bytes = sum(LINE_HEAD_BYTES + len(raw) for raw in self._lines)
+        held_bytes = self._reader.pending_bytes + lines_bytes
+        self._account.hold(Purpose.RECEIVED, held_bytes)
+
     async def _send(self, data: bytes) -> bool:
         try:
             await self._stream.send_all(data)
@@ -119,6 +150,13 @@
         return True
 
 
+def request_id_of(raw: bytearray) -> str:
+    """Return the identifier of a request that isn't decoded, for the log."""
+    head = text_of(raw[:REQUEST_ID_BYTES].rpartition(b" ")[0])
+    word, _, rest = head.partition(" ")
+    return rest.partition(" ")[0] if word == words.QUERY else ""
+
+
 def parse_opening(text: str) -> Opening | BadLine:
     """Return what the first line of a session says."""
     word, _, rest = text.partition(" ")
--- a/src/rattanhollow/platform/_lines.py
+++ b/src/rattanhollow/platform/_lines.py
@@ -30,28 +30,35 @@
         return len(self._pending)
 
     def feed(self, data: bytes) -> list[str]:
-        """Take bytes and return the lines that they complete.
+        """Take bytes and return the lines that they complete; errors as `feed_raw`."""
+        return [text_of(line) for line in self.feed_raw(data)]
+
+    def feed_raw(self, data: bytes) -> list[bytearray]:
+        """Take bytes and return the lines that they complete, undecoded.
 
         Raises:
             LineTooLong: a line is longer than the protocol allows.
 
         """
+        # The end may be cut in two; bytes before that were searched already.
+        start = max(len(self._pending) - len(LINE_END) + 1, 0)
         self._pending += data
-        if LINE_END not in self._pending:
+        if self._pending.find(LINE_END, start) < 0:
             self._check_length(len(self._pending))
             return []
         *lines, rest = self._pending.split(LINE_END)
         self._pending = rest
         for line in lines:
             self._check_length(len(line))
-        return [_text(line) for line in lines]
+        return lines
 
     def _check_length(self, length: int) -> None:
         if length > LINE_BYTES_AT_MOST:
             raise LineTooLong(f"{length} bytes without a line's end")
 
 
-def _text(line: bytearray) -> str:
+def text_of(line: bytearray) -> str:
+    """Return a line's text, an empty one where it can't be a line of the protocol."""
     try:
         text = line.decode()
     except UnicodeDecodeError:
--- a/src/rattanhollow/session/__init__.py
+++ b/src/rattanhollow/session/__init__.py
@@ -4,6 +4,7 @@
     BadLine,
     CallerConnection,
     Farewell,
+    NoRoom,
     Opening,
     Received,
 )
@@ -14,6 +15,7 @@
     "BadLine",
     "CallerConnection",
     "Farewell",
+    "NoRoom",
     "Opening",
     "Received",
     "ServeParts",
--- a/src/rattanhollow/session/_end.py
+++ b/src/rattanhollow/session/_end.py
@@ -27,7 +27,13 @@
     framing_lost: bool
 
 
-Received = Opening | Request | Farewell | BadLine
+class NoRoom(NamedTuple):
+    """A request that was dropped, as there is no memory to run it."""
+
+    request_id: str
+
+
+Received = Opening | Request | Farewell | BadLine | NoRoom
 
 
 class CallerConnection(Protocol):
--- a/src/rattanhollow/session/_serve.py
+++ b/src/rattanhollow/session/_serve.py
@@ -6,11 +6,13 @@
 import trio
 
 from rattanhollow.configuration import digest_of
+from rattanhollow.limits import Account, Purpose
 from rattanhollow.observe import Meter, kinds, log_event
 from rattanhollow.session._end import (
     BadLine,
     CallerConnection,
     Farewell,
+    NoRoom,
     Opening,
 )
 from rattanhollow.session._session import Session, SessionParts, Sessions
@@ -18,6 +20,10 @@
 
 # Callers give up on a session that doesn't begin within seconds.
 OPENING_TIMEOUT_S = 10.0
+REQUEST_ID_LOGGED = 100
+NO_MEMORY = "this host's memory for callers is short"
+# Statements that hold memory end within their deadlines, most of them long before.
+MEMORY_RETRY_MS = 500
 
 
 class ServeParts(NamedTuple):
@@ -29,16 +35,26 @@
     meter: Meter
 
 
-async def serve_caller(connection: CallerConnection, parts: ServeParts) -> None:
-    """Serve a caller until it, an operator or the host ends the session."""
+async def serve_caller(
+    connection: CallerConnection,
+    parts: ServeParts,
+    account: Account,
+    opened: Callable[[], None] = lambda: None,
+) -> None:
+    """Serve a caller until it, an operator or the host ends the session.
+
+    ``opened()`` is called when its session begins.
+    """
     try:
         session = await _open(connection, parts)
         if session is None:
             return
+        opened()
+        account.belong_to(session.organisation)
         session.mid_request = lambda: connection.mid_request
         number = parts.sessions.add(session)
         try:
-            await _serve(connection, session, parts)
+            await _serve(connection, session, parts, account)
         finally:
             parts.sessions.remove(number)
             session.abandon()
@@ -82,7 +98,10 @@
 
 
 async def _serve(
-    connection: CallerConnection, session: Session, parts: ServeParts
+    connection: CallerConnection,
+    session: Session,
+    parts: ServeParts,
+    account: Account,
 ) -> None:
     while not (session.closing and may_end(session)):
         received = None
@@ -93,28 +112,62 @@
         if isinstance(received, Farewell):
             return
         session.busy = True
-        if not isinstance(received, Request):
+        if isinstance(received, NoRoom):
+            refused = _refuse_for_room(received, session, parts.meter)
+            if not await connection.answer(refused, session.state):
+                return
+        elif not isinstance(received, Request):
             bad = Refused(Reason.MALFORMED)
             if isinstance(received, BadLine) and received.framing_lost:
                 await connection.refuse(bad)
                 return
             if not await connection.answer(bad, session.state):
                 return
-        else:
-            began_s = parts.session.clock()
-            answer = await _handle(session, received)
-            took_ms = (parts.session.clock() - began_s) * 1000
-            _report(received, answer, session, took_ms, parts.meter)
-            if isinstance(answer, Refused) and answer.ends:
-                await connection.refuse(answer)
-                return
-            if not await connection.answer(answer, session.state):
-                return
+        elif not await _serve_request(received, connection, session, parts, account):
+            return
         session.busy = False
     session.abandon()
     await connection.dismiss(session.farewell())
 
 
+async def _serve_request(
+    request: Request,
+    connection: CallerConnection,
+    session: Session,
+    parts: ServeParts,
+    account: Account,
+) -> bool:
+    """Answer a request; returns whether the session goes on."""
+    began_s = parts.session.clock()
+    account.request = request.id[:REQUEST_ID_LOGGED]
+    answer = await _handle(session, request)
+    took_ms = (parts.session.clock() - began_s) * 1000
+    _report(request, answer, session, took_ms, parts.meter)
+    account.hold(Purpose.STATEMENT, 0)
+    account.hold(Purpose.VALUES, session.kept_bytes)
+    account.request = ""
+    if isinstance(answer, Refused) and answer.ends:
+        await connection.refuse(answer)
+        return False
+    return await connection.answer(answer, session.state)
+
+
+def _refuse_for_room(dropped: NoRoom, session: Session, meter: Meter) -> Refused:
+    """Refuse a request that was not run; an open transaction stays."""
+    meter.count(kinds.STATEMENTS_NOT_HELD)
+    log_event(
+        "request.refused",
+        request=dropped.request_id,
+        organisation=session.organisation,
+        route=session.route_name,
+        reason=Reason.BUSY.name,
+        detail=NO_MEMORY,
+        retry_after_ms=MEMORY_RETRY_MS,
+        state=session.state.name,
+    )
+    return Refused(Reason.BUSY, NO_MEMORY, MEMORY_RETRY_MS)
+
+
 async def _handle(session: Session, request: Request) -> Answer:
     with trio.CancelScope() as session.running:
         return await session.handle(request)
--- a/src/rattanhollow/session/_session.py
+++ b/src/rattanhollow/session/_session.py
@@ -9,6 +9,7 @@
 
 from rattanhollow.configuration import Route, RouteTable
 from rattanhollow.coordination import Position
+from rattanhollow.limits import text_bytes
 from rattanhollow.rates import Admission
 from rattanhollow.routing import (
     HomeRegions,
@@ -38,6 +39,8 @@
     Write,
 )
 
+# An entry of a dictionary, with its share of empty ones and its objects.
+ENTRY_BYTES = 200
 # Another host takes the caller at once.
 LEAVING_RETRY_MS = 1
 
@@ -73,7 +76,8 @@
 
     ``organisation`` is empty on a route that is open to all. A ``closing`` session
     ends outside a transaction, an ``ending`` one behind the statement under way.
-    ``waiting`` is the wait for a request, ``running`` the work on one.
+    ``waiting`` is the wait for a request, ``running`` the work on one. ``kept_bytes``
+    is the memory of set values and prepared shapes.
     """
 
     def __init__(
@@ -91,6 +95,7 @@
         self._parts = parts
         self._values: dict[str, str] = {}
         self._prepared: dict[str, _Prepared] = {}
+        self.kept_bytes = 0
         self._floor: Position | None = None
         self._transaction: _Transaction | None = None
         self._read_only = False
@@ -195,19 +200,32 @@
             detail = "the transaction can only be rolled back"
             return Refused(Reason.MALFORMED, detail)
         if isinstance(statement, SetValue):
+            self._keep(statement.name, self._values.get(statement.name), -1)
             self._values[statement.name] = statement.value
+            self._keep(statement.name, statement.value)
             return Completed()
         if isinstance(statement, Prepare):
             shape = _Prepared(statement.writes, statement.shape)
+            self._forget(statement.name)
             self._prepared[statement.name] = shape
+            self._keep(statement.name, statement.shape)
             return Completed()
         if isinstance(statement, Forget):
-            self._prepared.pop(statement.name, None)
+            self._forget(statement.name)
             return Completed()
         if isinstance(statement, Begin):
             return await self._begin(statement)
         return await self._run(request)
 
+    def _forget(self, name: str) -> None:
+        prepared = self._prepared.pop(name, None)
+        self._keep(name, prepared.shape if prepared is not None else None, -1)
+
+    def _keep(self, name: str, text: str | None, sign: int = 1) -> None:
+        """Add or subtract what a named text takes, where there is one."""
+        if text is not None:
+            self.kept_bytes += sign * (ENTRY_BYTES + text_bytes(name, text))
+
     def abandon(self) -> None:
         """Roll back what is open, without waiting for it."""
         if self._placement is not None:
--- a/src/rattanhollow/settings/_host.py
+++ b/src/rattanhollow/settings/_host.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from rattanhollow.limits import CallerLimits
 from rattanhollow.settings._ini import (
     Field,
     Section,
@@ -24,8 +25,14 @@
 _PORT = integer(1, HIGHEST_PORT)
 _DURATION_MS = integer(1, HOUR_MS)
 _DURATION_S = integer(1, HOUR_MS // 1000)
-HIGHEST_MEMORY_MB = 1_000_000
-HIGHEST_DESCRIPTORS = 1_000_000
+MANY = 1_000_000
+# 64 MB are kept for the process itself, and the rest has to hold several lines.
+LOWEST_MEMORY_MB = 96
+# 112 are reserved at least.
+LOWEST_DESCRIPTORS = 160
+# A line of full size, all copies and four bytes a character included.
+LOWEST_HELD_KB = 12_288
+HELD_KB = 1 << 30
 
 
 class Endpoint(NamedTuple):
@@ -109,6 +116,7 @@
     requested: frozenset[str]
     rate_settle_ms: int
     rate_slack: int
+    limits: CallerLimits
     membership: MembershipSettings
 
 
@@ -190,8 +198,14 @@
         "slack": Field(integer(0, 1_000_000), 0),
     },
     "limits": {
-        "memory_mb": Field(_or_default(integer(64, HIGHEST_MEMORY_MB), 0), 0),
-        "descriptors": Field(_or_default(integer(64, HIGHEST_DESCRIPTORS), 0), 0),
+        "memory_mb": Field(_or_default(integer(LOWEST_MEMORY_MB, MANY), 0), 0),
+        "descriptors": Field(_or_default(integer(LOWEST_DESCRIPTORS, MANY), 0), 0),
+        "held_kb": Field(_or_default(integer(LOWEST_HELD_KB, HELD_KB), 0), 0),
+        "organisation_kb": Field(_or_default(integer(LOWEST_HELD_KB, HELD_KB), 0), 0),
+        "connection_kb": Field(_or_default(integer(LOWEST_HELD_KB, HELD_KB), 0), 0),
+        "callers": Field(_or_default(integer(1, MANY), 0), 0),
+        "http_connections": Field(_or_default(integer(1, 10_000), 16), 16),
+        "pause_ms": Field(_or_default(_DURATION_MS, 2_000), 2_000),
     },
     "membership": {
         "ask_interval_ms": Field(_DURATION_MS, 1_000),
@@ -227,6 +241,7 @@
         requested=requested,
         rate_settle_ms=values["rates"]["settle_ms"],
         rate_slack=values["rates"]["slack"],
+        limits=CallerLimits(**values["limits"]),
         membership=MembershipSettings(**values["membership"]),
     )
 
