The PostgreSQL door uses the same budget as the line protocol

Cause: a proxy held frames, requests without their end, responses and prepared statements without a bound, and checked its limit of callers only behind a whole startup. All of it is accounted for now; requests without room are refused as not run (53200), connections that hold most are paused and closed, and one that has not logged in for a second makes room for a newer one. `[limits]` of proxies has `memory_mb`, `held_kb`, `organisation_kb`, `connection_kb` and `pause_ms`; without them 1 GiB is held at most.

--- a/src/rattanhollow/limits/__init__.py
+++ b/src/rattanhollow/limits/__init__.py
@@ -2,14 +2,22 @@
 
 from rattanhollow.limits._bytes import Account, ByteBudget, ByteLimits, Purpose
 from rattanhollow.limits._connections import ConnectionLimit
-from rattanhollow.limits._derive import CallerLimits, derive_limits, text_bytes
+from rattanhollow.limits._derive import (
+    ENTRY_BYTES,
+    CallerLimits,
+    KeptEntries,
+    derive_limits,
+    text_bytes,
+)
 
 __all__ = [
+    "ENTRY_BYTES",
     "Account",
     "ByteBudget",
     "ByteLimits",
     "CallerLimits",
     "ConnectionLimit",
+    "KeptEntries",
     "Purpose",
     "derive_limits",
     "text_bytes",
--- a/src/rattanhollow/pgwire/_wire.py
+++ b/src/rattanhollow/pgwire/_wire.py
@@ -6,9 +6,12 @@
 
 import trio
 
+from rattanhollow.limits import Account, Purpose
 from rattanhollow.pgwire._frames import Frame, FrameReader
 
 RECEIVE_BYTES = 65_536
+# The objects of a frame beside its bytes.
+FRAME_HEAD_BYTES = 120
 LOST = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
@@ -20,11 +23,19 @@
     """A connection that carries frames both ways.
 
     ``limit_bytes`` bounds one received frame. Used by one task at a time in
-    each direction. ``expires_at_s`` is when a `Watchdog` closes it, monotonic.
+    each direction. An ``account`` counts what was received and not taken.
+    ``expires_at_s`` is when a `Watchdog` closes it, monotonic.
     """
 
-    def __init__(self, stream: trio.abc.Stream, limit_bytes: int) -> None:
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        limit_bytes: int,
+        account: Account | None = None,
+    ) -> None:
         self.stream = stream
+        self._account = account
+        self._received_bytes = 0
         self.expires_at_s = math.inf
         self.closed = False
         self._aborted_for = ""
@@ -41,22 +52,27 @@
         """
         while not self._ready:
             self._ready.extend(await self._receive())
-        return self._ready.popleft()
+        frame = self._ready.popleft()
+        self._take(-_held_bytes(frame))
+        return frame
 
     async def read_frames(self) -> list[Frame]:
         """Return all frames at hand, at least one; errors as `read_frame`."""
         if self._ready:
             frames = list(self._ready)
             self._ready.clear()
+            self._take(-sum(map(_held_bytes, frames)))
             return frames
         while True:
             frames = await self._receive()
             if frames:
+                self._take(-sum(map(_held_bytes, frames)))
                 return frames
 
     def push_back(self, frames: list[Frame]) -> None:
         """Give back frames that were read too far."""
         self._ready.extendleft(reversed(frames))
+        self._take(sum(map(_held_bytes, frames)))
 
     @property
     def has_frames(self) -> bool:
@@ -82,14 +98,24 @@
         """Whether a frame has begun to arrive, or waits to be read."""
         return bool(self._ready) or self._reader.pending_bytes > 0
 
+    def _take(self, growth_bytes: int) -> None:
+        self._received_bytes += growth_bytes
+        if self._account is not None:
+            held_bytes = self._received_bytes + self._reader.pending_bytes
+            self._account.hold(Purpose.RECEIVED, held_bytes)
+
     async def _receive(self) -> list[Frame]:
+        if self._account is not None:
+            await self._account.wait_for_room()
         try:
             data = await self.stream.receive_some(RECEIVE_BYTES)
         except LOST as error:
             raise ConnectionLost(self._aborted_for or str(error)) from error
         if not data:
             raise ConnectionLost("closed by the other side")
-        return self._reader.feed(bytes(data))
+        frames = self._reader.feed(bytes(data))
+        self._take(sum(map(_held_bytes, frames)))
+        return frames
 
     async def send(self, data: bytes) -> None:
         """Send bytes.
@@ -109,6 +135,10 @@
         await trio.aclose_forcefully(self.stream)
 
 
+def _held_bytes(frame: Frame) -> int:
+    return FRAME_HEAD_BYTES + len(frame.raw)
+
+
 def _socket_of(stream: trio.abc.Stream) -> trio.socket.SocketType:
     if isinstance(stream, trio.SSLStream):
         stream = stream.transport_stream
--- a/src/rattanhollow/proxy/_batch.py
+++ b/src/rattanhollow/proxy/_batch.py
@@ -1,9 +1,10 @@
 """Reading one request of a caller: a simple query, or frames up to a Sync."""
 
 import hashlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+from rattanhollow.limits import Account, Purpose
 from rattanhollow.pgwire import (
     Frame,
     ProtocolViolation,
@@ -33,6 +34,11 @@
 COPY_FRAMES = frozenset(b"dcf")
 BATCH_FRAMES = frozenset({PARSE, BIND, DESCRIBE, EXECUTE, CLOSE})
 LARGEST_BATCH_BYTES = 64 << 20
+FRAME_HEAD_BYTES = 120
+# The frame, its text, what is read of it and what is sent to the server; a text that
+# isn't ASCII takes up to four bytes a character.
+COPIES = 4
+WIDE_COPIES = 10
 STATEMENT_PREFIX = b"rh_"
 NEVER_PREPARED = b"rh_none"
 
@@ -82,9 +88,19 @@
     answers: int = 0
 
 
-async def read_batch(wire: Wire) -> list[Frame] | None:
+def batch_bytes(frames: Sequence[Frame]) -> int:
+    """Return the memory of a request while it runs, its text and copies included."""
+    return sum(
+        FRAME_HEAD_BYTES + len(f.raw) * (COPIES if f.raw.isascii() else WIDE_COPIES)
+        for f in frames
+    )
+
+
+async def read_batch(wire: Wire, account: Account) -> list[Frame] | None:
     """Return the frames of the next request, or None where the caller ends.
 
+    The account holds those that were read.
+
     Raises:
         ConnectionLost: the connection ended.
         ProtocolViolation: a frame that has no place here.
@@ -99,6 +115,8 @@
         if frame.kind in COPY_FRAMES:
             continue
         size_bytes += len(frame.raw)
+        heads_bytes = FRAME_HEAD_BYTES * len(frames)
+        account.hold(Purpose.STATEMENT, size_bytes + heads_bytes)
         if size_bytes > LARGEST_BATCH_BYTES:
             raise ProtocolViolation("too many frames without a Sync")
         if frame.kind == QUERY and not frames:
--- a/src/rattanhollow/proxy/_caller.py
+++ b/src/rattanhollow/proxy/_caller.py
@@ -7,6 +7,7 @@
 from rattanhollow.backend import BackendConnection, Group
 from rattanhollow.configuration import Key, Organisation, Scope
 from rattanhollow.coordination import ORIGIN, Position
+from rattanhollow.limits import Account, KeptEntries, Purpose, text_bytes
 from rattanhollow.pgwire import Wire, parameter_status
 from rattanhollow.verdict import Refusal
 
@@ -38,9 +39,15 @@
     """
 
     def __init__(
-        self, wire: Wire, limits: Organisation, key: Key, group: Group
+        self,
+        wire: Wire,
+        limits: Organisation,
+        key: Key,
+        group: Group,
+        account: Account,
     ) -> None:
         self.wire = wire
+        self.account = account
         self.limits = limits
         self.key = key
         self.group = group
@@ -48,8 +55,10 @@
         self.exact = False
         self.chosen_scope: Scope | None = None
         self.chosen_age_ms: int | None = None
-        self.settings: dict[str, str] = {}
-        self.statements: dict[bytes, PreparedStatement] = {}
+        self.settings: KeptEntries[str, str] = KeptEntries(text_bytes)
+        self.statements: KeptEntries[bytes, PreparedStatement] = KeptEntries(
+            lambda name, kept: len(name) + len(kept.body) + text_bytes(kept.text)
+        )
         self.status = IDLE
         self.pinned: BackendConnection | None = None
         self.pinned_for_good = False
@@ -107,6 +116,12 @@
         """The name of the database that the caller chose."""
         return self.group.database.name
 
+    def hold_values(self) -> None:
+        """Account for what the session keeps; the request itself is over."""
+        kept_bytes = self.settings.kept_bytes + self.statements.kept_bytes
+        self.account.hold(Purpose.STATEMENT, 0)
+        self.account.hold(Purpose.VALUES, kept_bytes)
+
     def token_status(self) -> bytes:
         """Return the report of the token that another connection may bring."""
         return parameter_status(TOKEN_SETTING, str(self.floor))
--- a/src/rattanhollow/proxy/_listen.py
+++ b/src/rattanhollow/proxy/_listen.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from rattanhollow.limits import Account
 from rattanhollow.net import CALLER_KEEPALIVE, tune_socket
 from rattanhollow.observe import log_event, log_failure
 from rattanhollow.pgwire import ConnectionLost, ProtocolViolation
@@ -93,11 +94,20 @@
             nursery.start_soon(self._welcome, stream, on_cancel)
 
     async def _welcome(self, stream: trio.SocketStream, on_cancel: OnCancel) -> None:
-        callers = self._service.callers
+        service = self._service
+        callers = service.callers
+        account = service.held.open()
+        if not service.connections.enter(account.scope):
+            service.held.remove(account)
+            service.metrics.add("callers.refused", 1)
+            log_event("caller.refused", reason="too many callers")
+            await trio.aclose_forcefully(stream)
+            return
         callers.connected += 1
         try:
             tune_socket(stream, CALLER_KEEPALIVE)
-            await self._session(stream, on_cancel)
+            with account.scope:
+                await self._session(stream, on_cancel, account)
         except (ConnectionLost, ProtocolViolation, OSError) as error:
             log_event("caller.lost", reason=error)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -107,9 +117,27 @@
             log_failure("caller.failed", error)
         finally:
             callers.connected -= 1
-            await trio.aclose_forcefully(stream)
+            service.connections.leave(account.scope)
+            service.held.remove(account)
+            if account.scope.cancelled_caught:
+                self._report_closed(account)
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(stream)
+
+    def _report_closed(self, account: Account) -> None:
+        self._service.metrics.add("callers.closed", 1)
+        log_event(
+            "caller.closed",
+            limit=account.closed_for or "callers",
+            organisation=account.organisation,
+            connection_held_bytes=account.held_at_close_bytes,
+            held_bytes=self._service.held.held_bytes,
+            connections=self._service.callers.connected,
+        )
 
-    async def _session(self, stream: trio.SocketStream, on_cancel: OnCancel) -> None:
+    async def _session(
+        self, stream: trio.SocketStream, on_cancel: OnCancel, account: Account
+    ) -> None:
         service = self._service
         limits = service.settings.limits
         caller = None
@@ -124,9 +152,10 @@
                 refusal = not_run("too many callers", sqlstates.TOO_MANY)
                 await refuse(startup.stream, refusal)
                 return
-            caller = await log_in(startup, service)
+            caller = await log_in(startup, service, account)
         if caller is None:
             return
+        service.connections.use(account.scope)
         service.metrics.add("callers.accepted", 1)
         try:
             await serve(caller, service)
--- a/src/rattanhollow/proxy/_login.py
+++ b/src/rattanhollow/proxy/_login.py
@@ -7,6 +7,7 @@
 import trio
 
 from rattanhollow.configuration import Key
+from rattanhollow.limits import Account
 from rattanhollow.observe import log_event
 from rattanhollow.pgwire import (
     ConnectionLost,
@@ -129,7 +130,7 @@
         return
 
 
-async def log_in(login: Login, service: Service) -> Caller | None:
+async def log_in(login: Login, service: Service, account: Account) -> Caller | None:
     """Check the caller's key and return its session, or None where refused.
 
     Raises:
@@ -137,7 +138,7 @@
         ProtocolViolation: a frame that has no place here.
 
     """
-    wire = Wire(login.stream, service.settings.limits.frame_bytes)
+    wire = Wire(login.stream, service.settings.limits.frame_bytes, account)
     parameters = login.parameters
     if parameters.get("replication", "false") not in ("false", "off", "0"):
         refusal = not_run("replication mode is not carried", sqlstates.NOT_CARRIED)
@@ -162,7 +163,8 @@
         await refuse(login.stream, refusal)
         return None
     limits = service.configuration().organisations[organisation]
-    caller = Caller(wire, limits, key, group)
+    caller = Caller(wire, limits, key, group, account)
+    account.belong_to(organisation)
     refused = _take_parameters(caller, parameters)
     if refused is not None:
         await refuse(login.stream, refused)
--- a/src/rattanhollow/proxy/_root.py
+++ b/src/rattanhollow/proxy/_root.py
@@ -2,6 +2,7 @@
 
 import random
 import secrets
+import time
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -26,6 +27,7 @@
     Step,
     group_state_from_spec,
 )
+from rattanhollow.limits import ByteBudget, ConnectionLimit, derive_limits
 from rattanhollow.membership import (
     Freshness,
     HostDirectory,
@@ -53,6 +55,10 @@
 from rattanhollow.store import Follower, ObjectStore, Stored, follow, http_store
 from rattanhollow.verdict import Refusal, Verdict, sqlstates
 
+# A proxy takes 57 MB with few callers, and 164 MB with 36 MB held for 120 of them.
+BASE_BYTES = 100_000_000
+# Callers above the limit that may begin to log in, to be told of it.
+TOLD_AT_ONCE = 8
 CONFIRM_TIMEOUT_MS = 2_000
 
 StepHook = Callable[[str, Step], Awaitable[None]]
@@ -111,6 +117,14 @@
             metrics=metrics,
             rng=rng,
             watchdog=self._watchdog,
+            held=ByteBudget(
+                derive_limits(settings.limits.held, BASE_BYTES).byte_limits,
+                time.monotonic,
+                lambda: metrics.add("callers.paused", 1),
+            ),
+            connections=ConnectionLimit(
+                settings.limits.callers + TOLD_AT_ONCE, time.monotonic
+            ),
             is_fresh=self._may_serve,
             admit=self._admit,
             admit_soon=self._admit_soon,
--- a/src/rattanhollow/proxy/_serve.py
+++ b/src/rattanhollow/proxy/_serve.py
@@ -5,6 +5,7 @@
 import trio
 from result import Err, Ok, Result
 
+from rattanhollow.limits import Purpose
 from rattanhollow.observe import log_event
 from rattanhollow.pgwire import (
     ConnectionLost,
@@ -15,8 +16,8 @@
     error_response,
     ready_for_query,
 )
-from rattanhollow.pgwire.kinds import ERROR, SYNC
-from rattanhollow.proxy._batch import Batch, read_batch, understand
+from rattanhollow.pgwire.kinds import ERROR, FLUSH, SYNC
+from rattanhollow.proxy._batch import Batch, batch_bytes, read_batch, understand
 from rattanhollow.proxy._caller import FAILED, IDLE, Caller
 from rattanhollow.proxy._exchange import CallerLost, Relay
 from rattanhollow.proxy._lend import end_session
@@ -28,6 +29,11 @@
 from rattanhollow.verdict import Refusal, not_run, sqlstates
 
 FAREWELL_S = 1.0
+NO_MEMORY = "this host's memory for callers is short"
+# Smaller requests are never refused for memory: they may end a transaction.
+SMALL_BYTES = 16_384
+# The response, and the frames that it was joined from.
+RESPONSE_COPIES = 3
 
 Answered = Result[bytes, Refusal]
 
@@ -79,11 +85,20 @@
             if frames is None:
                 return "closed by the caller"
             caller.relayed = False
+            if not _has_room(caller, frames):
+                del frames
+                refusal = not_run(NO_MEMORY, sqlstates.NO_MEMORY)
+                await relay(_refuse(caller, refusal, service))
+                continue
             batch = understand(caller, frames, service.classify)
             answered = await _answer(caller, batch, service, relay)
             if batch.flushed and answered.is_err():
                 await _skip_to_sync(caller)
-            await relay(_reply(caller, batch, answered, service))
+            response = _reply(caller, batch, answered, service)
+            del frames, batch, answered
+            caller.hold_values()
+            await relay(response)
+            del response
         except (ConnectionLost, CallerLost):
             return "connection lost"
         except ProtocolViolation as error:
@@ -94,22 +109,33 @@
 async def _skip_to_sync(caller: Caller) -> None:
     """Drop what a caller pipelined behind a request that was refused."""
     while True:
-        frames = await read_batch(caller.wire)
+        frames = await read_batch(caller.wire, caller.account)
         if frames is None or frames[-1].kind == SYNC:
             return
 
 
+def _has_room(caller: Caller, frames: list[Frame]) -> bool:
+    """Hold the memory of a request; a small one, or one behind a Flush, always runs."""
+    held_bytes = batch_bytes(frames)
+    if held_bytes > SMALL_BYTES and frames[-1].kind != FLUSH and not caller.flushed:
+        return caller.account.try_hold(Purpose.STATEMENT, held_bytes)
+    caller.account.hold(Purpose.STATEMENT, held_bytes)
+    return True
+
+
 def _relay(caller: Caller, service: Service) -> Relay:
     timeout_ms = service.settings.limits.send_timeout_ms
 
     async def relay(data: bytes) -> None:
         caller.relayed = True
+        caller.account.hold(Purpose.RESPONSE, RESPONSE_COPIES * len(data))
         caller.wire.expire_in(timeout_ms)
         try:
             await caller.wire.send(data)
         except ConnectionLost as error:
             raise CallerLost(str(error)) from error
         caller.wire.expire_never()
+        caller.account.hold(Purpose.RESPONSE, 0)
 
     return relay
 
@@ -118,10 +144,10 @@
     """Return the next request, or None where the session has to end."""
     if caller.status == IDLE and not caller.flushed:
         caller.resting_since_s = time.monotonic()
-        return await read_batch(caller.wire)
+        return await read_batch(caller.wire, caller.account)
     idle_s = service.settings.limits.transaction_idle_ms / 1000
     with trio.move_on_after(idle_s):
-        return await read_batch(caller.wire)
+        return await read_batch(caller.wire, caller.account)
     reason = "the transaction was idle for too long"
     caller.ending = not_run(reason, sqlstates.LEAVING)
     return None
@@ -225,7 +251,10 @@
     if answered.is_ok():
         service.metrics.add("requests.answered", 1)
         return answered.unwrap()
-    refusal: Refusal = answered.unwrap_err()
+    return _refuse(caller, answered.unwrap_err(), service)
+
+
+def _refuse(caller: Caller, refusal: Refusal, service: Service) -> bytes:
     name = refusal.verdict.name.lower()
     service.metrics.add(f"requests.{name}", 1)
     log_event(
--- a/src/rattanhollow/proxy/_service.py
+++ b/src/rattanhollow/proxy/_service.py
@@ -8,6 +8,7 @@
 
 from rattanhollow.backend import Groups
 from rattanhollow.configuration import Configuration
+from rattanhollow.limits import ByteBudget, ConnectionLimit
 from rattanhollow.observe import Metrics
 from rattanhollow.pgwire import Watchdog
 from rattanhollow.proxy._caller import Caller
@@ -28,6 +29,8 @@
     metrics: Metrics
     rng: random.Random
     watchdog: Watchdog
+    held: ByteBudget
+    connections: ConnectionLimit
     is_fresh: Callable[[], bool]
     admit: Callable[[str], bool]
     admit_soon: Callable[[str], Awaitable[bool]]
--- a/src/rattanhollow/session/_session.py
+++ b/src/rattanhollow/session/_session.py
@@ -9,7 +9,7 @@
 
 from rattanhollow.configuration import Route, RouteTable
 from rattanhollow.coordination import Position
-from rattanhollow.limits import text_bytes
+from rattanhollow.limits import ENTRY_BYTES, text_bytes
 from rattanhollow.rates import Admission
 from rattanhollow.routing import (
     HomeRegions,
@@ -39,8 +39,6 @@
     Write,
 )
 
-# An entry of a dictionary, with its share of empty ones and its objects.
-ENTRY_BYTES = 200
 # Another host takes the caller at once.
 LEAVING_RETRY_MS = 1
 
--- a/src/rattanhollow/settings/_host.py
+++ b/src/rattanhollow/settings/_host.py
@@ -17,22 +17,20 @@
     text,
 )
 from rattanhollow.settings._proxy import (
+    HELD_KB,
     HIGHEST_PORT,
     HOUR_MS,
+    LOWEST_HELD_KB,
+    LOWEST_MEMORY_MB,
+    MANY,
     MembershipSettings,
 )
 
 _PORT = integer(1, HIGHEST_PORT)
 _DURATION_MS = integer(1, HOUR_MS)
 _DURATION_S = integer(1, HOUR_MS // 1000)
-MANY = 1_000_000
-# 64 MB are kept for the process itself, and the rest has to hold several lines.
-LOWEST_MEMORY_MB = 96
 # 112 are reserved at least.
 LOWEST_DESCRIPTORS = 160
-# A line of full size, all copies and four bytes a character included.
-LOWEST_HELD_KB = 12_288
-HELD_KB = 1 << 30
 
 
 class Endpoint(NamedTuple):
--- a/src/rattanhollow/settings/_proxy.py
+++ b/src/rattanhollow/settings/_proxy.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from rattanhollow.limits import CallerLimits
 from rattanhollow.settings._ini import (
     Field,
     Section,
@@ -71,6 +72,7 @@
     transaction_idle_ms: int
     callers: int
     send_timeout_ms: int
+    held: CallerLimits
 
 
 class ReadSettings(NamedTuple):
@@ -142,6 +144,15 @@
 _PORT = integer(1, HIGHEST_PORT)
 _DURATION_MS = integer(1, HOUR_MS)
 
+# 64 MB are kept for the process itself, and the rest has to hold several requests.
+LOWEST_MEMORY_MB = 96
+# A proxy keeps 100 MB for itself.
+PROXY_LOWEST_MEMORY_MB = 128
+LOWEST_HELD_KB = 12_288
+HELD_KB = 1 << 30
+MANY = 1_000_000
+HELD_LIMITS = "memory_mb held_kb organisation_kb connection_kb pause_ms".split()
+
 LAYOUT: dict[str, Section] = {
     "host": {
         "name": Field(text),
@@ -171,6 +182,11 @@
         "transaction_idle_ms": Field(_DURATION_MS, 60_000),
         "callers": Field(integer(1, 100_000), 5_000),
         "send_timeout_ms": Field(_DURATION_MS, 30_000),
+        "memory_mb": Field(integer(PROXY_LOWEST_MEMORY_MB, MANY), 0),
+        "held_kb": Field(integer(LOWEST_HELD_KB, HELD_KB), 0),
+        "organisation_kb": Field(integer(LOWEST_HELD_KB, HELD_KB), 0),
+        "connection_kb": Field(integer(LOWEST_HELD_KB, HELD_KB), 0),
+        "pause_ms": Field(_DURATION_MS, 2_000),
     },
     "reads": {"replica_wait_ms": Field(integer(0, HOUR_MS), 60)},
     "failover": {
@@ -212,6 +228,8 @@
 
     """
     values = read_ini(file, content, LAYOUT)
+    limits = values["limits"]
+    held = CallerLimits(**{name: limits.pop(name) for name in HELD_LIMITS})
     _check_tls(file, values["listen"])
     _check_rates(file, values["rates"])
     return ProxySettings(
@@ -220,7 +238,7 @@
         peer=PeerSettings(**values["peer"]),
         store=StoreSettings(**values["store"]),
         backend=BackendSettings(**values["backend"]),
-        limits=LimitSettings(**values["limits"]),
+        limits=LimitSettings(**limits, held=held),
         reads=ReadSettings(**values["reads"]),
         failover=FailoverSettings(**values["failover"]),
         membership=MembershipSettings(**values["membership"]),
--- a/tests/test_client_crowds_pgwire.py
+++ b/tests/test_client_crowds_pgwire.py
@@ -12,6 +12,7 @@
 
 from crowd_fleet import (
     DESCRIPTORS,
+    MEMORY_BYTES,
     RETRY_S,
     TURNED_AWAY,
     Crowd,
@@ -42,6 +43,7 @@
 frame_bytes = {FRAME_BYTES + 1_024}
 callers = {DESCRIPTORS - 50}
 transaction_idle_ms = 3000
+memory_mb = {MEMORY_BYTES // 1_000_000}
 """
 # So many frames of full size overfill the 110 MB beside ordinary traffic.
 LARGE_CROWD = 140
