--- a/src/rattanhollow/session/__init__.py
+++ b/src/rattanhollow/session/__init__.py
@@ -5,6 +5,7 @@
     BadLine,
     CallerConnection,
     Farewell,
+    NoRoom,
     Opening,
     Received,
 )
@@ -16,6 +17,7 @@
     "CallerConnection",
     "DepartureWatch",
     "Farewell",
+    "NoRoom",
     "Opening",
     "Received",
     "ServeParts",
--- a/src/rattanhollow/settings/_host.py
+++ b/src/rattanhollow/settings/_host.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from rattanhollow.limits import CallerLimits
 from rattanhollow.settings._ini import (
     Field,
     Section,
@@ -16,14 +17,20 @@
     text,
 )
 from rattanhollow.settings._proxy import (
+    HELD_KB,
     HIGHEST_PORT,
     HOUR_MS,
+    LOWEST_HELD_KB,
+    LOWEST_MEMORY_MB,
+    MANY,
     MembershipSettings,
 )
 
 _PORT = integer(1, HIGHEST_PORT)
 _DURATION_MS = integer(1, HOUR_MS)
 _DURATION_S = integer(1, HOUR_MS // 1000)
+# 112 are reserved at least.
+LOWEST_DESCRIPTORS = 160
 
 
 class Endpoint(NamedTuple):
@@ -116,6 +123,7 @@
     requested: frozenset[str]
     rate_settle_ms: int
     rate_slack: int
+    limits: CallerLimits
     membership: MembershipSettings
 
 
@@ -200,6 +208,16 @@
         "settle_ms": Field(_DURATION_MS, 1_500),
         "slack": Field(integer(0, 1_000_000), 0),
     },
+    "limits": {
+        "memory_mb": Field(_or_default(integer(LOWEST_MEMORY_MB, MANY), 0), 0),
+        "descriptors": Field(_or_default(integer(LOWEST_DESCRIPTORS, MANY), 0), 0),
+        "held_kb": Field(_or_default(integer(LOWEST_HELD_KB, HELD_KB), 0), 0),
+        "organisation_kb": Field(_or_default(integer(LOWEST_HELD_KB, HELD_KB), 0), 0),
+        "connection_kb": Field(_or_default(integer(LOWEST_HELD_KB, HELD_KB), 0), 0),
+        "callers": Field(_or_default(integer(1, MANY), 0), 0),
+        "http_connections": Field(_or_default(integer(1, 10_000), 16), 16),
+        "pause_ms": Field(_or_default(_DURATION_MS, 2_000), 2_000),
+    },
     "membership": {
         "ask_interval_ms": Field(_DURATION_MS, 1_000),
         "ask_timeout_ms": Field(_DURATION_MS, 800),
@@ -237,6 +255,7 @@
         requested=requested,
         rate_settle_ms=values["rates"]["settle_ms"],
         rate_slack=values["rates"]["slack"],
+        limits=CallerLimits(**values["limits"]),
         membership=MembershipSettings(**values["membership"]),
     )
 
