Cold turns and callers' connections are modules of their own

Measured: test_closed_callers, test_cold_limit, test_evacuations, test_leaving, test_serving, test_line_cluster, test_admission, test_observe, test_operations and test_crossing pass; test_client_crowds not rerun yet (its addresses were in use).

--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -12,6 +12,7 @@
 from rattanhollow.coordination import ranked
 from rattanhollow.host._answer_peers import Answerers, answer_peer
 from rattanhollow.host._begin import find_own_record, wait_for_relays
+from rattanhollow.host._callers import Callers
 from rattanhollow.host._clock import now_s
 from rattanhollow.host._ends import Ends
 from rattanhollow.host._leader_use import HostLinks, is_stopped_elsewhere
@@ -19,7 +20,7 @@
 from rattanhollow.host._stop import Stopping, stop_serving
 from rattanhollow.host._watch_primaries import WatchedParts, build_guardian
 from rattanhollow.host._withdrawing_peers import WithdrawingPeers
-from rattanhollow.limits import Account, ByteBudget, ConnectionLimit, derive_limits
+from rattanhollow.limits import derive_limits
 from rattanhollow.membership import (
     HOST_KIND,
     Gossip,
@@ -31,13 +32,11 @@
     StartCopiesParts,
 )
 from rattanhollow.net import (
-    CALLER_KEEPALIVE,
     HttpReply,
     listen_at,
     serve_http,
-    tune_socket,
 )
-from rattanhollow.observe import Meter, kinds, log_event, log_failure
+from rattanhollow.observe import Meter, kinds, log_event
 from rattanhollow.peer import (
     FloorAnswer,
     FloorQuestion,
@@ -58,22 +57,15 @@
 )
 from rattanhollow.serving import NO_COLD_BOUND, ColdBound, ProofAnswer, Serving
 from rattanhollow.session import (
-    CallerConnection,
     DepartureWatch,
     ServeParts,
     SessionParts,
     Sessions,
-    serve_caller,
 )
 from rattanhollow.settings import LineHostSettings
-from rattanhollow.statements import Reason, Refused
 from rattanhollow.store import Follower, Stored, follow
 from rattanhollow.succession import LeaderUseChecker
 
-FULL = "this host has as many callers as it may"
-FULL_RETRY_MS = 1_000
-# Refusals that wait for the caller to read them hold a descriptor each.
-TURNED_AWAY_AT_ONCE = 8
 # A host nearby asks the primary across regions, at worst; then this one does.
 NEARBY_TIMEOUT_MS = 300
 # Hosts hear of a leave up to a second late, and work takes its way to the server.
@@ -97,12 +89,7 @@
         self.ready = False
         self.sessions = Sessions()
         self.limits = derive_limits(settings.limits)
-        self.held = ByteBudget(
-            self.limits.byte_limits,
-            now_s,
-            lambda: meter.count(kinds.CALLERS_PAUSED),
-        )
-        self._callers = ConnectionLimit(self.limits.callers, now_s)
+        self.callers = Callers(self.limits, ends.caller, meter)
         self.hosts = HostDirectory(self._hosts_changed)
         self.evacuations = Evacuations(
             now_s,
@@ -234,8 +221,6 @@
         self._deleted = trio.Event()
         self._stopped = trio.Event()
         self._accepting = trio.CancelScope()
-        self._connections = 0
-        self._turning_away = 0
         self._serve_gauges()
 
     async def run(self) -> None:
@@ -269,7 +254,7 @@
 
     async def _become_ready(self, nursery: trio.Nursery) -> None:
         """Accept callers once the configuration and the servers are known."""
-        serve = partial(self._serve_caller, self._serve_parts(nursery))
+        serve = partial(self.callers.serve, self._serve_parts(nursery))
         callers = await listen_at(*self.settings.listen.callers)
         await self._configurations.listed.wait()
         await self._servers.listed.wait()
@@ -298,7 +283,7 @@
             sessions=self.sessions,
             serving=self.serving,
             registration=self.registration,
-            connections=lambda: self._connections,
+            connections=lambda: self.callers.connections,
             stop_accepting=self._accepting.cancel,
         )
         await stop_serving(parts, self.settings.stop_s)
@@ -375,58 +360,6 @@
     def _may_serve(self) -> bool:
         return self.routes.version > 0
 
-    async def _serve_caller(self, parts: ServeParts, stream: trio.SocketStream) -> None:
-        tune_socket(stream, CALLER_KEEPALIVE)
-        account = self.held.open()
-        connection = self._ends.caller(stream, account)
-        if not self._callers.enter(account.scope):
-            self.held.remove(account)
-            await self._turn_away(connection)
-            return
-        self._connections += 1
-        opened = partial(self._callers.use, account.scope)
-        try:
-            with account.scope:
-                await serve_caller(connection, parts, account, opened)
-        except Exception as error:
-            # One session must not end the process.
-            log_failure("session.failed", error)
-        finally:
-            self._connections -= 1
-            self._callers.leave(account.scope)
-            self.held.remove(account)
-            if account.scope.cancelled_caught:
-                self._report_closed(account)
-
-    async def _turn_away(self, connection: CallerConnection) -> None:
-        """Refuse a caller for whom no descriptor is left."""
-        reason = Reason.BUSY
-        self.meter.count(kinds.SESSIONS_REFUSED, reason.name)
-        log_event("session.refused", route="", reason=reason.name, detail=FULL)
-        try:
-            if self._turning_away < TURNED_AWAY_AT_ONCE:
-                self._turning_away += 1
-                try:
-                    await connection.dismiss(Refused(reason, FULL, FULL_RETRY_MS))
-                finally:
-                    self._turning_away -= 1
-        finally:
-            with trio.CancelScope(shield=True):
-                await connection.close()
-
-    def _report_closed(self, account: Account) -> None:
-        limit = account.closed_for or "callers"
-        self.meter.count(kinds.CALLERS_CLOSED, limit)
-        log_event(
-            "caller.closed",
-            limit=limit,
-            organisation=account.organisation,
-            request=account.request,
-            connection_held_bytes=account.held_at_close_bytes,
-            held_bytes=self.held.held_bytes,
-            connections=self._connections,
-        )
-
     async def _note_registration(self) -> None:
         await self.registration.written.wait()
         self.rates.registered(self.registration.is_first_registration is not False)
@@ -545,8 +478,8 @@
         gauge = self.meter.gauge
         gauge(kinds.CONFIGURATION_VERSION, lambda: self.routes.version)
         gauge(kinds.SESSIONS, lambda: len(self.sessions))
-        gauge(kinds.CONNECTIONS, lambda: self._connections)
-        gauge(kinds.HELD_BYTES, lambda: self.held.held_bytes)
+        gauge(kinds.CONNECTIONS, lambda: self.callers.connections)
+        gauge(kinds.HELD_BYTES, lambda: self.callers.held.held_bytes)
         gauge(kinds.HOSTS, lambda: len(self.hosts.all()))
         gauge(kinds.STORE_SILENT_S, self._store_silent_s)
 
--- a/src/rattanhollow/serving/_served_backend.py
+++ b/src/rattanhollow/serving/_served_backend.py
@@ -1,7 +1,7 @@
 """Runs work at one backend server on behalf of all hosts of the fleet."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager
+from functools import partial
 
 import trio
 
@@ -12,7 +12,7 @@
     CommandKind,
     Reply,
 )
-from rattanhollow.serving._cold_limit import ColdLimit
+from rattanhollow.serving._cold_turns import ColdTurns
 from rattanhollow.serving._commands import (
     begin_command,
     plan_session,
@@ -77,11 +77,9 @@
         self._withdrawn: set[str] = set()
         self._transactions = Transactions(self._connector, parts.clock)
         self._health = Health()
-        self._cold_limit = ColdLimit(parts.clock, parts.unix_clock)
-        self._cold_turn = trio.Lock()
+        self._cold_turns = ColdTurns(server, parts)
         # Units of work that wait or run.
         self._works = 0
-        self._update_cold_limit(server)
         self._lag = Lag()
         self._writes_started_at_s: dict[ServerConnection, float] = {}
         self._watches_writes = False
@@ -100,7 +98,7 @@
             self._leader_use.reset()
         self._connector.server = server
         self._connector.set_limit(connections)
-        self._update_cold_limit(server)
+        self._cold_turns.update(server)
 
     @property
     def reachable(self) -> bool:
@@ -298,59 +296,21 @@
                 )
         if work.movable and self._health.should_divert(now_s):
             return not_run(Blocker.FAILING, f"{self.server.id} fails too many requests")
-        return self._turn_away_from_cold(work)
-
-    def _turn_away_from_cold(self, work: Work) -> WorkResult | None:
-        """Return the result of new work whose turn at a cold server comes too late."""
-        if work.scope is Scope.WITHIN:
-            return None
         unsent = max(0, self._works - self._connector.exchanges)
-        wait_s = self._cold_limit.wait_s(unsent)
-        if wait_s and (work.movable or wait_s >= work.budget_ms / 1000):
-            return _cold(self.server, wait_s)
-        return None
-
-    def _update_cold_limit(self, server: BackendServer) -> None:
-        bound = self._parts.cold_bound(server.service)
-        is_first = bound.per_s > 0 and self._parts.is_first_host(server)
-        self._cold_limit.update(server, bound, is_first)
-
-    @asynccontextmanager
-    async def _take_cold_turn(
+        return self._cold_turns.turn_away(work, unsent)
+
+    def _take_cold_turn(
         self,
         work: Work,
         connection: ServerConnection,
         deadline_s: float,
         begun: bool,
         commands: int = 1,
-    ) -> AsyncIterator[None]:
-        """Wait until a cold server may get commands of work, first come, first served.
-
-        They are counted at the end of the block, right before they are sent: what is
-        counted before another wait could be sent in a bunch. ``begun`` is whether the
-        work's transaction is open.
-
-        Raises:
-            WorkStopped: not before the deadline, or another server can run the work.
-
-        """
-        if not self._cold_limit.applies:
-            yield
-            return
-        queue = self._cold_turn.statistics()
-        wait_s = self._cold_limit.wait_s(queue.tasks_waiting + queue.locked)
+    ) -> AbstractAsyncContextManager[None]:
+        """Wait for the turn of commands; ``begun`` is whether a transaction is open."""
+        release = partial(self._release, work, connection, begun)
         can_move = work.movable and not begun
-        if wait_s >= self._remaining_s(deadline_s) or (wait_s and can_move):
-            self._release(work, connection, begun)
-            raise WorkStopped(_cold(self.server, wait_s))
-        async with self._cold_turn:
-            while wait_s := self._cold_limit.wait_s():
-                if wait_s >= self._remaining_s(deadline_s):
-                    self._release(work, connection, begun)
-                    raise WorkStopped(_cold(self.server, wait_s))
-                await trio.sleep(wait_s)
-            yield
-            self._cold_limit.record_sent(commands)
+        return self._cold_turns.take(deadline_s, can_move, release, commands)
 
     def _release(self, work: Work, connection: ServerConnection, begun: bool) -> None:
         """Give up work that was not sent, and its transaction if one is open."""
@@ -677,11 +637,6 @@
     )
 
 
-def _cold(server: BackendServer, wait_s: float) -> WorkResult:
-    detail = f"{server.id} is cold, and gets no more work for now"
-    return not_run(Blocker.OVERLOADED, detail, int(wait_s * 1000) + 1)
-
-
 def _leaving(server: BackendServer) -> WorkResult:
     detail = f"{server.id} leaves, and gets no new work"
     return not_run(Blocker.SWITCHING, detail, SUCCESSOR_EXPECTED_MS)
--- a/tests/test_closed_callers.py
+++ b/tests/test_closed_callers.py
@@ -21,7 +21,7 @@
         assert not (await client.query("BEGIN")).error
         assert not (await client.query("WRITE lost 1")).error
         host = cluster.hosts[0]
-        (account,) = host.held._accounts
+        (account,) = host.callers.held._accounts
         assert account.organisation == "kirk"
         account.close("process")
         with pytest.raises(Closed):
@@ -32,7 +32,7 @@
         items = [entry.item for entry in cluster.group.acknowledged]
         assert items == ["kept"]
         assert host.meter.value(kinds.CALLERS_CLOSED, "process") == 1
-        assert host.held.held_bytes == 0 and not len(host.sessions)
+        assert host.callers.held.held_bytes == 0 and not len(host.sessions)
 
     with_cluster(scenario)
 
@@ -55,10 +55,10 @@
 
             nursery.start_soon(write)
             await trio.sleep(0.2)
-            (account,) = host.held._accounts
+            (account,) = host.callers.held._accounts
             assert account.request and account.held_bytes > 0
             account.close("process")
-        assert host.held.held_bytes == 0
+        assert host.callers.held.held_bytes == 0
 
     with_cluster(scenario)
 
@@ -74,7 +74,7 @@
         if in_transaction:
             assert not (await client.query("BEGIN")).error
             assert not (await client.query("WRITE lost 1")).error
-        held = cluster.hosts[0].held
+        held = cluster.hosts[0].callers.held
         held.limits = held.limits._replace(connection_bytes=20_000)
         answer = await client.query("WRITE lost " + "x" * 10_000)
         code, state = ("ABORTED", "E") if in_transaction else ("BUSY", "I")
