--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -19,7 +19,7 @@
     Succession,
     group_state_spec,
 )
-from rattanhollow.store import http_store
+from rattanhollow.store import NO_REVISION, http_store
 from rattanhollow_standins.client import Place
 
 STORE = "127.70.0.1"
@@ -69,7 +69,7 @@
         1, "m0", 1, "bench", "bench", (succession,), ("m0", "m1", "m2"), 1
     )
     spec = group_state_spec(state)
-    (await store.put(GROUP_KIND, "bookings", spec, 0)).unwrap()
+    (await store.put(GROUP_KIND, "bookings", spec, NO_REVISION)).unwrap()
 
 
 @contextmanager
--- a/src/rattanhollow/configuration/_apply.py
+++ b/src/rattanhollow/configuration/_apply.py
@@ -12,7 +12,7 @@
     spec_of,
 )
 from rattanhollow.configuration._note import NoteError, ReleaseNote, difference, merge
-from rattanhollow.store import ObjectStore, StoreFailure, update
+from rattanhollow.store import NO_REVISION, ObjectStore, StoreFailure, update
 
 CONFIGURATION_KIND = "configurations"
 CONFIGURATION_NAME = "current"
@@ -107,4 +107,4 @@
         "detail": _reason(detail),
     }
     name = f"{when}-{note.id}".lower().replace(":", "-").replace("+", "-")
-    await store.put(AUDIT_KIND, name, spec, 0)
+    await store.put(AUDIT_KIND, name, spec, NO_REVISION)
--- a/src/rattanhollow/coordination/_lease.py
+++ b/src/rattanhollow/coordination/_lease.py
@@ -8,7 +8,14 @@
 from result import Result
 
 from rattanhollow.records import RecordError, from_spec, to_spec
-from rattanhollow.store import ObjectStore, Stored, StoreFailure, Trouble
+from rattanhollow.store import (
+    NO_REVISION,
+    ObjectStore,
+    Revision,
+    Stored,
+    StoreFailure,
+    Trouble,
+)
 
 LEASE_KIND = "leases"
 RENEWALS_IN_DURATION = 4
@@ -61,8 +68,8 @@
         self._reluctance_s = reluctance_s
         self._clock = clock
         self._held_until_s = float("-inf")
-        self._last_change: tuple[int, float] = (-1, 0.0)
-        self._held_version = 0
+        self._last_change: tuple[Revision | None, float] = (None, 0.0)
+        self._held_version = NO_REVISION
         self.terms_held = 0
         self.gained_at_s = float("-inf")
         self.had_predecessor = True
@@ -87,7 +94,7 @@
         if stored is None and read.unwrap_err().trouble is not Trouble.NOT_FOUND:
             return
         record = _parse_record(stored) if stored is not None else UNHELD_RECORD
-        version = stored.version if stored is not None else 0
+        version = stored.version if stored is not None else NO_REVISION
         self.seen_holder = record.holder
         if record.holder != self._holder and not self._is_claimable(version, record):
             return
@@ -111,7 +118,7 @@
         new_spec = to_spec(LeaseRecord(self._holder, 0, released=True))
         await self._store.put(LEASE_KIND, self._name, new_spec, self._held_version)
 
-    def _is_claimable(self, version: int, record: LeaseRecord) -> bool:
+    def _is_claimable(self, version: Revision, record: LeaseRecord) -> bool:
         now_s = self._clock()
         if self._last_change[0] != version:
             self._last_change = (version, now_s)
--- a/src/rattanhollow/host/_begin.py
+++ b/src/rattanhollow/host/_begin.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from rattanhollow.store import Follower
+from rattanhollow.store import NO_REVISION, Follower, Revision
 
 # Hosts of a new fleet start within 0.3 s, and the slowest takes 0.8 s of its
 # processor's time until the store has its record.
@@ -35,9 +35,9 @@
             await follower.listed.wait()
 
 
-async def find_own_record(name: str, hosts: Follower) -> int:
-    """Return the version of a host's record from its previous start, or 0."""
+async def find_own_record(name: str, hosts: Follower) -> Revision:
+    """Return the version of the record of a previous start, or `NO_REVISION`."""
     with trio.move_on_after(RECORD_WAIT_S):
         await hosts.listed.wait()
     found = hosts.items.get(name)
-    return found.version if found is not None else 0
+    return found.version if found is not None else NO_REVISION
--- a/src/rattanhollow/host/_platform.py
+++ b/src/rattanhollow/host/_platform.py
@@ -18,10 +18,13 @@
     def called(call: str, outcome: str) -> None:
         counting.count(kinds.STORE_CALLS, call, outcome)
 
+    def era_changed() -> None:
+        counting.count(kinds.STORE_ERA_CHANGES)
+
     return Ends(
         caller=platform.LineCaller,
         backend=platform.line_backend(address),
-        store=platform.object_store(store, called),
+        store=platform.object_store(store, called, era_changed),
         promote=platform.promotion_call(promotion),
         read_routes=platform.read_routes,
         read_server=platform.read_server,
--- a/src/rattanhollow/host/_polls.py
+++ b/src/rattanhollow/host/_polls.py
@@ -88,6 +88,10 @@
 async def _compare(store: ObjectStore, follower: Follower, exact: bool) -> bool:
     """Read all objects of a kind; whether that told something new."""
     listed = await (store.list if exact else store.list_lagging)(follower.kind)
+    if not exact and listed.is_ok():
+        # What lags may be from before the era that its answer names.
+        exact = listed.unwrap().version.era != follower.version.era
+        listed = await store.list(follower.kind) if exact else listed
     if listed.is_err() or listed.unwrap().version <= follower.version:
         return False
     known = follower.changes
--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -63,7 +63,7 @@
     Sessions,
 )
 from rattanhollow.settings import LineHostSettings
-from rattanhollow.store import Follower, Stored, follow
+from rattanhollow.store import NO_REVISION, Follower, Revision, Stored, follow
 from rattanhollow.succession import LeaderUseChecker
 
 # A host nearby asks the primary across regions, at worst; then this one does.
@@ -165,8 +165,16 @@
             )
         )
         self._places = places
-        self._configurations = Follower(ends.configuration_kind, self._take_routes)
-        self._servers = Follower(ends.server_kind, self.directory.apply_description)
+        self._configurations = Follower(
+            ends.configuration_kind,
+            self._take_routes,
+            is_newer=self._is_newer_configuration,
+        )
+        self._servers = Follower(
+            ends.server_kind,
+            self.directory.apply_description,
+            is_newer=self._is_newer_description,
+        )
         self._followers = [
             self._configurations,
             self._servers,
@@ -309,10 +317,10 @@
         store = self._ends.store
         await follow(store, follower, self._rng, gossip.is_relay, gossip.notify_zone)
 
-    async def _find_record(self) -> int:
-        """Return the version of the record of this host's previous start, or 0."""
+    async def _find_record(self) -> Revision:
+        """Return the version of the record of a previous start, or `NO_REVISION`."""
         if self.settings.first_start:
-            return 0
+            return NO_REVISION
         return await find_own_record(self.settings.place.name, self.hosts.follower)
 
     def _poll_parts(self) -> PollParts:
@@ -463,6 +471,28 @@
             if not session.may_go_on():
                 session.close_when_idle()
 
+    def _is_newer_configuration(self, known: Stored, listed: Stored) -> bool | None:
+        """Whether operators wrote a configuration after the one that was known."""
+        before = self._ends.read_routes(known.spec).ok()
+        after = self._ends.read_routes(listed.spec).ok()
+        if before is None or after is None:
+            return None
+        return after.version >= before.version
+
+    def _is_newer_description(self, known: Stored, listed: Stored) -> bool | None:
+        """Whether a server described itself so after it did as was known.
+
+        One that has begun to leave does not stay.
+        """
+        before = self._ends.read_server(known).ok()
+        after = self._ends.read_server(listed).ok()
+        if before is None or after is None:
+            return None
+        if after.born_ms > before.born_ms:
+            return True
+        leaves = after.draining and not before.draining
+        return True if leaves and after.born_ms == before.born_ms else None
+
     def _answer_readiness(self, method: str, path: str) -> HttpReply:
         if path != self._ends.readiness_path:
             return HttpReply(404)
--- a/src/rattanhollow/membership/_copy_fetch.py
+++ b/src/rattanhollow/membership/_copy_fetch.py
@@ -34,7 +34,16 @@
     PieceAnswer,
     PieceQuestion,
 )
-from rattanhollow.store import Changes, Follower, Step, Stored, Unfit, apply_steps
+from rattanhollow.store import (
+    NO_REVISION,
+    Changes,
+    Follower,
+    Revision,
+    Step,
+    Stored,
+    Unfit,
+    apply_steps,
+)
 
 QUERY_TIMEOUT_MS = 400
 # A piece waits for its turn at the other host, and crosses a region at 20 ms.
@@ -73,7 +82,7 @@
     sources: Callable[[], list[Source]]
     fetches_first: Callable[[], bool]
     apply_difference: Callable[[CopyDifference], bool]
-    apply_items: Callable[[str, int, Items, str], bool]
+    apply_items: Callable[[str, Revision, Items, str], bool]
 
 
 class CopyFetch:
@@ -107,7 +116,7 @@
         """Return a piece of the copy that was asked for, or of a newer one."""
         follower = self._parts.followers.get(request.kind)
         if follower is None:
-            return no_piece(0)
+            return no_piece(NO_REVISION)
         if self._pacer.backlog_s(trio.current_time()) > LONGEST_WAIT_S:
             return no_piece(follower.version, int(LONGEST_WAIT_S * 1000))
         copy = self._encoded.find(request.kind, request.digest)
@@ -130,7 +139,9 @@
         """Return how long to wait before sending ``size`` bytes unasked."""
         return self._pacer.wait_s(size, trio.current_time())
 
-    async def fetch(self, kind: str, version: int, partner: HostRecord | None) -> bool:
+    async def fetch(
+        self, kind: str, version: Revision, partner: HostRecord | None
+    ) -> bool:
         """Fetch what is newer, at least ``version``; whether that was had.
 
         ``partner`` is a host known to have it.
@@ -231,13 +242,16 @@
 
 
 def make_difference(
-    follower: Follower, since: int, digest: int, known: dict[str, int] | None = None
+    follower: Follower,
+    since: Revision,
+    digest: int,
+    known: dict[str, Revision] | None = None,
 ) -> CopyDifference:
     """Return what changed behind version ``since``, without content if too large.
 
     ``known`` has the versions of the large objects where they are known.
     """
-    nothing = CopyChange(follower.kind, 0, follower.version, (), (), digest)
+    nothing = CopyChange(follower.kind, NO_REVISION, follower.version, (), (), digest)
     changes = follower.changes_since(since)
     if changes is None:
         return CopyDifference(nothing)
@@ -246,7 +260,7 @@
         if not follower.is_large(item.name):
             items.append((item.name, item.version, item.spec))
             continue
-        base = since if known is None else known.get(item.name, -1)
+        base = since if known is None else known.get(item.name, NO_REVISION)
         found = follower.steps_since(item.name, base)
         if found is None:
             return CopyDifference(nothing)
--- a/src/rattanhollow/membership/_freshness.py
+++ b/src/rattanhollow/membership/_freshness.py
@@ -26,7 +26,14 @@
     Message,
     Peers,
 )
-from rattanhollow.store import Follower, Stored
+from rattanhollow.store import (
+    NO_REVISION,
+    Follower,
+    Revision,
+    Stored,
+    revision_from_wire,
+    revision_to_wire,
+)
 
 CHECK_INTERVAL_S = 0.5
 STALE_AFTER_S = 5.0
@@ -64,7 +71,10 @@
 
     def configuration_response(self) -> ConfigurationAnswer:
         """Return all configuration objects known from the store, for another host."""
-        items = [(i.name, i.version, i.spec) for i in self._follower.items.values()]
+        items = [
+            (item.name, revision_to_wire(item.version), item.spec)
+            for item in self._follower.items.values()
+        ]
         return ConfigurationAnswer(msgspec.json.encode(items))
 
     async def run(self) -> None:
@@ -81,9 +91,10 @@
     def _last_confirmed_at_s(self) -> float:
         return max(self._confirmed_by_hosts_at_s, self._follower.heard_at_s)
 
-    def _known_version(self) -> int:
+    def _known_version(self) -> Revision:
         """Return the store version of the newest known configuration object."""
-        return max((i.version for i in self._follower.items.values()), default=0)
+        versions = (item.version for item in self._follower.items.values())
+        return max(versions, default=NO_REVISION)
 
     async def _query_other_hosts(self) -> None:
         queried_at_s = time.monotonic()
@@ -155,11 +166,12 @@
             return
         try:
             items = msgspec.json.decode(
-                response.content, type=list[tuple[str, int, dict[str, Any]]]
+                response.content, type=list[tuple[str, Any, dict[str, Any]]]
             )
+            versions = [revision_from_wire(version) for _, version, _ in items]
         except (ValueError, RecursionError) as error:
             log_event("configuration.unreadable", host=record.name, reason=error)
             return
-        for name, version, spec in items:
+        for (name, _, spec), version in zip(items, versions, strict=True):
             self._follower.offer(Stored(self._follower.kind, name, version, spec))
         log_event("configuration.from_host", host=record.name)
--- a/src/rattanhollow/membership/_gossip.py
+++ b/src/rattanhollow/membership/_gossip.py
@@ -46,7 +46,16 @@
     PieceAnswer,
     PieceQuestion,
 )
-from rattanhollow.store import Changes, Follower, Listing, Step, Stored, Unfit
+from rattanhollow.store import (
+    NO_REVISION,
+    Changes,
+    Follower,
+    Listing,
+    Revision,
+    Step,
+    Stored,
+    Unfit,
+)
 
 # A change needs several rounds to reach every host within the configured deadline.
 ROUNDS_PER_DEADLINE = 5
@@ -89,7 +98,7 @@
         self._rng = rng
         self._propagation_deadline_s = propagation_deadline_s
         # The version up to which the hosts of the zone were notified, by kind.
-        self._notified_versions: dict[str, int] = {}
+        self._notified_versions: dict[str, Revision] = {}
         self._nursery: trio.Nursery | None = None
         self._region_of = region_of
         for follower in followers:
@@ -285,12 +294,17 @@
 
     def comparison_response(self, request: CopyQuestion) -> CopyAnswer:
         """Return the changes or copies that are newer here than at the sender."""
-        copies, changes = [], []
+        copies, changes, lost = [], [], []
         for state in request.states:
             follower = self._followers.get(state.kind)
-            if follower is None or follower.version <= state.version:
+            if follower is None:
+                continue
+            is_equal = digest_copy(follower) == state.digest
+            if follower.unrestored and not is_equal:
+                lost.append(_make_unrestored(follower))
+            if follower.version <= state.version:
                 continue
-            if digest_copy(follower) == state.digest:
+            if is_equal and follower.version.era == state.version.era:
                 changes.append(_make_version_update(follower, state))
                 continue
             change = _make_change(follower, state.version)
@@ -298,14 +312,14 @@
                 change = None
             # Builds without differences ask for the whole copy like this when they
             # can't apply a change, as the one without objects below.
-            asks_for_all = state.version == 0 and state.digest != _NO_OBJECTS
+            asks_for_all = state.version == NO_REVISION and state.digest != _NO_OBJECTS
             if needs_pieces(follower, change) and not asks_for_all:
                 changes.append(_announcement(follower))
             elif change is None:
                 copies.append(_make_copy(follower))
             else:
                 changes.append(change)
-        return CopyAnswer(tuple(copies), tuple(changes))
+        return CopyAnswer((*copies, *lost), tuple(changes))
 
     def _reachable_hosts(self) -> list[HostRecord]:
         """Return this host and the others that are not known to be unreachable."""
@@ -399,7 +413,7 @@
             return None
         self._notified_versions[follower.kind] = follower.version
         if needs_pieces(follower, change):
-            since = notified_version or 0
+            since = notified_version or NO_REVISION
             difference = make_difference(follower, since, digest_copy(follower))
             return DifferenceNews((_bounded(difference),))
         if change is None:
@@ -409,7 +423,11 @@
     async def _compare_with(self, record: HostRecord, full_kind: str = "") -> None:
         """Compare with a host, requesting all objects of the kind ``full_kind``."""
         states = tuple(
-            CopyState(kind, 0 if kind == full_kind else f.version, digest_copy(f))
+            CopyState(
+                kind,
+                NO_REVISION if kind == full_kind else f.version,
+                digest_copy(f),
+            )
             for kind, f in self._followers.items()
         )
         asked_at_s = self._clock()
@@ -481,8 +499,9 @@
         for name in change.gone:
             versions.pop(name, None)
         for item in items:
-            versions[item.name] = max(item.version, versions.get(item.name, 0))
-        if _digest_versions(versions) != change.digest:
+            known_version = versions.get(item.name, NO_REVISION)
+            versions[item.name] = max(item.version, known_version)
+        if _digest_versions(versions, follower.unrestored) != change.digest:
             return False
         if items or changes.gone:
             log_event(
@@ -496,12 +515,20 @@
         follower.take_changes(change.version, changes, steps)
         return True
 
-    def _apply_items(self, kind: str, version: int, items: Items, host: str) -> bool:
+    def _apply_items(
+        self, kind: str, version: Revision, items: Items, host: str
+    ) -> bool:
         """Apply a copy that came in pieces."""
         return self._apply_copy(Copy(kind, version, items), host) is not None
 
     def _apply_copy(self, copy: Copy, host: str) -> Follower | None:
-        """Apply a copy if it is newer, and return the cached copy that it updated."""
+        """Apply a copy if it is newer, and return the cached copy that it updated.
+
+        One of an earlier era has what the store has lost since.
+        """
+        known = self._followers.get(copy.kind)
+        if known is not None and copy.version.era < known.version.era:
+            return self._apply_unrestored(known, copy, host)
         follower = self._follower_if_older(copy)
         if follower is None:
             return None
@@ -516,8 +543,23 @@
         follower.take_copy(Listing(copy.version, items))
         return follower
 
+    def _apply_unrestored(
+        self, follower: Follower, copy: Copy, host: str
+    ) -> Follower | None:
+        items = [Stored(copy.kind, *item) for item in copy.items]
+        if not follower.offer_unrestored(items):
+            return None
+        log_event(
+            "copy.unrestored_from_host",
+            kind=copy.kind,
+            host=host,
+            version=copy.version,
+            known_version=follower.version,
+        )
+        return follower
+
 
-def _make_change(follower: Follower, version: int) -> CopyChange | None:
+def _make_change(follower: Follower, version: Revision) -> CopyChange | None:
     changes = follower.changes_since(version)
     if changes is None:
         return None
@@ -541,18 +583,18 @@
     Its digest is no copy's that lacks it, so that no host applies it.
     """
     digest = digest_copy(follower)
-    return CopyChange(follower.kind, 0, follower.version, (), (), digest)
+    return CopyChange(follower.kind, NO_REVISION, follower.version, (), (), digest)
 
 
 def _is_announcement(change: CopyChange) -> bool:
-    return change.since == 0 and _has_no_objects(change)
+    return change.since == NO_REVISION and _has_no_objects(change)
 
 
 def _bounded(difference: CopyDifference) -> CopyDifference:
     """Return a difference without content where it is too large to be sent unasked."""
     if encoded_bytes(difference) <= LARGEST_NEWS_BYTES:
         return difference
-    change = difference.change._replace(since=0, items=(), gone=())
+    change = difference.change._replace(since=NO_REVISION, items=(), gone=())
     return CopyDifference(change)
 
 
@@ -565,14 +607,27 @@
     return Copy(follower.kind, follower.version, items)
 
 
+def _make_unrestored(follower: Follower) -> Copy:
+    """Return the objects that the store has lost, as a copy of their era."""
+    items = tuple((i.name, i.version, i.spec) for i in follower.unrestored.values())
+    newest = max(item.version for item in follower.unrestored.values())
+    return Copy(follower.kind, newest, items)
+
+
 def digest_copy(follower: Follower) -> int:
     """Return a digest of names and versions; equal for copies of equal objects."""
-    return _digest_versions(
-        {name: item.version for name, item in follower.items.items()}
-    )
+    versions = {name: item.version for name, item in follower.items.items()}
+    return _digest_versions(versions, follower.unrestored)
 
 
-def _digest_versions(versions: dict[str, int]) -> int:
-    names = sorted(f"{name}\0{version}" for name, version in versions.items())
+def _digest_versions(
+    versions: dict[str, Revision], unrestored: dict[str, Stored]
+) -> int:
+    names = sorted(
+        [
+            *(f"{name}\0{version}" for name, version in versions.items()),
+            *(f"{name}\0lost {item.version}" for name, item in unrestored.items()),
+        ]
+    )
     digest = hashlib.blake2b("\n".join(names).encode(), digest_size=8).digest()
     return int.from_bytes(digest)
--- a/src/rattanhollow/membership/_hosts.py
+++ b/src/rattanhollow/membership/_hosts.py
@@ -18,7 +18,14 @@
 from rattanhollow.peer import HostAnswer, HostQuestion, PeerAddress, Peers
 from rattanhollow.records import RecordError, from_spec, to_spec
 from rattanhollow.settings import MembershipSettings
-from rattanhollow.store import Follower, ObjectStore, Stored, update
+from rattanhollow.store import (
+    NO_REVISION,
+    Follower,
+    ObjectStore,
+    Revision,
+    Stored,
+    update,
+)
 
 HOST_KIND = "hosts"
 REPORT_KIND = "reports"
@@ -121,15 +128,15 @@
         self._on_change()
 
 
-async def _unknown_version() -> int:
-    return 0
+async def _unknown_version() -> Revision:
+    return NO_REVISION
 
 
 class Registration:
     """Keeps this host's record in the store, and with ``reports`` also its report.
 
-    ``find_version()`` returns the version of the record of a previous start, 0 if none
-    is known: replacing it takes one call, finding it by a refused creation three.
+    ``find_version()`` returns the version of the record of a previous start, or
+    `NO_REVISION`: replacing it takes one call, finding it by a refused creation three.
 
     ``written`` is set once the store has the record. ``is_first_registration`` is
     False if the store still had the record of a previous start of this host, and
@@ -142,7 +149,7 @@
         record: HostRecord,
         rng: random.Random,
         reports: bool = True,
-        find_version: Callable[[], Awaitable[int]] | None = None,
+        find_version: Callable[[], Awaitable[Revision]] | None = None,
     ) -> None:
         self.record = record
         self._find_version = find_version or _unknown_version
@@ -211,15 +218,15 @@
             if self.is_first_registration is None:
                 # An equal record is from a write whose response was lost.
                 is_first = spec is None or spec == desired_spec
-                self.is_first_registration = is_first and not known_version
+                self.is_first_registration = is_first and known_version == NO_REVISION
             return Ok(None if spec == desired_spec else desired_spec)
 
-        name, known_version = self.record.name, 0
+        name, known_version = self.record.name, NO_REVISION
         if self.is_first_registration is None:
             known_version = await self._find_version()
             put = await self._store.put(kind, name, desired_spec, known_version)
             if put.is_ok():
-                self.is_first_registration = not known_version
+                self.is_first_registration = known_version == NO_REVISION
                 return True
         written = await update(self._store, kind, name, change, attempts=2)
         return written.is_ok()
--- a/src/rattanhollow/membership/_pieces.py
+++ b/src/rattanhollow/membership/_pieces.py
@@ -11,11 +11,14 @@
 from rattanhollow.peer import CopyChange, PieceAnswer
 from rattanhollow.store import (
     Follower,
+    Revision,
     Unfit,
     compress,
     decompress,
     digest_bytes,
     encode_content,
+    revision_from_wire,
+    revision_to_wire,
 )
 
 # A piece takes 7 ms of a link of 10 Mbit/s, and 13 ms of the slowest one. That is how
@@ -35,16 +38,16 @@
 # A copy of small objects takes this much of a link of 10 Mbit/s for 52 ms.
 LARGE_COPY_BYTES = 64 * 1024
 
-_ITEMS = msgspec.msgpack.Decoder(tuple[tuple[str, int, dict[str, Any]], ...])
+_ITEMS = msgspec.msgpack.Decoder(tuple[tuple[str, Any, dict[str, Any]], ...])
 
-Items = tuple[tuple[str, int, dict[str, Any]], ...]
+Items = tuple[tuple[str, Revision, dict[str, Any]], ...]
 
 
 class EncodedCopy(NamedTuple):
     """A whole copy as bytes; ``digest`` is of names and versions."""
 
     kind: str
-    version: int
+    version: Revision
     digest: int
     data: bytes
     data_digest: int
@@ -81,7 +84,7 @@
         return next((copy for copy in copies if copy.digest == digest), None)
 
     def encode(
-        self, follower: Follower, digest: int, version: int, now_s: float
+        self, follower: Follower, digest: int, version: Revision, now_s: float
     ) -> EncodedCopy:
         """Return the present copy, which has ``digest``.
 
@@ -95,7 +98,8 @@
         if copies and copies[-1].version > version and age_s < ENCODE_INTERVAL_S:
             return copies[-1]
         items = sorted(
-            (item.name, item.version, item.spec) for item in follower.items.values()
+            (item.name, revision_to_wire(item.version), item.spec)
+            for item in follower.items.values()
         )
         data = compress(encode_content(items))
         copy = EncodedCopy(
@@ -145,7 +149,8 @@
         if digest_bytes(bytes(self._data)) != self._data_digest:
             raise Unfit("the pieces have another digest")
         try:
-            return _ITEMS.decode(decompress(bytes(self._data)))
+            decoded = _ITEMS.decode(decompress(bytes(self._data)))
+            return tuple((n, revision_from_wire(v), spec) for n, v, spec in decoded)
         except (ValueError, RecursionError) as error:
             raise Unfit(str(error)) from None
 
@@ -158,7 +163,7 @@
     )
 
 
-def no_piece(version: int, retry_ms: int = 0) -> PieceAnswer:
+def no_piece(version: Revision, retry_ms: int = 0) -> PieceAnswer:
     """Return that there is no newer copy here, or that it is sent later."""
     return PieceAnswer(version, 0, 0, 0, 0, b"", retry_ms)
 
--- a/src/rattanhollow/net/_http_client.py
+++ b/src/rattanhollow/net/_http_client.py
@@ -1,6 +1,8 @@
 """A small HTTP/1.1 client on trio: one server, connections kept open."""
 
 import select
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 import h11
@@ -17,10 +19,11 @@
 
 
 class HttpAnswer(NamedTuple):
-    """A whole answer."""
+    """A whole answer; ``headers`` by their names in lower case."""
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = MappingProxyType({})
 
 
 class _Link:
@@ -121,17 +124,21 @@
         return answer
 
     async def _read(self, link: _Link) -> HttpAnswer:
-        status, parts = 0, []
+        status, parts, headers = 0, [], {}
         while True:
             event: Any = link.http.next_event()
             if event is h11.NEED_DATA:
                 link.http.receive_data(await link.stream.receive_some(RECEIVE_BYTES))
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                headers = {
+                    name.decode("latin-1"): value.decode("latin-1")
+                    for name, value in event.headers
+                }
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return HttpAnswer(status, b"".join(parts))
+                return HttpAnswer(status, b"".join(parts), headers)
             else:
                 raise OSError("the connection ended before the answer did")
 
--- a/src/rattanhollow/observe/_kinds.py
+++ b/src/rattanhollow/observe/_kinds.py
@@ -65,6 +65,10 @@
     "Calls to the platform's store, by call and outcome.",
     ("call", "outcome"),
 )
+STORE_ERA_CHANGES = MetricKind(
+    "rattanhollow_store_era_changes",
+    "How often the store came back from an older copy of itself.",
+)
 CONFIGURATION_VERSION = MetricKind(
     "rattanhollow_configuration_version", "The configuration in force."
 )
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -18,7 +18,7 @@
     Work,
     WorkResult,
 )
-from rattanhollow.store import Step
+from rattanhollow.store import Revision, Step, revision_from_wire, revision_to_wire
 
 PROTOCOL_VERSION = 2
 LARGEST_MESSAGE_BYTES = 2 << 20
@@ -88,7 +88,7 @@
 class FreshnessAnswer(NamedTuple):
     """``version`` is the store's, ``heard_ms`` how long the store was silent."""
 
-    version: int
+    version: Revision
     heard_ms: int
 
 
@@ -182,7 +182,7 @@
     """How new a followed copy is, and a digest of its objects."""
 
     kind: str
-    version: int
+    version: Revision
     digest: int
 
 
@@ -193,11 +193,14 @@
 
 
 class Copy(NamedTuple):
-    """A whole copy: name, version and content of each object."""
+    """A whole copy: name, version and content of each object.
+
+    One of an era before the receiver's has what the store has lost since.
+    """
 
     kind: str
-    version: int
-    items: tuple[tuple[str, int, dict[str, Any]], ...]
+    version: Revision
+    items: tuple[tuple[str, Revision, dict[str, Any]], ...]
 
 
 class CopyChange(NamedTuple):
@@ -208,9 +211,9 @@
     """
 
     kind: str
-    since: int
-    version: int
-    items: tuple[tuple[str, int, dict[str, Any]], ...]
+    since: Revision
+    version: Revision
+    items: tuple[tuple[str, Revision, dict[str, Any]], ...]
     gone: tuple[str, ...]
     digest: int
 
@@ -268,7 +271,7 @@
     """
 
     state: CopyState
-    large: tuple[tuple[str, int], ...]
+    large: tuple[tuple[str, Revision], ...]
 
 
 class DifferenceAnswer(NamedTuple):
@@ -285,7 +288,7 @@
     """
 
     kind: str
-    version: int
+    version: Revision
     digest: int
     offset: int
 
@@ -296,7 +299,7 @@
     Without bytes where the host has no newer copy, or ``retry_ms`` later.
     """
 
-    version: int
+    version: Revision
     digest: int
     data_digest: int
     total_bytes: int
@@ -480,9 +483,24 @@
     "store state?": StoreStateQuestion,
     "store state": StoreStateAnswer,
 }
+
+
+def _encode_special(value: Any) -> Any:
+    if isinstance(value, Revision):
+        return revision_to_wire(value)
+    raise TypeError(f"{type(value).__name__} has no encoding")
+
+
+def _decode_special(wanted: type, value: Any) -> Any:
+    if wanted is Revision:
+        return revision_from_wire(value)
+    raise TypeError(f"{wanted.__name__} has no encoding")
+
+
 _NAMES = {record: name for name, record in MESSAGE_TYPES.items()}
 _DECODERS = {
-    name: msgspec.msgpack.Decoder(record) for name, record in MESSAGE_TYPES.items()
+    name: msgspec.msgpack.Decoder(record, dec_hook=_decode_special)
+    for name, record in MESSAGE_TYPES.items()
 }
 
 
@@ -496,7 +514,7 @@
 
 
 _ENVELOPE = msgspec.msgpack.Decoder(Envelope)
-_ENCODER = msgspec.msgpack.Encoder()
+_ENCODER = msgspec.msgpack.Encoder(enc_hook=_encode_special)
 
 
 class MessageRefused(ValueError):
--- a/src/rattanhollow/platform/_objects.py
+++ b/src/rattanhollow/platform/_objects.py
@@ -11,14 +11,20 @@
 from rattanhollow.observe import log_event
 from rattanhollow.platform._entries import SERVER_KIND
 from rattanhollow.store import (
+    ERA_HEADER,
+    NO_REVISION,
+    EraMonitor,
     Event,
     EventType,
     Listing,
     ObjectStore,
+    Revision,
     Stored,
     StoreFailure,
     Trouble,
     Unreadable,
+    check_condition,
+    check_events,
     decode_json,
     fault_of,
 )
@@ -43,30 +49,44 @@
 _TROUBLES = {404: Trouble.NOT_FOUND, 409: Trouble.CONFLICT, 410: Trouble.GONE}
 
 
+class _Body(NamedTuple):
+    """The decoded body of an answer, and the era in which the store gave it."""
+
+    content: Any
+    era: int
+
+
 class _Page(NamedTuple):
     """A part of a list; ``last_name`` is where the next one begins."""
 
     items: list[Stored]
     more: bool
     last_name: str
-    version: int
+    version: Revision
 
 
 def object_store(
-    client: HttpClient, called: Callable[[str, str], None] = lambda call, outcome: None
+    client: HttpClient,
+    called: Callable[[str, str], None] = lambda call, outcome: None,
+    on_era_change: Callable[[], None] = lambda: None,
 ) -> ObjectStore:
     """Return the store that ``client`` calls; ``called`` hears of each call."""
+    monitor = EraMonitor(on_era_change)
 
     async def call(
         method: str, path: str, body: Any = None, timeout_s: float = CALL_TIMEOUT_S
-    ) -> Result[Any, StoreFailure]:
+    ) -> Result[_Body, StoreFailure]:
         content = b"" if body is None else msgspec.json.encode(body)
         answered = await client.call(method, f"/objects/{path}", timeout_s, content)
         name = _name_of(method, path)
         called(name, "none" if answered.is_err() else str(answered.unwrap().status))
         if answered.is_err():
             return Err(StoreFailure(Trouble.UNREACHABLE, answered.unwrap_err()))
-        return _decode(answered.unwrap())
+        answer = answered.unwrap()
+        era = monitor.take(answer.headers.get(ERA_HEADER))
+        if era.is_err():
+            return Err(era.unwrap_err())
+        return _decode(answer).map(lambda content: _Body(content, era.unwrap()))
 
     async def get(kind: str, name: str) -> Result[Stored, StoreFailure]:
         answer = await call("GET", f"{kind}/{quote(name)}")
@@ -89,34 +109,56 @@
             if page.is_err():
                 return Err(page.unwrap_err())
             found = page.unwrap()
+            if items and items[0].version.era != found.version.era:
+                detail = "a new era began between the pages of a list"
+                return Err(StoreFailure(Trouble.UNREACHABLE, detail))
             items += found.items
             if not (found.more and found.last_name):
                 return Ok(Listing(found.version, items))
             query = {**query, "after": found.last_name}
 
     async def put(
-        kind: str, name: str, spec: dict[str, Any], version: int
+        kind: str, name: str, spec: dict[str, Any], version: Revision
     ) -> Result[Stored, StoreFailure]:
+        outdated = monitor.check(version)
+        if outdated is not None:
+            return Err(outdated)
         meta: dict[str, Any] = {"name": name}
-        if version == 0:
+        if version == NO_REVISION:
             answer = await call("POST", kind, {"meta": meta, "spec": spec})
         else:
-            meta["revision"] = version
+            meta["revision"] = version.number
             body = {"meta": meta, "spec": spec}
             answer = await call("PUT", f"{kind}/{quote(name)}", body)
-        return answer.and_then(lambda body: _one(kind, body))
-
-    async def delete(kind: str, name: str, version: int) -> Result[None, StoreFailure]:
-        path = f"{kind}/{quote(name)}?revision={version}"
-        return (await call("DELETE", path)).map(lambda _: None)
+        done = answer.and_then(lambda body: _on_condition(version, body))
+        return done.and_then(lambda body: _one(kind, body))
+
+    async def delete(
+        kind: str, name: str, version: Revision
+    ) -> Result[None, StoreFailure]:
+        outdated = monitor.check(version)
+        if outdated is not None:
+            return Err(outdated)
+        answer = await call("DELETE", f"{kind}/{quote(name)}?revision={version.number}")
+        done = answer.and_then(lambda body: _on_condition(version, body))
+        return done.map(lambda _: None)
 
     async def watch(
-        kind: str, version: int
+        kind: str, version: Revision
     ) -> AsyncIterator[Result[Event, StoreFailure]]:
-        path = f"{kind}?watch={version}&wait_ms={WATCH_WAIT_MS}"
+        outdated = monitor.check_watch(version)
+        if outdated is not None:
+            yield Err(outdated)
+            return
+        path = f"{kind}?watch={version.number}&wait_ms={WATCH_WAIT_MS}"
         timeout_s = WATCH_WAIT_MS / 1000 + WATCH_ALLOWANCE_S
-        answer = await call("GET", path, timeout_s=timeout_s)
-        events = answer.and_then(lambda body: _events(kind, body))
+        with monitor.watch() as scope:
+            answer = await call("GET", path, timeout_s=timeout_s)
+        if scope.cancelled_caught:
+            yield Err(StoreFailure(Trouble.GONE, "a new era began"))
+            return
+        behind = answer.and_then(lambda body: _behind(version, body))
+        events = behind.and_then(lambda body: _events(kind, body))
         if events.is_err():
             yield Err(events.unwrap_err())
             return
@@ -124,13 +166,26 @@
             yield Ok(event)
 
     async def changes_since(
-        kind: str, version: int
+        kind: str, version: Revision
     ) -> Result[list[Event], StoreFailure]:
-        path = f"{kind}?watch={version}&wait_ms={LOOK_WAIT_MS}"
+        outdated = monitor.check_watch(version)
+        if outdated is not None:
+            return Err(outdated)
+        path = f"{kind}?watch={version.number}&wait_ms={LOOK_WAIT_MS}"
         answer = await call("GET", path, timeout_s=LIST_TIMEOUT_S)
-        return answer.and_then(lambda body: _events(kind, body))
+        behind = answer.and_then(lambda body: _behind(version, body))
+        return behind.and_then(lambda body: _events(kind, body))
 
-    return ObjectStore(get, list_kind, list_lagging, put, delete, watch, changes_since)
+    return ObjectStore(
+        get,
+        list_kind,
+        list_lagging,
+        put,
+        delete,
+        watch,
+        changes_since,
+        lambda: monitor.era,
+    )
 
 
 def _name_of(method: str, path: str) -> str:
@@ -155,7 +210,7 @@
     return Ok(body)
 
 
-def _stored(kind: str, body: Any) -> Stored:
+def _stored(kind: str, body: Any, era: int) -> Stored:
     """Return an object; one whose content can't be read has a ``fault``.
 
     Raises:
@@ -163,7 +218,7 @@
 
     """
     meta = _part(body, "meta")
-    name, version = _part(meta, "name"), _whole(meta, "revision")
+    name, version = _part(meta, "name"), Revision(_whole(meta, "revision"), era)
     if not isinstance(name, str) or not name:
         raise ValueError("name: expected a text")
     spec = body.get("spec")
@@ -183,22 +238,32 @@
     return f"{size} bytes of content" if size > SERVER_ENTRY_BYTES_AT_MOST else ""
 
 
-def _one(kind: str, body: Any) -> Result[Stored, StoreFailure]:
+def _on_condition(condition: Revision, body: _Body) -> Result[_Body, StoreFailure]:
+    failure = check_condition(condition, body.era)
+    return Ok(body) if failure is None else Err(failure)
+
+
+def _behind(since: Revision, body: _Body) -> Result[_Body, StoreFailure]:
+    failure = check_events(since, body.era)
+    return Ok(body) if failure is None else Err(failure)
+
+
+def _one(kind: str, body: _Body) -> Result[Stored, StoreFailure]:
     try:
-        return Ok(_stored(kind, body))
+        return Ok(_stored(kind, body.content, body.era))
     except ValueError as error:
         return Err(_shape(error))
 
 
-def _page(kind: str, body: Any) -> Result[_Page, StoreFailure]:
+def _page(kind: str, body: _Body) -> Result[_Page, StoreFailure]:
     try:
-        listed = _list(body, "items")
+        listed = _list(body.content, "items")
         return Ok(
             _Page(
-                items=_readable(kind, listed),
-                more=bool(body.get("more")) and bool(listed),
+                items=_readable(kind, listed, body.era),
+                more=bool(body.content.get("more")) and bool(listed),
                 last_name=_last_name(listed),
-                version=_whole(body, "at"),
+                version=Revision(_whole(body.content, "at"), body.era),
             )
         )
     except ValueError as error:
@@ -215,28 +280,29 @@
     return ""
 
 
-def _events(kind: str, body: Any) -> Result[list[Event], StoreFailure]:
+def _events(kind: str, body: _Body) -> Result[list[Event], StoreFailure]:
     """Return the events, and a bookmark at the version to go on from."""
     try:
-        at = Stored(kind, "", _whole(body, "at"), {})
-        reported = _list(body, "events")
+        at = Stored(kind, "", Revision(_whole(body.content, "at"), body.era), {})
+        reported = _list(body.content, "events")
     except ValueError as error:
         return Err(_shape(error))
     events = []
     for item in reported:
-        found = _readable(kind, [item.get("object")] if isinstance(item, dict) else [])
+        objects = [item.get("object")] if isinstance(item, dict) else []
+        found = _readable(kind, objects, body.era)
         deleted = isinstance(item, dict) and item.get("deleted") is True
         change = EventType.DELETED if deleted else EventType.CHANGED
         events += [Event(change, stored) for stored in found]
     return Ok([*events, Event(EventType.BOOKMARK, at)])
 
 
-def _readable(kind: str, bodies: list[Any]) -> list[Stored]:
+def _readable(kind: str, bodies: list[Any], era: int) -> list[Stored]:
     """Return the objects that have a name and a version."""
     found = []
     for body in bodies:
         try:
-            found.append(_stored(kind, body))
+            found.append(_stored(kind, body, era))
         except ValueError as error:
             log_event("store.object_unreadable", kind=kind, reason=error)
     return found
--- a/src/rattanhollow/proxy/_root.py
+++ b/src/rattanhollow/proxy/_root.py
@@ -130,7 +130,11 @@
             admit_soon=self._admit_soon,
         )
         self._listener = Listener(self.service, tls_context(settings.listen))
-        self._configurations = Follower(CONFIGURATION_KIND, self._take_stored)
+        self._configurations = Follower(
+            CONFIGURATION_KIND,
+            self._take_stored,
+            is_newer=self._is_newer_configuration,
+        )
         reach = PeerAccess(self._own_record, self.hosts, self.peers, rng)
         self.freshness = Freshness(self._configurations, reach)
         self._watches = GroupWatches(self.groups, self._watch_parts())
@@ -236,6 +240,15 @@
         self.configuration = offered
         self._new_configuration.set()
 
+    def _is_newer_configuration(self, known: Stored, listed: Stored) -> bool | None:
+        """Whether operators wrote a configuration after the one that was known."""
+        try:
+            before = self._read_configuration(known.spec)
+            after = self._read_configuration(listed.spec)
+        except RecordError:
+            return None
+        return after.version >= before.version
+
     async def _apply_configurations(self) -> None:
         """Bring each configuration into force: groups, watches, open connections."""
         while True:
--- a/src/rattanhollow/routing/_directory.py
+++ b/src/rattanhollow/routing/_directory.py
@@ -10,7 +10,7 @@
 from rattanhollow.observe import log_event
 from rattanhollow.routing._evacuations import Evacuations
 from rattanhollow.serving import BackendServer
-from rattanhollow.store import Stored
+from rattanhollow.store import NO_REVISION, Revision, Stored
 
 # A description may expire while the store is unavailable; according to the platform,
 # it returns within about two seconds if its server is alive.
@@ -35,7 +35,7 @@
     """A server that proved its leadership, and the newest description at that time."""
 
     server: str
-    version: int
+    version: Revision
 
 
 class _Leave(NamedTuple):
@@ -62,8 +62,8 @@
         self._clock = clock
         self._servers: dict[str, BackendServer] = {}
         self._missing_since_s: dict[str, float] = {}
-        self._leader_versions: dict[str, int] = {}
-        self._denied_versions: dict[str, int] = {}
+        self._leader_versions: dict[str, Revision] = {}
+        self._denied_versions: dict[str, Revision] = {}
         self._proofs: dict[str, _LeaderProof] = {}
         self._unreadable_reasons: dict[str, str] = {}
         self._restarted_at_s: dict[str, float] = {}
@@ -99,7 +99,8 @@
             previous is None or not previous.leads or previous.born_ms != server.born_ms
         ):
             self._leader_versions[name] = server.version
-        if previous != server._replace(version=previous.version if previous else 0):
+        known_version = previous.version if previous else NO_REVISION
+        if previous != server._replace(version=known_version):
             self._notify_change()
             log_event(
                 "server.described",
@@ -181,8 +182,7 @@
         claims = {
             name: version
             for name, version in self._leader_versions.items()
-            if name in members
-            and self._denied_versions.get(name, -1) < members[name].version
+            if name in members and not self._has_denied(members[name])
         }
         newest = max(claims, key=lambda name: claims[name], default=None)
         proof = self._proofs.get(service)
@@ -196,7 +196,8 @@
         proof = self._proofs.get(service)
         if proof is not None and proof.server == server_id:
             return
-        newest = max((item.version for item in self._servers.values()), default=0)
+        versions = (item.version for item in self._servers.values())
+        newest = max(versions, default=NO_REVISION)
         self._proofs[service] = _LeaderProof(server_id, newest)
         self._denied_versions.pop(server_id, None)
         self._notify_change()
@@ -207,13 +208,18 @@
         server = self._servers.get(server_id)
         if server is None:
             return
-        if self._denied_versions.get(server_id, -1) < server.version:
+        if not self._has_denied(server):
             log_event("leader.denied", service=server.service, server=server_id)
         self._denied_versions[server_id] = server.version
         proof = self._proofs.get(server.service)
         if proof is not None and proof.server == server_id:
             del self._proofs[server.service]
 
+    def _has_denied(self, server: BackendServer) -> bool:
+        """Whether a server has denied leading since its newest description."""
+        denied = self._denied_versions.get(server.id)
+        return denied is not None and denied >= server.version
+
     def _note_leaving(
         self, server: BackendServer, previous: BackendServer | None
     ) -> None:
--- a/src/rattanhollow/serving/_backend_protocol.py
+++ b/src/rattanhollow/serving/_backend_protocol.py
@@ -8,6 +8,7 @@
 
 from rattanhollow.coordination import Position
 from rattanhollow.statements import Reason, SessionState
+from rattanhollow.store import NO_REVISION, Revision
 
 
 class BackendServer(NamedTuple):
@@ -28,7 +29,7 @@
     leads: bool
     cold_ms: int
     born_ms: int
-    version: int = 0
+    version: Revision = NO_REVISION
 
 
 class ServerStatus(NamedTuple):
--- a/src/rattanhollow/store/__init__.py
+++ b/src/rattanhollow/store/__init__.py
@@ -22,18 +22,34 @@
     encode_content,
     make_step,
 )
+from rattanhollow.store._era import (
+    ERA_HEADER,
+    EraMonitor,
+    check_condition,
+    check_events,
+)
 from rattanhollow.store._follow import Changes, Follower, follow
 from rattanhollow.store._json import Unreadable, decode_json, fault_of
+from rattanhollow.store._revision import (
+    NO_REVISION,
+    Revision,
+    revision_from_wire,
+    revision_to_wire,
+)
 from rattanhollow.store._update import update
 
 __all__ = [
+    "ERA_HEADER",
     "LARGE_OBJECT_BYTES",
+    "NO_REVISION",
     "Changes",
+    "EraMonitor",
     "Event",
     "EventType",
     "Follower",
     "Listing",
     "ObjectStore",
+    "Revision",
     "Step",
     "Stored",
     "StoreFailure",
@@ -41,6 +57,8 @@
     "Unfit",
     "Unreadable",
     "apply_steps",
+    "check_condition",
+    "check_events",
     "compress",
     "decode_json",
     "decompress",
@@ -50,6 +68,8 @@
     "follow",
     "http_store",
     "make_step",
+    "revision_from_wire",
+    "revision_to_wire",
     "update",
 ]
 
--- a/src/rattanhollow/store/_api.py
+++ b/src/rattanhollow/store/_api.py
@@ -6,6 +6,8 @@
 
 from result import Result
 
+from rattanhollow.store._revision import Revision
+
 
 class Trouble(enum.Enum):
     """Why a call to the store failed."""
@@ -26,7 +28,7 @@
 
 
 class Stored(NamedTuple):
-    """One object: ``version`` is the store's, and rises with every change.
+    """One object: ``version`` is the store's revision of its last change.
 
     ``fault`` says why its content can't be read, empty if it can; ``spec`` is empty
     then.
@@ -34,7 +36,7 @@
 
     kind: str
     name: str
-    version: int
+    version: Revision
     spec: dict[str, Any]
     fault: str = ""
 
@@ -57,7 +59,7 @@
 class Listing(NamedTuple):
     """All objects of a kind, and the version to watch from."""
 
-    version: int
+    version: Revision
     items: list[Stored]
 
 
@@ -66,21 +68,25 @@
 
     ``get(kind, name)``; ``list(kind)``; ``list_lagging(kind)`` may be seconds
     old, and costs less where the store can do that; ``put(kind, name, spec, version)``
-    creates at version 0 and otherwise replaces exactly that version;
+    creates at `NO_REVISION` and otherwise replaces exactly that version;
     ``delete(kind, name, version)``; ``watch(kind, version)`` yields events
     after ``version`` and ends when the watch does. ``changes_since(kind, version)``
     returns at once what a watch would yield, with a bookmark at the end; None where
-    the store has no such call.
+    the store has no such call. ``era()`` is the newest era in which the store has
+    answered, 0 where it has none. A change that the store has made on a condition of
+    an earlier era is a conflict: the object was another one.
     """
 
     get: Callable[[str, str], Awaitable[Result[Stored, StoreFailure]]]
     list: Callable[[str], Awaitable[Result[Listing, StoreFailure]]]
     list_lagging: Callable[[str], Awaitable[Result[Listing, StoreFailure]]]
     put: Callable[
-        [str, str, dict[str, Any], int], Awaitable[Result[Stored, StoreFailure]]
+        [str, str, dict[str, Any], Revision], Awaitable[Result[Stored, StoreFailure]]
     ]
-    delete: Callable[[str, str, int], Awaitable[Result[None, StoreFailure]]]
-    watch: Callable[[str, int], AsyncIterator[Result[Event, StoreFailure]]]
+    delete: Callable[[str, str, Revision], Awaitable[Result[None, StoreFailure]]]
+    watch: Callable[[str, Revision], AsyncIterator[Result[Event, StoreFailure]]]
     changes_since: (
-        Callable[[str, int], Awaitable[Result[Sequence[Event], StoreFailure]]] | None
+        Callable[[str, Revision], Awaitable[Result[Sequence[Event], StoreFailure]]]
+        | None
     ) = None
+    era: Callable[[], int] = lambda: 0
--- a/src/rattanhollow/store/_difference.py
+++ b/src/rattanhollow/store/_difference.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from rattanhollow.store._revision import Revision
+
 # An object from this size on travels as differences, and its copies in pieces. A
 # smaller one takes less than 14 ms of a link of 10 Mbit/s, and travels whole.
 LARGE_OBJECT_BYTES = 16 * 1024
@@ -36,8 +38,8 @@
     """
 
     name: str
-    base_version: int
-    version: int
+    base_version: Revision
+    version: Revision
     digest: int
     content: bytes
 
@@ -89,8 +91,8 @@
 
 def make_step(
     name: str,
-    base: tuple[int, dict[str, Any]],
-    result: tuple[int, dict[str, Any]],
+    base: tuple[Revision, dict[str, Any]],
+    result: tuple[Revision, dict[str, Any]],
 ) -> Step:
     """Return the step between two versions, each with its content."""
     digest = digest_bytes(encode_content(result[1]))
--- a/src/rattanhollow/store/_update.py
+++ b/src/rattanhollow/store/_update.py
@@ -8,6 +8,7 @@
 
 from rattanhollow.records import RecordError
 from rattanhollow.store._api import ObjectStore, StoreFailure, Trouble
+from rattanhollow.store._revision import NO_REVISION
 
 RETRY_PAUSE_S = 0.1
 
@@ -50,7 +51,7 @@
         content = wanted.unwrap()
         if content is None:
             return Ok(current)
-        version = current.version if current else 0
+        version = current.version if current else NO_REVISION
         written = await store.put(kind, name, content, version)
         if written.is_ok():
             return written
--- a/src/rattanhollow_standins/platform/_objects_api.py
+++ b/src/rattanhollow_standins/platform/_objects_api.py
@@ -157,6 +157,8 @@
     async def _send(self, status: int, answer: Any) -> None:
         content = msgspec.json.encode(answer)
         headers = [("content-length", str(len(content)))]
+        if self._table.era:
+            headers.append(("Store-Era", str(self._table.era)))
         data = self._http.send(h11.Response(status_code=status, headers=headers)) or b""
         data += self._http.send(h11.Data(data=content)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
--- a/src/rattanhollow_standins/store/_objects.py
+++ b/src/rattanhollow_standins/store/_objects.py
@@ -1,5 +1,6 @@
 """The objects of the stand-in store, their history, and its faults."""
 
+import copy
 from collections import Counter, deque
 from typing import Any, NamedTuple
 
@@ -25,6 +26,13 @@
     spec: dict[str, Any]
 
 
+class SavedObjects(NamedTuple):
+    """A copy of all objects, from which the store may come back."""
+
+    version: int
+    objects: dict[tuple[str, str], Entry]
+
+
 class StoreFaults:
     """What is wrong with the store now.
 
@@ -55,10 +63,15 @@
 
 
 class ObjectTable:
-    """All objects; versions rise with every change of any object."""
+    """All objects; versions rise with every change of any object.
+
+    ``era`` rises by one each time that it comes back from a copy; a store of era 0
+    names none in its answers.
+    """
 
     def __init__(self) -> None:
         self.version = 0
+        self.era = 0
         self.faults = StoreFaults()
         self.calls: Counter[str] = Counter()
         self.calls_by_second: Counter[int] = Counter()
@@ -109,6 +122,8 @@
 
     def since(self, kind: str, version: int) -> list[Change] | None:
         """Return the changes after ``version``; None where they are forgotten."""
+        if version > self.version:
+            return None
         if self.history and self.history[0].version > version + 1:
             return None
         return [c for c in self.history if c.version > version and c.kind == kind]
@@ -119,6 +134,21 @@
         self.history.clear()
         self.history.append(Change(self.version, "ADDED", "", "", {}))
 
+    def save(self) -> SavedObjects:
+        """Return a copy of all objects."""
+        return SavedObjects(self.version, copy.deepcopy(self._objects))
+
+    def come_back_from(self, saved: SavedObjects) -> None:
+        """Lose what was written since a copy; versions are given out again."""
+        self.version = saved.version
+        self._objects = copy.deepcopy(saved.objects)
+        kept = [change for change in self.history if change.version <= saved.version]
+        self.history.clear()
+        self.history.extend(kept)
+        self.era += 1
+        self._changed.set()
+        self._changed = trio.Event()
+
     async def wait_for_change(self) -> None:
         """Return once something changed."""
         await self._changed.wait()
--- a/src/rattanhollow_standins/store/_server.py
+++ b/src/rattanhollow_standins/store/_server.py
@@ -124,10 +124,14 @@
         content = msgspec.json.encode(reply.body)
         headers = [("content-type", "application/json")]
         headers.append(("content-length", str(len(content))))
+        headers += self._era_header()
         await self._send(h11.Response(status_code=reply.status, headers=headers))
         await self._send(h11.Data(data=content))
         await self._send(h11.EndOfMessage())
 
+    def _era_header(self) -> list[tuple[str, str]]:
+        return [("Store-Era", str(self._table.era))] if self._table.era else []
+
     async def _watch(self, request: Request) -> None:
         version = int(request.query.get("resourceVersion", "0"))
         if self._table.since(request.kind, version) is None:
@@ -135,6 +139,7 @@
             return
         headers = [("content-type", "application/json")]
         headers.append(("transfer-encoding", "chunked"))
+        headers += self._era_header()
         await self._send(h11.Response(status_code=200, headers=headers))
         seconds = float(request.query.get("timeoutSeconds", "30"))
         with trio.move_on_after(seconds):
@@ -146,11 +151,12 @@
 async def _events(
     table: ObjectTable, kind: str, version: int, peer: str
 ) -> AsyncIterator[bytes]:
+    era = table.era
     while True:
         if table.faults.silent_watch or table.faults.silent_for(peer):
             await trio.sleep_forever()
         changes = table.since(kind, version)
-        if changes is None:
+        if changes is None or table.era != era:
             raise _Swallowed
         for change in changes:
             version = change.version
--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -169,7 +169,7 @@
 def config_version(host: Any) -> int:
     """Return the version of the configuration that a host has, 0 for none."""
     known = host.followers[0].items.get("main")
-    return known.version if known is not None else 0
+    return known.version.number if known is not None else 0
 
 
 def run_with(
--- a/tests/crossing_fleet.py
+++ b/tests/crossing_fleet.py
@@ -28,7 +28,7 @@
     not_run,
 )
 from rattanhollow.statements import Reason
-from rattanhollow.store import Stored
+from rattanhollow.store import Revision, Stored
 
 SERVICE = "bookings"
 REGIONS = {"lothian-a": "lothian", "lothian-b": "lothian", "tayside-a": "tayside"}
@@ -114,7 +114,9 @@
             "db_role": "primary" if leads else "replica",
             "born": 1,
         }
-        self.directory.apply_description(Stored("servers", name, number, spec), name)
+        self.directory.apply_description(
+            Stored("servers", name, Revision(number), spec), name
+        )
         self.servers[name] = Server(3, work_ms)
         self._zones[name] = zone
         return self.servers[name]
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -37,16 +37,19 @@
 from rattanhollow.peer._messages import encode
 from rattanhollow.records import to_spec
 from rattanhollow.store import (
+    NO_REVISION,
     Event,
     EventType,
     Follower,
     ObjectStore,
+    Revision,
     Stored,
     StoreFailure,
     Trouble,
     follow,
 )
 from rattanhollow_standins.store import ObjectTable, local_store
+from rattanhollow_standins.store._objects import Change
 
 ZONES = [f"{region}-{half}" for region in ("lothian", "tayside") for half in "abc"]
 PROPAGATION_DEADLINE_S = 8.0
@@ -143,8 +146,11 @@
         )
         self.first_start = True
         self._fleet = fleet
+        # The configuration in force: as at a host, that with the highest version.
+        self.in_force = 0
         self.followers = [
-            Follower(kind, lambda stored, name: None) for kind in ("config", "servers")
+            Follower("config", self._take_configuration, is_newer=_is_newer),
+            Follower("servers", lambda stored, name: None),
         ]
         links: Any = fleet.links(name)
         all_followers = [*self.followers, self.directory.follower]
@@ -172,9 +178,13 @@
             )
         )
 
-    async def _find_record(self) -> int:
+    def _take_configuration(self, stored: Stored | None, name: str) -> None:
+        if stored is not None:
+            self.in_force = max(self.in_force, stored.spec["version"])
+
+    async def _find_record(self) -> Revision:
         if self.first_start or not self._fleet.shares_start:
-            return 0
+            return NO_REVISION
         return await find_own_record(self.record.name, self.directory.follower)
 
     async def respond(self, message: Message) -> Message | None:
@@ -231,28 +241,49 @@
         )
 
 
+def _is_newer(known: Stored, listed: Stored) -> bool | None:
+    return bool(listed.spec["version"] >= known.spec["version"])
+
+
 def _store_with_ending_watches(table: ObjectTable) -> ObjectStore:
     """Return a store whose watches end after the first changes, as the platform's."""
 
     async def watch(
-        kind: str, version: int
+        kind: str, version: Revision
     ) -> AsyncIterator[Result[Event, StoreFailure]]:
+        def changes() -> list[Change] | None:
+            if version.era != table.era:
+                return None
+            return table.since(kind, version.number)
+
         table.count("watch")
         if table.faults.down:
             yield Err(StoreFailure(Trouble.UNREACHABLE, "stand-in is down"))
             return
         with trio.move_on_after(WATCH_DURATION_S):
-            while table.faults.silent_watch or not table.since(kind, version):
+            while table.faults.silent_watch or changes() == []:
                 await table.wait_for_change()
         if table.faults.silent_watch:
             return
-        for change in table.since(kind, version) or []:
+        reported = changes()
+        if reported is None:
+            yield Err(StoreFailure(Trouble.GONE, str(version)))
+            return
+        for change in reported:
             deleted = change.type == "DELETED"
             event = EventType.DELETED if deleted else EventType.CHANGED
             yield Ok(
-                Event(event, Stored(kind, change.name, change.version, change.spec))
+                Event(
+                    event,
+                    Stored(
+                        kind,
+                        change.name,
+                        Revision(change.version, table.era),
+                        change.spec,
+                    ),
+                )
             )
-        mark = Stored(kind, "", table.version, {})
+        mark = Stored(kind, "", Revision(table.version, table.era), {})
         yield Ok(Event(EventType.BOOKMARK, mark))
 
     return local_store(table)._replace(watch=watch)
--- a/tests/play_databases.py
+++ b/tests/play_databases.py
@@ -5,6 +5,7 @@
 import trio
 
 from rattanhollow.serving import BackendServer
+from rattanhollow.store import NO_REVISION, Revision
 from rattanhollow_standins.platform import DatabaseServer, ServiceGroup
 from rattanhollow_standins.platform._group import Entry
 
@@ -127,10 +128,11 @@
 
     def _describe(self, database: DatabaseServer, now_s: float) -> None:
         previous = self.items.get(database.id)
-        version = previous.version if previous is not None else 0
+        version = previous.version if previous is not None else NO_REVISION
         described = describe(database, version)
         if described != previous:
-            self.items[database.id] = described._replace(version=self.version + 1)
+            revision = Revision(self.version + 1)
+            self.items[database.id] = described._replace(version=revision)
             self._keep(now_s)
 
     def _keep(self, now_s: float) -> None:
@@ -138,7 +140,7 @@
         self.history.append((now_s, self.version, dict(self.items)))
 
 
-def describe(database: DatabaseServer, version: int) -> BackendServer:
+def describe(database: DatabaseServer, version: Revision) -> BackendServer:
     """Return the store's description of a database."""
     return BackendServer(
         id=database.id,
--- a/tests/play_host.py
+++ b/tests/play_host.py
@@ -237,7 +237,7 @@
         async def get(kind: str, name: str) -> Any:
             return await reach(lambda: inner.get(kind, name))
 
-        async def put(kind: str, name: str, spec: dict[str, Any], version: int) -> Any:
+        async def put(kind: str, name: str, spec: dict[str, Any], version: Any) -> Any:
             return await reach(lambda: inner.put(kind, name, spec, version))
 
         return inner._replace(get=get, put=put)
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -22,7 +22,7 @@
     PeerAddress,
 )
 from rattanhollow.rates import PooledRateLimiter, PooledRateLimiterParts
-from rattanhollow.store import Stored
+from rattanhollow.store import Revision, Stored
 
 REGIONS = ("lothian", "tayside", "highland")
 ONE_WAY_S = {True: 0.002, False: 0.022}
@@ -108,7 +108,9 @@
     async def _serve(self, name: str, process_started_at_s: float) -> None:
         directory = HostDirectory(lambda: None)
         for other, known in self.records.items():
-            directory.follower.offer(Stored("hosts", other, 1, known._asdict()))
+            directory.follower.offer(
+                Stored("hosts", other, Revision(1), known._asdict())
+            )
         self._starts += 1
         record = self.records[name]._replace(incarnation=f"{name}-{self._starts}")
         rates = PooledRateLimiter(
@@ -134,7 +136,7 @@
             rates.registered(anew=False)
             await trio.sleep(LISTED_AFTER_S)
             self._versions += 1
-            stored = Stored("hosts", name, self._versions, record._asdict())
+            stored = Stored("hosts", name, Revision(self._versions), record._asdict())
             for known_hosts in self.directories.values():
                 known_hosts.follower.offer(stored)
             self.records[name] = record
--- a/tests/test_cold_limit.py
+++ b/tests/test_cold_limit.py
@@ -22,6 +22,7 @@
     WorkOutcome,
     WorkResult,
 )
+from rattanhollow.store import Revision
 from test_serving import Stage, on_stage, work
 
 BOUND = ColdBound(per_s=10, cold_s=4, excess_ratio=1.5, slack=5)
@@ -43,7 +44,7 @@
     """Return a server that started a second ago."""
     return BackendServer(
         "i-0", "s", "10.0.0.1", 1, "z", 5, False, False, cold_ms, int(born_s * 1000)
-    )._replace(version=version)
+    )._replace(version=Revision(version))
 
 
 def limit(clock: Clock, is_first: bool = True, **described: Any) -> ColdLimit:
--- a/tests/test_config_distribution.py
+++ b/tests/test_config_distribution.py
@@ -28,8 +28,10 @@
 )
 from rattanhollow.store import (
     LARGE_OBJECT_BYTES,
+    NO_REVISION,
     EventType,
     Follower,
+    Revision,
     Step,
     Stored,
     Unfit,
@@ -56,7 +58,9 @@
 def test_a_step_gives_exactly_the_newer_content(base: Any, result: Any) -> None:
     """A difference that lost a change, or a type, would differ between hosts."""
     kept = encode_content(base)
-    found = apply_steps(base, [make_step("x", (1, base), (2, result))])
+    found = apply_steps(
+        base, [make_step("x", (Revision(1), base), (Revision(2), result))]
+    )
     assert encode_content(found) == encode_content(result)
     assert encode_content(base) == kept
 
@@ -65,7 +69,7 @@
 def test_damaged_steps_are_refused(data: bytes) -> None:
     """Bytes from the network must raise nothing that ends a task."""
     with pytest.raises(Unfit):
-        apply_steps({"routes": []}, [Step("main", 1, 2, 0, data)])
+        apply_steps({"routes": []}, [Step("main", Revision(1), Revision(2), 0, data)])
 
 
 @pytest.mark.parametrize(("routes", "hosts"), [(100, 24), (1_000, 24), (10_000, 8)])
@@ -146,8 +150,9 @@
     follower = host.followers[0]
     known = follower.items["main"]
     spec = {**known.spec, "version": 0}
-    follower.items["main"] = known._replace(version=known.version - 1, spec=spec)
-    follower.version = known.version - 1
+    earlier = Revision(known.version.number - 1)
+    follower.items["main"] = known._replace(version=earlier, spec=spec)
+    follower.version = earlier
     return host
 
 
@@ -229,7 +234,9 @@
         host = next(h for h in fleet.hosts.values() if not h.gossip.is_relay())
         late: list[DifferenceNews] = []
         seen: list[int] = []
-        host.followers[0]._on_change = lambda stored, name: seen.append(stored.version)
+        host.followers[0]._on_change = lambda stored, name: seen.append(
+            stored.version.number
+        )
 
         def hears(receiver: str, message: Any) -> None:
             if isinstance(message, DifferenceNews) and receiver == host.record.name:
@@ -243,9 +250,9 @@
         for news in [rng.choice(late) for _ in range(50)]:
             host.gossip.receive_differences(news)
             await trio.sleep(0.01)
-        host.gossip.receive_copies(CopyNews((Copy("config", 1, ()),)))
+        host.gossip.receive_copies(CopyNews((Copy("config", Revision(1), ()),)))
         assert seen == sorted(set(seen)) and seen[-1] == version
-        assert host.followers[0].version >= version
+        assert host.followers[0].version.number >= version
 
     run_with(fleet, HOSTS, main)
 
@@ -257,7 +264,7 @@
     async def main() -> None:
         follower = fleet.hosts["h0"].followers[0]
         compare = fleet.hosts["h0"].gossip.comparison_response
-        state = CopyState("config", follower.version - 1, 5)
+        state = CopyState("config", Revision(follower.version.number - 1), 5)
         answer = compare(CopyQuestion((state,)))
         # It doesn't apply a change whose digest its copy would not have.
         assert not answer.copies and answer.changes[0].digest == digest_copy(follower)
@@ -340,14 +347,17 @@
     follower.keeps_steps = True
     for version in range(1, 60):
         spec = configuration(100, version)
-        follower.offer(Stored("config", "main", version, spec))
-    steps = follower.steps_since("main", 40)
+        follower.offer(Stored("config", "main", Revision(version), spec))
+    steps = follower.steps_since("main", Revision(40))
     assert steps is not None and len(steps) == 19
-    assert follower.steps_since("main", 1) is None
+    assert follower.steps_since("main", Revision(1)) is None
     _rename(renamed := configuration(100, 60), 100)
     renamed["tenants"] = [{"name": str(random.Random(n).random())} for n in range(900)]
-    follower.offer(Stored("config", "main", 60, renamed))
-    assert follower.steps_since("main", 59) is None and follower.last_base() == 0
+    follower.offer(Stored("config", "main", Revision(60), renamed))
+    assert (
+        follower.steps_since("main", Revision(59)) is None
+        and follower.last_base() == NO_REVISION
+    )
 
 
 def test_hosts_on_real_links_pass_on_a_large_configuration(with_cluster: Any) -> None:
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -7,7 +7,7 @@
 from rattanhollow.configuration import Consistency, digest_of
 from rattanhollow.platform import read_routes, read_server
 from rattanhollow.routing import ServerDirectory
-from rattanhollow.store import Stored
+from rattanhollow.store import Revision, Stored
 from rattanhollow_standins.platform._cluster import KEY, ORGANISATION, configuration
 
 SERVER = {
@@ -26,7 +26,7 @@
 
 def stored(version: int = 7, **changes: Any) -> Stored:
     """Return the stored entry of a server with some fields changed."""
-    return Stored("servers", "i-7f", version, {**SERVER, **changes})
+    return Stored("servers", "i-7f", Revision(version), {**SERVER, **changes})
 
 
 def test_a_server_is_decoded() -> None:
@@ -34,7 +34,7 @@
     server = read_server(stored()).unwrap()
     assert (server.id, server.address, server.port) == ("i-7f", "10.128.0.9", 8080)
     assert (server.slots, server.draining, server.leads) == (3, False, False)
-    assert (server.born_ms, server.version) == (1767702750744, 7)
+    assert (server.born_ms, server.version) == (1767702750744, Revision(7))
 
 
 @pytest.mark.parametrize(
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -16,7 +16,7 @@
 from rattanhollow.proxy._watch_all import watchers_of
 from rattanhollow.records import to_spec
 from rattanhollow.settings import MembershipSettings
-from rattanhollow.store import Listing, Stored
+from rattanhollow.store import Listing, Revision, Stored
 from rattanhollow_standins.client import connect
 from rattanhollow_standins.fleet import Fleet
 from rattanhollow_standins.store import ObjectTable, local_store
@@ -90,7 +90,7 @@
         entry = table.create(HOST_KIND, record.name, to_spec(record))
         assert entry is not None
         directory.follower.offer(
-            Stored(HOST_KIND, record.name, entry.version, dict(entry.spec))
+            Stored(HOST_KIND, record.name, Revision(entry.version), dict(entry.spec))
         )
 
     class RestartingPeers:
@@ -106,7 +106,7 @@
             return Ok(HostAnswer(silent=True))
 
     async def main() -> None:
-        directory.follower.take_list(Listing(0, []))
+        directory.follower.take_list(Listing(Revision(0), []))
         for record in (own, silent, other):
             take(record)
         settings = MembershipSettings(
--- a/tests/test_leader_use.py
+++ b/tests/test_leader_use.py
@@ -29,6 +29,7 @@
     WorkResult,
 )
 from rattanhollow.serving._leader_use import LeaderUseGuard
+from rattanhollow.store import NO_REVISION
 from rattanhollow.succession import (
     Phase,
     PrimaryMonitor,
@@ -266,7 +267,7 @@
         host = cluster.caller_host()
         await host.write(first)
         spec = SuccessionRecord(2, "x", "a", "i-0", Phase.CHOSEN, "i-2", 1)
-        await cluster.store.put("successions", SERVICE, to_spec(spec), 0)
+        await cluster.store.put("successions", SERVICE, to_spec(spec), NO_REVISION)
         cluster.promotions.late_s = 0.5
         with trio.move_on_after(0.01):
             await cluster.promotions.order(SERVICE, "i-1", "a", 1)
@@ -314,7 +315,7 @@
         spec = SuccessionRecord(
             2, "x", "a", "i-0", Phase.CHOSEN, "i-1", 1, leader="i-0"
         )
-        await cluster.store.put("successions", SERVICE, to_spec(spec), 0)
+        await cluster.store.put("successions", SERVICE, to_spec(spec), NO_REVISION)
         await cluster.promotions.order(SERVICE, "i-1", "a", 2)
         await trio.sleep(1.0)
         cluster.group.crash(first)
@@ -401,7 +402,7 @@
         leader, _, replica = cluster.databases
         host = cluster.coordinator_host()
         spec = SuccessionRecord(1, "x", "a", "i-0", Phase.CLAIMED)
-        await cluster.store.put("successions", SERVICE, to_spec(spec), 0)
+        await cluster.store.put("successions", SERVICE, to_spec(spec), NO_REVISION)
         cluster.group.hold(replica, cluster.group.term + 1)
         host.stop_use(1, gives_up_writes=True)
         cluster.nursery.start_soon(monitor(cluster, host).run)
@@ -798,7 +799,7 @@
     async def scenario(cluster: ReplacementCluster) -> None:
         host = cluster.coordinator_host()
         spec = SuccessionRecord(1, "x", "a", "i-0", Phase.CLAIMED)
-        await cluster.store.put("successions", SERVICE, to_spec(spec), 0)
+        await cluster.store.put("successions", SERVICE, to_spec(spec), NO_REVISION)
         host.stop_use(1, gives_up_writes=True)
         built = monitor(cluster, host)
         built._parts = built._parts._replace(is_responsible=lambda service: False)
@@ -895,7 +896,7 @@
         spec = SuccessionRecord(
             2, "x", "a", "i-2", Phase.CHOSEN, "i-1", first.born_ms, leader="i-2"
         )
-        await cluster.store.put("successions", SERVICE, to_spec(spec), 0)
+        await cluster.store.put("successions", SERVICE, to_spec(spec), NO_REVISION)
         cluster.group.restart(first)
         cluster.group.crash(old)
         returned = cluster.return_as(old, "i-9")
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -18,6 +18,7 @@
     not_run,
 )
 from rattanhollow.statements import Reason, Refused
+from rattanhollow.store import Revision
 from test_routing import (
     Clock,
     RouterHarness,
@@ -167,7 +168,7 @@
     changed = make_description(0, 10, leads=False, state="draining")
     directory.apply_description(changed, "i-0")
     directory.apply_description(None, "i-0")
-    directory.apply_description(changed._replace(version=12), "i-0")
+    directory.apply_description(changed._replace(version=Revision(12)), "i-0")
     clock.now_s = 15.1
     assert not directory.may_begin_work("i-0", DRAIN_S)
     assert directory.may_begin_work("i-1", DRAIN_S)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -16,8 +16,15 @@
 
 from rattanhollow.net import HttpAnswer
 from rattanhollow.platform import read_routes, read_server
-from rattanhollow.platform._objects import _decode, _events, _one, _page
-from rattanhollow.store import Follower, Listing, Stored, Unreadable, decode_json
+from rattanhollow.platform._objects import _Body, _decode, _events, _one, _page
+from rattanhollow.store import (
+    Follower,
+    Listing,
+    Revision,
+    Stored,
+    Unreadable,
+    decode_json,
+)
 from rattanhollow_standins.platform import LineCluster
 from rattanhollow_standins.platform._cluster import SERVICE, configuration, put
 from test_entries import SERVER
@@ -120,7 +127,7 @@
 @given(st.dictionaries(st.sampled_from(sorted(ENTRY)), JSON), st.text(min_size=1))
 def test_any_entry_is_read_or_refused(changes: dict[str, Any], name: str) -> None:
     """No content makes the reader of servers raise."""
-    read = read_server(Stored("servers", name, 7, {**ENTRY, **changes}))
+    read = read_server(Stored("servers", name, Revision(7), {**ENTRY, **changes}))
     assert read.is_err() or 0 < read.unwrap().port <= 65_535
 
 
@@ -146,12 +153,13 @@
     objects = [OBJECT % (b"a", 1, b"{}"), OBJECT % (b"b", 2, odd)]
     objects.append(OBJECT % (b"c", 3, b'{"k":[1,{"x":"],"}]}'))
     page = b'{"items":[%s],"more":true,"at":9}' % b",".join(objects)
-    read = _page("hosts", decode_json(page)).unwrap()
+    read = _page("hosts", _Body(decode_json(page), 0)).unwrap()
     names = [item.name for item in read.items]
     assert names[0] == "a" and names[-1] == read.last_name == "c"
     assert read.items[-1].spec == {"k": [1, {"x": "],"}]}
     events = b",".join(b'{"object":%s,"deleted":false}' % item for item in objects)
-    heard = _events("hosts", decode_json(b'{"events":[%s],"at":9}' % events)).unwrap()
+    answer = _Body(decode_json(b'{"events":[%s],"at":9}' % events), 0)
+    heard = _events("hosts", answer).unwrap()
     assert [event.item.name for event in heard][-2:] == ["c", ""]
 
 
@@ -161,7 +169,7 @@
     """No answer makes a reader of the store raise."""
     decoded = _decode(HttpAnswer(200, body))
     for read in (_one, _page, _events):
-        decoded.and_then(lambda value, read=read: read("servers", value))
+        decoded.and_then(lambda value, read=read: read("servers", _Body(value, 0)))
 
 
 def test_random_damage_of_an_answer_is_read_or_refused() -> None:
@@ -179,7 +187,7 @@
                 del damaged[at : at + rng.randrange(1, 40)]
         decoded = decode_json(bytes(damaged))
         if not isinstance(decoded, Unreadable):
-            _page("servers", decoded)
+            _page("servers", _Body(decoded, 0))
 
 
 def test_a_failing_reader_keeps_no_object_from_being_taken() -> None:
@@ -192,6 +200,8 @@
         taken.append(name)
 
     follower = Follower("servers", take)
-    items = [Stored("servers", name, n + 1, {}) for n, name in enumerate("abc")]
-    follower.take_list(Listing(3, items))
-    assert taken == ["a", "c"] and follower.version == 3
+    items = [
+        Stored("servers", name, Revision(n + 1), {}) for n, name in enumerate("abc")
+    ]
+    follower.take_list(Listing(Revision(3), items))
+    assert taken == ["a", "c"] and follower.version == Revision(3)
--- a/tests/test_promotion_window.py
+++ b/tests/test_promotion_window.py
@@ -18,6 +18,7 @@
     WorkOutcome,
     WorkResult,
 )
+from rattanhollow.store import NO_REVISION
 from rattanhollow.succession import (
     Phase,
     SuccessionRecord,
@@ -31,7 +32,7 @@
     """Store the record of a coordinator that died behind its choice."""
     born_ms = cluster.group.servers[target].born_ms
     spec = SuccessionRecord(1, "x", "a", "i-0", Phase.CHOSEN, target, born_ms)
-    await cluster.store.put("successions", SERVICE, to_spec(spec), 0)
+    await cluster.store.put("successions", SERVICE, to_spec(spec), NO_REVISION)
 
 
 def test_a_primary_back_under_another_identifier_gets_no_commits() -> None:
--- a/tests/test_rates_restart.py
+++ b/tests/test_rates_restart.py
@@ -26,7 +26,7 @@
     PoolQuestion,
 )
 from rattanhollow.rates import PooledRateLimiter, PooledRateLimiterParts
-from rattanhollow.store import Stored
+from rattanhollow.store import Revision, Stored
 
 REGIONS = ("lothian", "tayside", "highland")
 HOSTS = 18
@@ -63,7 +63,9 @@
         await trio.sleep(at_s)
         directory = HostDirectory(lambda: None)
         for other, record in self.records.items():
-            directory.follower.offer(Stored("hosts", other, 1, record._asdict()))
+            directory.follower.offer(
+                Stored("hosts", other, Revision(1), record._asdict())
+            )
         self.directories[name] = directory
         record = self.records[name]._replace(incarnation=f"{name}-again")
         rates = PooledRateLimiter(
@@ -86,7 +88,7 @@
             await trio.sleep(0.1)
             rates.registered(anew=False)
             await trio.sleep(0.1)
-            stored = Stored("hosts", name, 2, record._asdict())
+            stored = Stored("hosts", name, Revision(2), record._asdict())
             for known in self.directories.values():
                 known.follower.offer(stored)
             self.records[name] = record
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -45,7 +45,7 @@
 from rattanhollow.rates._pooled import MAX_WAIT_S
 from rattanhollow.routing import FloorCache
 from rattanhollow.serving import ProofAnswer
-from rattanhollow.store import Stored
+from rattanhollow.store import Revision, Stored
 
 REGIONS = {
     region: [f"{region}-{number}" for number in range(24)]
@@ -174,7 +174,7 @@
         for other in names:
             record = HostRecord(other, "10.0.0.1", f"{region}-a", 1, "", "i")
             records[other] = record
-            stored = Stored("hosts", other, 1, record._asdict())
+            stored = Stored("hosts", other, Revision(1), record._asdict())
             directory.follower.offer(stored)
 
     class Links:
@@ -392,7 +392,9 @@
     for region, names in REGIONS.items():
         for name in names:
             record = HostRecord(name, "10.0.0.1", f"{region}-a", 1, "", "i")
-            directory.follower.offer(Stored("hosts", name, 1, record._asdict()))
+            directory.follower.offer(
+                Stored("hosts", name, Revision(1), record._asdict())
+            )
     own = directory.find("lothian-0")
     assert own is not None
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -37,7 +37,7 @@
     unknown,
 )
 from rattanhollow.statements import NOTHING_KEPT, Completed, Reason, Refused
-from rattanhollow.store import Stored
+from rattanhollow.store import Revision, Stored
 
 SERVICE = "bookings"
 ZONES = ("lothian-a", "tayside-a", "highland-a")
@@ -57,7 +57,7 @@
         "born": 1,
         **changes,
     }
-    return Stored("servers", f"i-{number}", version, spec)
+    return Stored("servers", f"i-{number}", Revision(version), spec)
 
 
 class Clock:
--- a/tests/test_start_copies.py
+++ b/tests/test_start_copies.py
@@ -43,7 +43,7 @@
         await self.host.start_copies.finished.wait()
         self.took_s = trio.current_time() - began_s
         self.versions = {
-            item.name: item.version
+            item.name: item.version.number
             for follower in self.host.followers
             for item in follower.items.values()
         }
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -10,8 +10,10 @@
 from conftest import run_trio
 from jumping import run_jumping
 from rattanhollow.store import (
+    NO_REVISION,
     Follower,
     Listing,
+    Revision,
     Stored,
     Trouble,
     follow,
@@ -41,8 +43,8 @@
             store = http_store(f"http://{ADDRESS}:{PORT}", TIMEOUT_MS)
             missing = await store.get("things", "a")
             assert missing.unwrap_err().trouble is Trouble.NOT_FOUND
-            created = (await store.put("things", "a", {"x": 1}, 0)).unwrap()
-            again = await store.put("things", "a", {"x": 1}, 0)
+            created = (await store.put("things", "a", {"x": 1}, NO_REVISION)).unwrap()
+            again = await store.put("things", "a", {"x": 1}, NO_REVISION)
             assert again.unwrap_err().trouble is Trouble.CONFLICT
             newer = (await store.put("things", "a", {"x": 2}, created.version)).unwrap()
             stale = await store.put("things", "a", {"x": 3}, created.version)
@@ -88,7 +90,7 @@
 
 def stored(version: int, count: int) -> Stored:
     """Return one version of an object."""
-    return Stored("things", "a", version, {"count": count})
+    return Stored("things", "a", Revision(version), {"count": count})
 
 
 def test_a_followed_copy_never_goes_back() -> None:
@@ -96,15 +98,15 @@
     seen: list[int] = []
 
     def note(item: Stored | None, name: str) -> None:
-        seen.append(item.version if item else 0)
+        seen.append(item.version.number if item else 0)
 
     follower = Follower("things", note)
-    follower.take_list(Listing(5, [stored(5, 1)]))
-    follower.take_list(Listing(3, [stored(3, 0)]))
+    follower.take_list(Listing(Revision(5), [stored(5, 1)]))
+    follower.take_list(Listing(Revision(3), [stored(3, 0)]))
     follower.offer(stored(4, 0))
-    follower.take_list(Listing(9, [stored(8, 2)]))
+    follower.take_list(Listing(Revision(9), [stored(8, 2)]))
     assert seen == [5, 8]
-    follower.take_list(Listing(10, []))
+    follower.take_list(Listing(Revision(10), []))
     assert seen == [5, 8, 0]
 
 
--- a/tests/test_store_calls.py
+++ b/tests/test_store_calls.py
@@ -127,7 +127,7 @@
         host.store = host.store._replace(list_lagging=list_lagging)
         for follower in host.followers:
             follower._on_change = lambda stored, name: seen.append(
-                (name, stored.version if stored else 0)
+                (name, stored.version.number if stored else 0)
             )
         with trio.move_on_after(60):
             await host.run(first_start=False)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -18,7 +18,7 @@
 from rattanhollow.records import to_spec
 from rattanhollow.routing import ServerDirectory
 from rattanhollow.serving import BackendServer, Command, Reply, ServerStatus
-from rattanhollow.store import Stored
+from rattanhollow.store import NO_REVISION, Revision, Stored
 from rattanhollow.succession import (
     Member,
     Phase,
@@ -192,8 +192,10 @@
     databases = [DatabaseServer(f"i-{n}", f"z{n}") for n in range(3)]
     databases[0].leads = databases[0].draining = True
     for number, database in enumerate(databases):
-        described = server(database)._replace(version=number + 1)
-        entry = Stored("servers", database.id, number + 1, {"described": described})
+        described = server(database)._replace(version=Revision(number + 1))
+        entry = Stored(
+            "servers", database.id, Revision(number + 1), {"described": described}
+        )
         directory.apply_description(entry, database.id)
     directory.record_leader_denial("i-0")
     directory.apply_description(None, "i-0")
@@ -382,7 +384,7 @@
     async def scenario(cluster: ReplacementCluster) -> None:
         born_ms = cluster.databases[0].born_ms
         spec = SuccessionRecord(1, "x", "a", "i-2", Phase.CHOSEN, "i-0", born_ms)
-        await cluster.store.put("successions", SERVICE, to_spec(spec), 0)
+        await cluster.store.put("successions", SERVICE, to_spec(spec), NO_REVISION)
         cluster.databases[0].draining = True
         task = cluster.task()._replace(stale_claim_id="x")
         ended = await replace_primary(task, cluster.parts())
@@ -402,7 +404,7 @@
         born_ms = cluster.databases[0].born_ms
         cluster.group.step_down(cluster.databases[0], cluster.group.term + 1)
         spec = SuccessionRecord(1, "x", "a", "i-1", Phase.CHOSEN, "i-0", born_ms)
-        await cluster.store.put("successions", SERVICE, to_spec(spec), 0)
+        await cluster.store.put("successions", SERVICE, to_spec(spec), NO_REVISION)
         task = cluster.task()._replace(stale_claim_id="x")
         replaced = await replace_primary(task, cluster.parts())
         assert replaced.ok().id == "i-0"
@@ -438,7 +440,7 @@
     async def scenario(cluster: ReplacementCluster) -> None:
         # A coordinator died behind the promotion, before it could record it.
         spec = SuccessionRecord(1, "x", "a", "i-0", Phase.CHOSEN, "i-1", -1)
-        await cluster.store.put("successions", SERVICE, to_spec(spec), 0)
+        await cluster.store.put("successions", SERVICE, to_spec(spec), NO_REVISION)
         cluster.group.promote_now(cluster.databases[1])
         cluster.databases[0].deaf = True
         await cluster.commit(2)
--- a/tests/test_untrusted_input.py
+++ b/tests/test_untrusted_input.py
@@ -32,7 +32,7 @@
 from rattanhollow.serving import Reply
 from rattanhollow.settings import SettingsError, line_host_settings_from
 from rattanhollow.statements import SessionState
-from rattanhollow.store import Follower, Stored
+from rattanhollow.store import Follower, Revision, Stored
 from rattanhollow.succession import SUCCESSION_KIND, claim, write_claim_phase
 from rattanhollow.succession._record import NO_SUCCESSION
 from rattanhollow_standins.client import connect
@@ -115,7 +115,7 @@
 @example({"a": "x" * 3_000_000})
 def test_any_content_is_encoded_or_refused(content: dict[str, Any]) -> None:
     """What a host refuses to encode is never sent in part."""
-    news = CopyNews((Copy("servers", 1, (("x", 1, content),)),))
+    news = CopyNews((Copy("servers", Revision(1), (("x", Revision(1), content),)),))
     try:
         data = encode(1, news)
     except MessageRefused:
@@ -187,7 +187,7 @@
 def test_any_record_of_a_host_is_read_or_refused(changes: dict[str, Any]) -> None:
     """A host is never known by another name than its record's."""
     directory = HostDirectory(lambda: None)
-    directory.follower.offer(Stored(HOST_KIND, "h1", 1, {**HOST, **changes}))
+    directory.follower.offer(Stored(HOST_KIND, "h1", Revision(1), {**HOST, **changes}))
     assert [record.name for record in directory.all()] in ([], ["h1"])
 
 
@@ -202,7 +202,12 @@
         peers = Peers("127.0.0.1", None, lambda key: True, _no_answer)
         record = HostDirectory(lambda: None)
         record.follower.offer(
-            Stored(HOST_KIND, "h1", 1, {**HOST, "address": address, "peer_port": port})
+            Stored(
+                HOST_KIND,
+                "h1",
+                Revision(1),
+                {**HOST, "address": address, "peer_port": port},
+            )
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(peers.run, 7_999)
@@ -314,7 +319,7 @@
     taken: list[str] = []
     follower = Follower("configuration", lambda stored, name: taken.append(name))
     directory = HostDirectory(lambda: None)
-    directory.follower.offer(Stored(HOST_KIND, "h1", 1, HOST))
+    directory.follower.offer(Stored(HOST_KIND, "h1", Revision(1), HOST))
     record = directory.all()[0]
 
     class OddPeers:
