--- a/src/rattanhollow/membership/_copy_fetch.py
+++ b/src/rattanhollow/membership/_copy_fetch.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-import msgspec
 import trio
 
 from rattanhollow.membership._hosts import HostRecord
@@ -33,6 +32,7 @@
     Peers,
     PieceAnswer,
     PieceQuestion,
+    encoded_bytes,
 )
 from rattanhollow.store import (
     NO_REVISION,
@@ -278,11 +278,6 @@
     return not (difference.steps or difference.change.items or difference.change.gone)
 
 
-def encoded_bytes(difference: CopyDifference) -> int:
-    """Return how many bytes a difference has in a message."""
-    return len(msgspec.msgpack.encode(difference))
-
-
 def items_behind(
     follower: Follower, difference: CopyDifference
 ) -> tuple[Changes, list[Step]]:
--- a/src/rattanhollow/membership/_gossip.py
+++ b/src/rattanhollow/membership/_gossip.py
@@ -20,7 +20,6 @@
     CopyFetch,
     FetchParts,
     Source,
-    encoded_bytes,
     is_empty,
     items_behind,
     make_difference,
@@ -45,6 +44,7 @@
     Peers,
     PieceAnswer,
     PieceQuestion,
+    encoded_bytes,
 )
 from rattanhollow.store import (
     NO_REVISION,
--- a/src/rattanhollow/peer/__init__.py
+++ b/src/rattanhollow/peer/__init__.py
@@ -50,6 +50,7 @@
     SuspicionQuestion,
     UseAnswer,
     UseQuestion,
+    encoded_bytes,
 )
 
 __all__ = [
@@ -105,4 +106,5 @@
     "UseAnswer",
     "UseQuestion",
     "new_peer_keys",
+    "encoded_bytes",
 ]
--- a/src/rattanhollow/peer/_messages.py
+++ b/src/rattanhollow/peer/_messages.py
@@ -521,6 +521,16 @@
     """Bytes that are no message this program understands, or no message to send."""
 
 
+def encoded_bytes(value: Any) -> int:
+    """Return how many bytes a message, or a part of one, has as it is sent.
+
+    Raises:
+        TypeError: a value that has no encoding.
+
+    """
+    return len(_ENCODER.encode(value))
+
+
 def encode(number: int, message: Message) -> bytes:
     """Return ``message`` as bytes.
 
--- a/src/rattanhollow_standins/store/_objects.py
+++ b/src/rattanhollow_standins/store/_objects.py
@@ -1,6 +1,5 @@
 """The objects of the stand-in store, their history, and its faults."""
 
-import copy
 from collections import Counter, deque
 from typing import Any, NamedTuple
 
@@ -136,12 +135,12 @@
 
     def save(self) -> SavedObjects:
         """Return a copy of all objects."""
-        return SavedObjects(self.version, copy.deepcopy(self._objects))
+        return SavedObjects(self.version, dict(self._objects))
 
     def come_back_from(self, saved: SavedObjects) -> None:
         """Lose what was written since a copy; versions are given out again."""
         self.version = saved.version
-        self._objects = copy.deepcopy(saved.objects)
+        self._objects = dict(saved.objects)
         kept = [change for change in self.history if change.version <= saved.version]
         self.history.clear()
         self.history.extend(kept)
--- a/tests/test_config_distribution.py
+++ b/tests/test_config_distribution.py
@@ -268,7 +268,7 @@
         answer = compare(CopyQuestion((state,)))
         # It doesn't apply a change whose digest its copy would not have.
         assert not answer.copies and answer.changes[0].digest == digest_copy(follower)
-        answer = compare(CopyQuestion((state._replace(version=0),)))
+        answer = compare(CopyQuestion((state._replace(version=NO_REVISION),)))
         assert answer.copies[0].version == follower.version
 
     run_with(fleet, 6, main)
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -13,6 +13,7 @@
 import trio
 from result import Err, Ok, Result
 
+from config_fleet import ConfigFleet, run_with
 from jumping import run_jumping
 from memory_fleet import PROPAGATION_DEADLINE_S, MemoryFleet
 from rattanhollow.net import HttpAnswer
@@ -35,6 +36,7 @@
 from rattanhollow_standins.store import ObjectTable, local_store
 
 HOSTS = 12
+ROUTES = 400
 SETTLED_S = 20.0
 ANSWER_S = 0.004
 # A store of 2,000 reads a second, 195 hosts that follow four kinds each.
@@ -137,6 +139,46 @@
     run_restored(scenario, seed)
 
 
+def test_a_large_configuration_is_fetched_anew_in_a_new_era() -> None:
+    """Its steps and pieces are of one era, and hosts that start get the lost one."""
+    fleet = ConfigFleet(ROUTES)
+    fleet.shares_start = False
+
+    def write(version: int) -> None:
+        def edit(spec: dict[str, Any]) -> None:
+            spec["version"] = version
+            spec["routes"][version]["timeout_ms"] = version
+
+        fleet.change(edit)
+
+    def in_force() -> set[int]:
+        return {host.in_force for host in fleet.hosts.values()}
+
+    async def main() -> None:
+        saved = fleet.table.save()
+        for version in (101, 102, 103):
+            write(version)
+            await trio.sleep(PROPAGATION_DEADLINE_S)
+        assert in_force() == {103}
+        fleet.table.come_back_from(saved)
+        await trio.sleep(PROPAGATION_DEADLINE_S)
+        assert in_force() == {103}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.start, HOSTS, 0.0, False)
+            await trio.sleep(PROPAGATION_DEADLINE_S)
+            assert in_force() == {103}
+            write(103)
+            write(104)
+            await trio.sleep(PROPAGATION_DEADLINE_S)
+            assert in_force() == {104}
+            write(105)
+            await trio.sleep(PROPAGATION_DEADLINE_S)
+            assert in_force() == {105}
+            nursery.cancel_scope.cancel()
+
+    run_with(fleet, HOSTS, main)
+
+
 def test_a_watch_that_cannot_go_on_is_not_repeated_without_a_pause() -> None:
     """A store that answers each watch with 410 gets no call after the other."""
     calls: list[str] = []
