Each era of the store has fencing tokens of its own

The platform rejects lower tokens only, so that late orders of the first host would have counted as the second one's.

Cause: a claim took the token behind the stored record's. The store had lost that record, so that its token was given again. Nothing else keeps tokens where hosts restart.

Ruled out: claims at the same time, which one record orders.

Change: tokens of an era begin behind those of all eras before, and the era is told by the store. A claim is of the era in which it is written; one that is written as an era begins is claimed again, and no later phase is written on a claim from before. Tokens are unique and rise whoever has restarted.

--- a/src/rattanhollow/succession/_record.py
+++ b/src/rattanhollow/succession/_record.py
@@ -10,6 +10,9 @@
 from rattanhollow.store import ObjectStore, StoreFailure, update
 
 SUCCESSION_KIND = "successions"
+# Tokens of an era of the store begin behind those of all eras before, which the store
+# may have lost. An era of two years at the design size needs some thousands.
+TOKENS_PER_ERA = 1 << 22
 
 
 class Phase(enum.Enum):
@@ -93,6 +96,9 @@
     A coordinator that continues with ``only_target`` alone is rejected while another
     one is pending: its claim would only keep others from it.
 
+    A claim is of the era of the store in which it is written. One from an earlier era
+    has no token any longer that only it may have: it is claimed again.
+
     Another coordinator's claim in progress is only taken over if it is
     ``stale_claim_id``, because that may be holding or releasing servers. Each has one
     replacement of a service at a time. The claim is rejected if another
@@ -106,7 +112,8 @@
         dict[str, Any] | None, ClaimedByOther | AlreadyReplaced | PromotionPending
     ]:
         current = from_spec(SuccessionRecord, spec) if spec else NO_SUCCESSION
-        if current.claim_id == claim_id:
+        era = store.era()
+        if current.claim_id == claim_id and is_token_of(current.token, era):
             return Ok(None)
         if not _may_lead(old_leader, current) and current.leader != gone_leader:
             return Err(AlreadyReplaced(current.leader))
@@ -119,7 +126,7 @@
             if not current.target or only_target != current.target:
                 return Err(PromotionPending(current.target))
         claimed = SuccessionRecord(
-            token=current.token + 1,
+            token=next_token(current.token, era),
             claim_id=claim_id,
             holder=holder,
             old_leader=old_leader or current.old_leader,
@@ -134,8 +141,25 @@
         )
         return Ok(to_spec(claimed))
 
-    updated = await update(store, SUCCESSION_KIND, service, change, attempts=4)
-    return updated.map(lambda stored: from_spec(SuccessionRecord, stored.spec))
+    while True:
+        updated = await update(store, SUCCESSION_KIND, service, change, attempts=4)
+        if updated.is_err():
+            return Err(updated.unwrap_err())
+        stored = updated.unwrap()
+        record = from_spec(SuccessionRecord, stored.spec)
+        # A first record is created whatever era has begun since it was found missing.
+        if is_token_of(record.token, stored.version.era):
+            return Ok(record)
+
+
+def next_token(token: int, era: int) -> int:
+    """Return the token that follows the last known one, in an era of the store."""
+    return max(token, era * TOKENS_PER_ERA) + 1
+
+
+def is_token_of(token: int, era: int) -> bool:
+    """Whether a token was given in an era of the store, or in a later one."""
+    return token > era * TOKENS_PER_ERA
 
 
 def _may_lead(server_id: str, record: SuccessionRecord) -> bool:
@@ -152,12 +176,17 @@
 async def write_claim_phase(
     store: ObjectStore, service: str, record: SuccessionRecord
 ) -> Result[None, StoreFailure | str]:
-    """Write the next phase of a claim, provided that it is still the newest."""
+    """Write the next phase of a claim, provided that it is still the newest.
+
+    Not where a new era of the store has begun: it may have lost a newer claim.
+    """
 
     def change(spec: dict[str, Any] | None) -> Result[dict[str, Any] | None, str]:
         current = from_spec(SuccessionRecord, spec) if spec else NO_SUCCESSION
         if current.claim_id != record.claim_id:
             return Err(f"{current.holder} claimed token {current.token}")
+        if not is_token_of(record.token, store.era()):
+            return Err(f"token {record.token} is from before era {store.era()}")
         return Ok(None if current == record else to_spec(record))
 
     updated = await update(store, SUCCESSION_KIND, service, change, attempts=4)
