A primary is replaced although the store names one from before its era

The primary that the lost one left could not be replaced any more, since the record names another server, which is there and no longer leads: "claim: AlreadyReplaced" at each attempt, for as long as that server stayed.

Change: where the record is from an earlier era, its primary is asked. If it answers that it does not lead, the claim goes on as it does for one that is gone. Without an answer nothing is claimed.

Test: test_a_token_that_the_store_has_lost_is_given_to_nobody_else[True] failed before (no replacement), and passes. test_a_replaced_primary_is_not_replaced_again holds.

--- a/src/rattanhollow/succession/_claim.py
+++ b/src/rattanhollow/succession/_claim.py
@@ -4,6 +4,7 @@
 
 from result import Err, Ok, Result
 
+from rattanhollow.serving import CommandKind
 from rattanhollow.store import StoreFailure
 from rattanhollow.succession._parts import ReplaceParts, Task
 from rattanhollow.succession._record import (
@@ -27,11 +28,9 @@
     """
     claimed = await _claim(task, parts, only_target)
     if claimed.is_err() and isinstance(claimed.unwrap_err(), AlreadyReplaced):
-        leader = claimed.unwrap_err().leader
-        members = await parts.read_members(task.service)
-        if members is not None and all(server.id != leader for server in members):
-            # A primary that crashed comes back under another identifier.
-            claimed = await _claim(task, parts, only_target, leader)
+        replaced = claimed.unwrap_err()
+        if await _is_outdated(replaced, task, parts):
+            claimed = await _claim(task, parts, only_target, replaced.leader)
     if claimed.is_ok():
         return Ok(claimed.unwrap())
     failure = claimed.unwrap_err()
@@ -42,6 +41,26 @@
     return Err(f"claim: {failure}")
 
 
+async def _is_outdated(
+    replaced: AlreadyReplaced, task: Task, parts: ReplaceParts
+) -> bool:
+    """Whether the primary that the last replacement left does not lead any longer.
+
+    One that crashed comes back under another identifier. One that the store names as it
+    was before a new era may have been replaced since, and is asked.
+    """
+    members = await parts.read_members(task.service)
+    if members is None:
+        return False
+    leaders = [server for server in members if server.id == replaced.leader]
+    if not leaders:
+        return True
+    if not replaced.may_be_outdated:
+        return False
+    status = await parts.command_sender.send(leaders[0], CommandKind.STATUS)
+    return status is not None and not status.leads
+
+
 async def end_claim(
     task: Task, record: SuccessionRecord, parts: ReplaceParts
 ) -> Result[None, StoreFailure | str]:
--- a/src/rattanhollow/succession/_record.py
+++ b/src/rattanhollow/succession/_record.py
@@ -67,9 +67,13 @@
 
 
 class AlreadyReplaced(NamedTuple):
-    """The server to be replaced is no longer the primary: ``leader`` is."""
+    """The server to be replaced is no longer the primary: ``leader`` is.
+
+    ``may_be_outdated`` if the store may have lost a later replacement.
+    """
 
     leader: str
+    may_be_outdated: bool = False
 
 
 class PromotionPending(NamedTuple):
@@ -103,7 +107,7 @@
     ``stale_claim_id``, because that may be holding or releasing servers. Each has one
     replacement of a service at a time. The claim is rejected if another
     replacement was completed since ``old_leader`` was last known to lead, unless that
-    left ``gone_leader``, which is no longer a server of the service.
+    left ``gone_leader``, which no longer leads.
     """
 
     def change(
@@ -116,7 +120,8 @@
         if current.claim_id == claim_id and is_token_of(current.token, era):
             return Ok(None)
         if not _may_lead(old_leader, current) and current.leader != gone_leader:
-            return Err(AlreadyReplaced(current.leader))
+            may_be_outdated = not is_token_of(current.token, era)
+            return Err(AlreadyReplaced(current.leader, may_be_outdated))
         in_progress = current.phase is not Phase.ENDED
         is_other = current.holder != holder and current.claim_id != stale_claim_id
         if in_progress and is_other:
--- a/tests/test_succession_eras.py
+++ b/tests/test_succession_eras.py
@@ -42,7 +42,7 @@
     return (await replace_primary(task, parts)).ok()
 
 
-@pytest.mark.parametrize("had_record", [False])
+@pytest.mark.parametrize("had_record", [False, True])
 def test_a_token_that_the_store_has_lost_is_given_to_nobody_else(
     had_record: bool,
 ) -> None:
