A host that lists by itself at its start asks others what the store has lost

On a store that came back from an older copy it began with the older configuration (a withdrawn key would have worked).

Change: such a host compares its copies once with another host, with two at most that do not answer, before it serves. A store without eras costs nothing more.

--- a/src/rattanhollow/membership/_gossip.py
+++ b/src/rattanhollow/membership/_gossip.py
@@ -141,15 +141,21 @@
         rounds = RELAY_ROUNDS_PER_DEADLINE if self.is_relay() else ROUNDS_PER_DEADLINE
         return self._propagation_deadline_s / rounds
 
-    async def compare_now(self, record: HostRecord) -> None:
+    async def compare_now(self, record: HostRecord) -> bool:
         """Compare cached copies, beside the periodic comparisons.
 
-        A relay compares with the host ``record``, any other host with a relay.
+        A relay compares with the host ``record``, any other host with a relay. Returns
+        whether that answered.
         """
         if self.is_relay():
-            await self._compare_with(record)
-        else:
-            await self._compare_with_random_relay()
+            return await self._compare_with(record)
+        return await self._compare_with_random_relay()
+
+    async def compare_until_answered(self, attempts: int) -> None:
+        """Compare cached copies with other hosts until one of them has answered."""
+        for record in self._shuffled(self._partners())[:attempts]:
+            if await self._compare_with(record):
+                return
 
     def notify_zone(self, follower: Follower) -> None:
         """If this host is a relay, notify its zone of changes it was not sent yet."""
@@ -392,12 +398,12 @@
     def _shuffled(self, records: list[HostRecord]) -> list[HostRecord]:
         return self._rng.sample(records, len(records))
 
-    async def _compare_with_random_relay(self, full_kind: str = "") -> None:
+    async def _compare_with_random_relay(self, full_kind: str = "") -> bool:
         partners = self._partners()
         if partners:
-            await self._compare_with(self._rng.choice(partners), full_kind)
-        else:
-            self.compared_at_s = self._clock()
+            return await self._compare_with(self._rng.choice(partners), full_kind)
+        self.compared_at_s = self._clock()
+        return False
 
     def _pending_notification(
         self, follower: Follower
@@ -420,8 +426,11 @@
             return CopyNews((_make_copy(follower),))
         return ChangeNews((change,))
 
-    async def _compare_with(self, record: HostRecord, full_kind: str = "") -> None:
-        """Compare with a host, requesting all objects of the kind ``full_kind``."""
+    async def _compare_with(self, record: HostRecord, full_kind: str = "") -> bool:
+        """Compare with a host, requesting all objects of the kind ``full_kind``.
+
+        Returns whether it answered.
+        """
         states = tuple(
             CopyState(
                 kind,
@@ -436,7 +445,7 @@
         )
         response = result.ok()
         if not isinstance(response, CopyAnswer):
-            return
+            return False
         for copy in response.copies:
             updated = self._apply_copy(copy, record.name)
             if updated is not None:
@@ -453,6 +462,7 @@
             elif not full_kind:
                 await self._compare_with(record, full_kind=change.kind)
         self.compared_at_s = max(self.compared_at_s, asked_at_s)
+        return True
 
     async def _fetch_announced(
         self, change: CopyChange, record: HostRecord | None
--- a/src/rattanhollow/membership/_start_copies.py
+++ b/src/rattanhollow/membership/_start_copies.py
@@ -4,6 +4,9 @@
 a key that was withdrawn. One host of each region, the reader, lists exactly on behalf
 of all that start at about the same time. It begins the list after it was asked, and
 answers with version and digest; a copy from any host that matches is new enough.
+
+The store itself may be older than what is in force, where it came back from a copy of
+itself. Only other hosts know what it has lost.
 """
 
 import random
@@ -32,6 +35,8 @@
 # links to it may be cut. Until then the store is spared that refuses calls for load.
 LIST_FROM_ROUND = 3
 PAUSE_S = (0.1, 0.6)
+# How many hosts are asked what the store has lost, while they do not answer.
+COMPARED_HOSTS = 2
 # Without the store nobody can tell how old a copy is; it is used behind such a time.
 UNPROVEN_AFTER_S = 3.0
 
@@ -139,6 +144,7 @@
             parts.store, parts.followers, parts.gossip, gather_s=0.0
         )
         self._pending = {follower.kind: follower for follower in parts.followers}
+        self._has_compared = False
 
     async def run(self) -> None:
         """Return once all copies are new enough, or nobody can tell."""
@@ -158,6 +164,9 @@
                 await trio.sleep(self._parts.rng.uniform(*PAUSE_S))
         if self._pending:
             log_event("start.unproven", kinds=",".join(self._pending))
+        has_eras = any(follower.version.era for follower in self._parts.followers)
+        if has_eras and not self._has_compared:
+            await self._parts.gossip.compare_until_answered(COMPARED_HOSTS)
         self.finished.set()
 
     async def _ask_readers(self) -> _Found | None:
@@ -209,7 +218,8 @@
                         del self._pending[state.kind]
                 if not any(state.kind in self._pending for state in states):
                     return
-                await self._parts.gossip.compare_now(reader)
+                if await self._parts.gossip.compare_now(reader):
+                    self._has_compared = True
                 await trio.sleep(LOOK_S)
 
     async def _list_here(self) -> None:
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -4,6 +4,7 @@
 of all answers tells so. No network; a fleet's time is simulated.
 """
 
+import itertools
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
@@ -15,7 +16,8 @@
 
 from config_fleet import ConfigFleet, run_with
 from jumping import run_jumping
-from memory_fleet import PROPAGATION_DEADLINE_S, MemoryFleet
+from memory_fleet import PROPAGATION_DEADLINE_S, ZONES, MemoryFleet
+from rattanhollow.coordination import ranked
 from rattanhollow.net import HttpAnswer
 from rattanhollow.peer import CopyNews, CopyState
 from rattanhollow.peer._messages import decode, encode
@@ -139,6 +141,41 @@
     run_restored(scenario, seed)
 
 
+def first_reader(fleet: Restored) -> int:
+    """Return the number of a host that would list for its region, and starts."""
+    for number in itertools.count(HOSTS):
+        region = [name for name in fleet.hosts if _in_first_region(name)]
+        joining = f"h{number}"
+        if _in_first_region(joining):
+            if ranked("reader", [joining, *region])[0] == joining:
+                return number
+    raise AssertionError
+
+
+def _in_first_region(name: str) -> bool:
+    return int(name[1:]) % len(ZONES) < len(ZONES) // 2
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_host_that_lists_by_itself_asks_what_the_store_has_lost(seed: int) -> None:
+    """It starts on the older copy, and is told nothing unless it asks."""
+
+    async def scenario(fleet: Restored, nursery: trio.Nursery) -> None:
+        saved = fleet.table.save()
+        fleet.configure(2)
+        await fleet.until_in_force(2)
+        fleet.table.come_back_from(saved)
+        await trio.sleep(PROPAGATION_DEADLINE_S)
+        number = first_reader(fleet)
+        nursery.start_soon(fleet.start, number, 0.0, False)
+        await trio.sleep(0.01)
+        host = fleet.hosts[f"h{number}"]
+        await host.start_copies.finished.wait()
+        assert host.in_force == 2
+
+    run_restored(scenario, seed)
+
+
 def test_a_large_configuration_is_fetched_anew_in_a_new_era() -> None:
     """Its steps and pieces are of one era, and hosts that start get the lost one."""
     fleet = ConfigFleet(ROUTES)
