--- a/src/rattanhollow/host/_root.py
+++ b/src/rattanhollow/host/_root.py
@@ -17,6 +17,7 @@
 from rattanhollow.host._ends import Ends
 from rattanhollow.host._leader_use import HostLinks, is_stopped_elsewhere
 from rattanhollow.host._polls import PollParts, poll_store
+from rattanhollow.host._restored import order_configurations, order_descriptions
 from rattanhollow.host._stop import Stopping, stop_serving
 from rattanhollow.host._watch_primaries import WatchedParts, build_guardian
 from rattanhollow.host._withdrawing_peers import WithdrawingPeers
@@ -168,12 +169,12 @@
         self._configurations = Follower(
             ends.configuration_kind,
             self._take_routes,
-            is_newer=self._is_newer_configuration,
+            is_newer=order_configurations(ends.read_routes),
         )
         self._servers = Follower(
             ends.server_kind,
             self.directory.apply_description,
-            is_newer=self._is_newer_description,
+            is_newer=order_descriptions(ends.read_server),
         )
         self._followers = [
             self._configurations,
@@ -474,28 +475,6 @@
             if not session.may_go_on():
                 session.close_when_idle()
 
-    def _is_newer_configuration(self, known: Stored, listed: Stored) -> bool | None:
-        """Whether operators wrote a configuration after the one that was known."""
-        before = self._ends.read_routes(known.spec).ok()
-        after = self._ends.read_routes(listed.spec).ok()
-        if before is None or after is None:
-            return None
-        return after.version >= before.version
-
-    def _is_newer_description(self, known: Stored, listed: Stored) -> bool | None:
-        """Whether a server described itself so after it did as was known.
-
-        One that has begun to leave does not stay.
-        """
-        before = self._ends.read_server(known).ok()
-        after = self._ends.read_server(listed).ok()
-        if before is None or after is None:
-            return None
-        if after.born_ms > before.born_ms:
-            return True
-        leaves = after.draining and not before.draining
-        return True if leaves and after.born_ms == before.born_ms else None
-
     def _answer_readiness(self, method: str, path: str) -> HttpReply:
         if path != self._ends.readiness_path:
             return HttpReply(404)
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -18,10 +18,11 @@
 from jumping import run_jumping
 from memory_fleet import PROPAGATION_DEADLINE_S, ZONES, MemoryFleet
 from rattanhollow.coordination import ranked
+from rattanhollow.host._restored import order_configurations, order_descriptions
 from rattanhollow.net import HttpAnswer
 from rattanhollow.peer import CopyNews, CopyState
 from rattanhollow.peer._messages import decode, encode
-from rattanhollow.platform import object_store
+from rattanhollow.platform import object_store, read_routes, read_server
 from rattanhollow.store import (
     NO_REVISION,
     Event,
@@ -35,7 +36,9 @@
     follow,
 )
 from rattanhollow.store._follow import REWRITE_GRACE_S
+from rattanhollow_standins.platform._cluster import configuration
 from rattanhollow_standins.store import ObjectTable, local_store
+from test_entries import SERVER
 
 HOSTS = 12
 ROUTES = 400
@@ -323,6 +326,46 @@
     run_jumping(main)
 
 
+@pytest.mark.parametrize(
+    ("before", "after", "is_newer"),
+    [
+        ({"born": 5}, {"born": 6}, True),
+        ({"born": 6}, {"born": 5}, None),
+        ({"state": "ready"}, {"state": "draining"}, True),
+        ({"state": "draining"}, {"state": "ready"}, None),
+        ({"state": "draining", "born": 5}, {"state": "ready", "born": 6}, True),
+        ({"state": "ready", "born": 6}, {"state": "draining", "born": 5}, None),
+        ({"db_role": "primary"}, {"db_role": "replica"}, None),
+        ({}, {"slots": "many"}, None),
+    ],
+)
+def test_descriptions_are_ordered_by_what_can_have_happened(
+    before: dict[str, Any], after: dict[str, Any], is_newer: bool | None
+) -> None:
+    """A server that leaves must not look ready in a copy from before its leave."""
+    known, listed = (
+        Stored("servers", "i-0", Revision(1, era), {**SERVER, **changes})
+        for era, changes in enumerate((before, after))
+    )
+    assert order_descriptions(read_server)(known, listed) is is_newer
+
+
+def test_configurations_are_ordered_by_their_versions() -> None:
+    """One that can't be read says nothing of its time."""
+
+    def order(before: dict[str, Any], after: dict[str, Any]) -> bool | None:
+        known, listed = (
+            Stored("config", "main", Revision(1, era), spec)
+            for era, spec in enumerate((before, after))
+        )
+        return order_configurations(read_routes)(known, listed)
+
+    five, six = configuration(5), configuration(6)
+    assert order(five, six) is True and order(five, five) is True
+    assert order(six, five) is False
+    assert order(six, {}) is None and order({}, six) is None
+
+
 def test_a_lost_object_is_kept_until_it_is_written_again() -> None:
     """Older content is not reported, whatever revision the store gives it."""
     seen = Seen(lambda known, listed: listed.spec["n"] >= known.spec["n"])
