A lease is claimed anew only once holders that the store has lost have lapsed

Change: a holder that a new era does not name gives the lease up, and whoever doesn't hold it waits for its duration behind the first answer of the era. A host that starts on a store with eras waits too: its first answer may be from an older copy. One that holds the lease renews it without a pause.

Tests: test_a_lease_has_at_most_one_holder[restored and paused] failed before (two holders), and passes; [restored] passed already.

--- a/src/rattanhollow/coordination/_lease.py
+++ b/src/rattanhollow/coordination/_lease.py
@@ -48,6 +48,10 @@
     copy is available. ``terms_held`` counts how often this host acquired the lease,
     most recently at ``gained_at_s``; ``had_predecessor`` tells whether a record of
     it existed then. ``seen_holder`` is the holder when the store was last read.
+
+    A new era of the store may have lost the record of a holder. Whoever doesn't hold
+    the lease then waits for the duration before it claims it, and a holder that the
+    store no longer names gives it up.
     """
 
     def __init__(
@@ -70,6 +74,8 @@
         self._held_until_s = float("-inf")
         self._last_change: tuple[Revision | None, float] = (None, 0.0)
         self._held_version = NO_REVISION
+        self._era = 0
+        self._claimable_from_s = float("-inf")
         self.terms_held = 0
         self.gained_at_s = float("-inf")
         self.had_predecessor = True
@@ -96,12 +102,21 @@
         record = _parse_record(stored) if stored is not None else UNHELD_RECORD
         version = stored.version if stored is not None else NO_REVISION
         self.seen_holder = record.holder
+        self._note_era(version.era if stored is not None else self._store.era())
+        if record.holder != self._holder and self._held_version.era != self._era:
+            self._held_until_s = float("-inf")
+        if not self.is_held() and self._clock() < self._claimable_from_s:
+            return
         if record.holder != self._holder and not self._is_claimable(version, record):
             return
         new_spec = to_spec(LeaseRecord(self._holder, record.beat + 1))
         written = await self._store.put(LEASE_KIND, self._name, new_spec, version)
         if written.is_err():
             return
+        if written.unwrap().version.era != self._era:
+            # The era began as the record was written: its copy may lack a holder.
+            self._note_era(written.unwrap().version.era)
+            return
         if not self.is_held():
             self.terms_held += 1
             self.gained_at_s = self._clock()
@@ -118,6 +133,11 @@
         new_spec = to_spec(LeaseRecord(self._holder, 0, released=True))
         await self._store.put(LEASE_KIND, self._name, new_spec, self._held_version)
 
+    def _note_era(self, era: int) -> None:
+        if era != self._era:
+            self._claimable_from_s = self._clock() + self._duration_s
+        self._era = era
+
     def _is_claimable(self, version: Revision, record: LeaseRecord) -> bool:
         now_s = self._clock()
         if self._last_change[0] != version:
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -145,9 +145,15 @@
     assert total <= RATE + 1e-6
 
 
-@pytest.mark.parametrize("fault", ["none", "pause", "responses lost", "down"])
+@pytest.mark.parametrize(
+    "fault",
+    ["none", "pause", "responses lost", "down", "restored", "restored and paused"],
+)
 def test_a_lease_has_at_most_one_holder(fault: str) -> None:
-    """Two hosts never hold a lease at once, despite store faults and pauses."""
+    """Two hosts never hold a lease at once, despite store faults and pauses.
+
+    The store may come back from a copy without the last claims.
+    """
 
     async def main() -> None:
         rng = random.Random(1)
@@ -156,13 +162,18 @@
         store = local_store(table, timeout_s=0.001)
         leases = [Lease(store, "x", f"h{n}", LEASE_S, clock=clock) for n in range(3)]
         paused = [0.0] * 3
+        copies = [table.save()]
         held = 0
         for turn in range(400):
             clock.now_s += 0.1
             table.faults.down = fault == "down" and turn % 100 > 60
             if fault == "responses lost":
                 table.faults.lose_answers = int(rng.random() < 0.3)
-            if fault == "pause" and rng.random() < 0.05:
+            if "restored" in fault:
+                copies = [*copies[-30:], table.save()]
+                if rng.random() < 0.02:
+                    table.come_back_from(rng.choice(copies))
+            if "pause" in fault and rng.random() < 0.05:
                 paused[rng.randrange(3)] = clock.now_s + rng.uniform(0, 3 * LEASE_S)
             for at, lease in enumerate(leases):
                 if paused[at] < clock.now_s and rng.random() < 0.5:
