Elections give no term again that the store has lost

Change: terms follow the rule of the fencing tokens (store/_tokens.py): those of an era begin behind those of all eras before. A claim from before the present era is not published.

Test: test_a_term_that_the_store_has_lost_is_given_to_nobody_else failed before (two leaders of term 2), and passes. test_election.py, test_succession_eras.py and test_succession.py pass.

--- a/src/rattanhollow/coordination/_election.py
+++ b/src/rattanhollow/coordination/_election.py
@@ -24,7 +24,13 @@
     group_state_spec,
 )
 from rattanhollow.coordination._position import Position
-from rattanhollow.store import ObjectStore, StoreFailure, update
+from rattanhollow.store import (
+    ObjectStore,
+    StoreFailure,
+    is_token_of,
+    next_token,
+    update,
+)
 
 
 class Step(enum.Enum):
@@ -176,17 +182,28 @@
 ) -> Result[GroupState, StoreFailure]:
     def change(spec: dict[str, Any] | None) -> Result[dict[str, Any] | None, Any]:
         state = group_state_from_spec(spec) if spec else NO_GROUP
-        if state.claim_id == claim_id or state.term > dead_term:
+        if state.term > dead_term:
+            return Ok(None)
+        era = store.era()
+        if state.claim_id == claim_id and is_token_of(state.claimed_term, era):
             return Ok(None)
         claimed = state._replace(
-            claimed_term=state.claimed_term + 1,
+            claimed_term=next_token(state.claimed_term, era),
             claim_id=claim_id,
             claimed_by=coordinator,
         )
         return Ok(group_state_spec(claimed))
 
-    written = await update(store, GROUP_KIND, database.name, change)
-    return written.map(lambda stored: group_state_from_spec(stored.spec))
+    while True:
+        written = await update(store, GROUP_KIND, database.name, change)
+        if written.is_err():
+            return Err(written.unwrap_err())
+        stored = written.unwrap()
+        state = group_state_from_spec(stored.spec)
+        # A first state is created whatever era has begun since it was found missing.
+        is_of_era = is_token_of(state.claimed_term, stored.version.era)
+        if is_of_era or state.claim_id != claim_id:
+            return Ok(state)
 
 
 async def _fence(
@@ -244,6 +261,8 @@
         state = group_state_from_spec(spec) if spec else NO_GROUP
         if state.claim_id != claim_id:
             return Err("another election claimed a higher term")
+        if not is_token_of(succession.term, store.era()):
+            return Err("the store may have lost a higher term")
         if state.term == succession.term:
             return Ok(None)
         successions = (*state.successions, succession)[-SUCCESSIONS_KEPT:]
--- a/src/rattanhollow/store/__init__.py
+++ b/src/rattanhollow/store/__init__.py
@@ -36,6 +36,7 @@
     revision_from_wire,
     revision_to_wire,
 )
+from rattanhollow.store._tokens import is_token_of, next_token
 from rattanhollow.store._update import update
 
 __all__ = [
@@ -67,7 +68,9 @@
     "fault_of",
     "follow",
     "http_store",
+    "is_token_of",
     "make_step",
+    "next_token",
     "revision_from_wire",
     "revision_to_wire",
     "update",
--- a/src/rattanhollow/succession/_record.py
+++ b/src/rattanhollow/succession/_record.py
@@ -7,12 +7,15 @@
 
 from rattanhollow.coordination import Position
 from rattanhollow.records import from_spec, to_spec
-from rattanhollow.store import ObjectStore, StoreFailure, update
+from rattanhollow.store import (
+    ObjectStore,
+    StoreFailure,
+    is_token_of,
+    next_token,
+    update,
+)
 
 SUCCESSION_KIND = "successions"
-# Tokens of an era of the store begin behind those of all eras before, which the store
-# may have lost. An era of two years at the design size needs some thousands.
-TOKENS_PER_ERA = 1 << 22
 
 
 class Phase(enum.Enum):
@@ -157,16 +160,6 @@
             return Ok(record)
 
 
-def next_token(token: int, era: int) -> int:
-    """Return the token that follows the last known one, in an era of the store."""
-    return max(token, era * TOKENS_PER_ERA) + 1
-
-
-def is_token_of(token: int, era: int) -> bool:
-    """Whether a token was given in an era of the store, or in a later one."""
-    return token > era * TOKENS_PER_ERA
-
-
 def _may_lead(server_id: str, record: SuccessionRecord) -> bool:
     """Whether a server may be the primary as far as the record shows.
 
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -348,6 +348,36 @@
     return with_group(body)
 
 
+def test_a_term_that_the_store_has_lost_is_given_to_nobody_else() -> None:
+    """Two primaries of one term would each confirm what the other never had."""
+
+    async def body(group: Group, table: ObjectTable, nursery: trio.Nursery) -> None:
+        saved = table.save()
+        cut_off(group, "m0")
+        first = await second_coordinator(group, table)
+        assert first.is_ok(), first
+        leader = first.unwrap().primary
+        assert await group.acknowledge(leader, group.write(leader))
+        table.come_back_from(saved)
+        group.members["m0"].faults.cut_callers = False
+        group.members["m0"].faults.cut_members = set()
+        cut_off(group, leader)
+        again = await elect(
+            DATABASE,
+            1,
+            "third",
+            "third",
+            local_store(table),
+            group.control(),
+            no_hook,
+        )
+        assert all(len(names) == 1 for names in group.leaders.values())
+        if again.is_ok():
+            assert group.lost(again.unwrap().primary) == []
+
+    with_group(body)
+
+
 def test_old_primary_acknowledges_nothing() -> None:
     """Fenced members let an old primary confirm no commit."""
     assert writes_during_pause(fencing=True) == []
