--- a/tests/test_line_cluster.py
+++ b/tests/test_line_cluster.py
@@ -468,6 +468,34 @@
     with_cluster(scenario)
 
 
+def test_a_key_that_is_withdrawn_behind_a_restore_runs_nothing(
+    with_cluster: Any,
+) -> None:
+    """Hosts went on with the configuration from before the restore (review/7)."""
+
+    async def scenario(cluster: LineCluster) -> None:
+        saved = cluster.table.save()
+        later = configuration(2)
+        cluster.configure(later)
+        with trio.fail_after(15):
+            while {host.routes.version for host in cluster.hosts.values()} != {2}:
+                await trio.sleep(0.02)
+        cluster.table.come_back_from(saved)
+        await trio.sleep(1.0)
+        assert {host.routes.version for host in cluster.hosts.values()} == {2}
+        cluster.configure(later)
+        cluster.configure(configuration(3, tenants=[]))
+        with trio.fail_after(15):
+            while {host.routes.version for host in cluster.hosts.values()} != {3}:
+                await trio.sleep(0.02)
+        for number in cluster.hosts:
+            client, error = await cluster.client(number, "newest")
+            assert error == "NOAUTH"
+            await client.stream.aclose()
+
+    with_cluster(scenario)
+
+
 def test_callers_that_leave_free_their_places_at_the_serving_host(
     with_cluster: Any,
 ) -> None:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -185,6 +185,46 @@
     run_jumping(main, seed)
 
 
+def test_follow_through_a_restore() -> None:
+    """A store that comes back from an older copy is followed on by its era."""
+
+    async def main() -> None:
+        table = ObjectTable()
+        seen: list[int] = []
+        async with trio.open_nursery() as nursery:
+            await nursery.start(serve_store, table, ADDRESS, PORT)
+            store = http_store(f"http://{ADDRESS}:{PORT}", TIMEOUT_MS)
+            follower = Follower(
+                "things",
+                lambda item, name: seen.append(item.spec["count"] if item else -1),
+                is_newer=lambda known, item: item.spec["count"] >= known.spec["count"],
+            )
+            nursery.start_soon(follow, store, follower, random.Random(1))
+            entry = table.create("things", "a", {"count": 0})
+            saved = table.save()
+            for count in (1, 2):
+                assert entry is not None
+                entry = table.replace("things", "a", {"count": count}, entry.version)
+            with trio.fail_after(20):
+                while seen[-1:] != [2]:
+                    await trio.sleep(0.02)
+            known = (await store.get("things", "a")).unwrap()
+            table.come_back_from(saved)
+            with trio.fail_after(20):
+                while not follower.unrestored:
+                    await trio.sleep(0.02)
+            outdated = await store.put("things", "a", {"count": 9}, known.version)
+            assert outdated.unwrap_err().trouble is Trouble.CONFLICT
+            assert table.replace("things", "a", {"count": 3}, saved.version) is not None
+            with trio.fail_after(20):
+                while seen[-1:] != [3]:
+                    await trio.sleep(0.02)
+            nursery.cancel_scope.cancel()
+        assert seen == sorted(seen) and store.era() == 1
+
+    run_trio(main)
+
+
 def test_follow_through_an_outage() -> None:
     """A store that was down is followed on once it is back."""
 
