--- a/src/rattanhollow/platform/_objects.py
+++ b/src/rattanhollow/platform/_objects.py
@@ -102,6 +102,7 @@
         kind: str, query: dict[str, str]
     ) -> Result[Listing, StoreFailure]:
         items: list[Stored] = []
+        era: int | None = None
         while True:
             path = f"{kind}?{urlencode(query)}" if query else kind
             answer = await call("GET", path, timeout_s=LIST_TIMEOUT_S)
@@ -109,9 +110,10 @@
             if page.is_err():
                 return Err(page.unwrap_err())
             found = page.unwrap()
-            if items and items[0].version.era != found.version.era:
+            if era not in (None, found.version.era):
                 detail = "a new era began between the pages of a list"
                 return Err(StoreFailure(Trouble.UNREACHABLE, detail))
+            era = found.version.era
             items += found.items
             if not (found.more and found.last_name):
                 return Ok(Listing(found.version, items))
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -497,6 +497,27 @@
     trio.run(main)
 
 
+def test_a_list_whose_pages_are_of_two_eras_is_none() -> None:
+    """Half of it is lost, and the other half has revisions of another time."""
+    answers = Answers()
+    store = object_store(answers)  # type: ignore[arg-type]
+
+    async def next_page(method: str, path: str, *rest: Any) -> Result[HttpAnswer, str]:
+        answered = await Answers.call(answers, method, path, *rest)
+        answers.give("4", {"items": [one(2)], "more": False, "at": 3})
+        return answered
+
+    answers.call = next_page  # type: ignore[method-assign]
+
+    async def main() -> None:
+        answers.give("3", {"items": [one(7)], "more": True, "at": 9})
+        failed = await store.list("things")
+        assert failed.unwrap_err().trouble is Trouble.UNREACHABLE
+        assert (await store.list("things")).unwrap().version == Revision(3, 4)
+
+    trio.run(main)
+
+
 def test_a_silent_watch_ends_when_another_call_hears_of_a_new_era() -> None:
     """Nothing of the new era reaches a watch that the store has forgotten."""
     answers = Answers()
