--- a/src/rattanhollow/store/_follow.py
+++ b/src/rattanhollow/store/_follow.py
@@ -360,8 +360,8 @@
     one list at the start only, and none where a copy was taken before. ``changed``
     hears of what the store told.
     Pauses between failures are random, so that many hosts don't return to a
-    recovered store at once. A watch that can't go on is followed by a list, also behind
-    a pause.
+    recovered store at once. There is one between a watch that can't go on and the list,
+    too.
     """
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_report_withheld, follower)
--- a/src/rattanhollow/store/_tokens.py
+++ b/src/rattanhollow/store/_tokens.py
@@ -6,10 +6,10 @@
 
 
 def next_token(token: int, era: int) -> int:
-    """Return the token behind the last known one, in an era of the store.
+    """Return the token that follows the last known one, in an era of the store.
 
-    The tokens of an era begin behind those of all eras before, which the store may have
-    lost.
+    The tokens of an era are higher than those of all eras before, which the store may
+    have lost.
     """
     return max(token, era * TOKENS_PER_ERA) + 1
 
--- a/tests/test_line_cluster.py
+++ b/tests/test_line_cluster.py
@@ -468,7 +468,7 @@
     with_cluster(scenario)
 
 
-def test_a_key_that_is_withdrawn_behind_a_restore_runs_nothing(
+def test_a_key_that_is_withdrawn_after_a_restore_runs_nothing(
     with_cluster: Any,
 ) -> None:
     """Hosts went on with the configuration from before the restore (review/7)."""
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -20,7 +20,7 @@
 from rattanhollow.coordination import ranked
 from rattanhollow.host._restored import order_configurations, order_descriptions
 from rattanhollow.net import HttpAnswer
-from rattanhollow.peer import CopyNews, CopyState
+from rattanhollow.peer import CopyNews, CopyQuestion, CopyState
 from rattanhollow.peer._messages import decode, encode
 from rattanhollow.platform import object_store, read_routes, read_server
 from rattanhollow.store import (
@@ -407,16 +407,10 @@
         news = CopyNews(())
         state = CopyState("config", revision, 5)
         assert decode(encode(1, news)) == (1, news)
-        question = encode(1, _question(state))
+        question = encode(1, CopyQuestion((state,)))
         assert decode(question)[1].states == (state,)
 
 
-def _question(state: CopyState) -> Any:
-    from rattanhollow.peer import CopyQuestion
-
-    return CopyQuestion((state,))
-
-
 class Answers:
     """An HTTP client that gives prepared answers; ``calls`` are those it got."""
 
