A conditional update tells by itself that an era began as it created an object

Found in reading the change again: claims of successions and of elections each had a loop for a record that is created in another era than it was found missing in. update() has what that needs, and now reads such an object again as it does after a conflict, for every caller; both loops are gone.

--- a/src/rattanhollow/coordination/_election.py
+++ b/src/rattanhollow/coordination/_election.py
@@ -194,16 +194,8 @@
         )
         return Ok(group_state_spec(claimed))
 
-    while True:
-        written = await update(store, GROUP_KIND, database.name, change)
-        if written.is_err():
-            return Err(written.unwrap_err())
-        stored = written.unwrap()
-        state = group_state_from_spec(stored.spec)
-        # A first state is created whatever era has begun since it was found missing.
-        is_of_era = is_token_of(state.claimed_term, stored.version.era)
-        if is_of_era or state.claim_id != claim_id:
-            return Ok(state)
+    written = await update(store, GROUP_KIND, database.name, change)
+    return written.map(lambda stored: group_state_from_spec(stored.spec))
 
 
 async def _fence(
--- a/src/rattanhollow/store/_update.py
+++ b/src/rattanhollow/store/_update.py
@@ -28,9 +28,9 @@
     ``change`` gets ``None`` where the object doesn't exist. It returns the new
     content, ``Ok(None)`` where nothing is left to do, or an ``Err`` that is
     handed on. The answer is the object as stored, None where there is none.
-    ``change`` runs again after a conflict and after an answer that didn't
-    come, so it must recognise its own earlier change. An object that can't be read
-    is left as it is.
+    ``change`` runs again after a conflict, after an answer that didn't come, and where
+    the store began a new era meanwhile, so it must recognise its own earlier change. An
+    object that can't be read is left as it is.
     """
     failure = StoreFailure(Trouble.UNREACHABLE, "no attempt made")
     for _ in range(attempts):
@@ -51,10 +51,15 @@
         content = wanted.unwrap()
         if content is None:
             return Ok(current)
+        era = store.era()
         version = current.version if current else NO_REVISION
         written = await store.put(kind, name, content, version)
         if written.is_ok():
-            return written
+            # An object is created whatever era has begun since it was found missing.
+            if written.unwrap().version.era == era:
+                return written
+            failure = StoreFailure(Trouble.CONFLICT, f"done in an era after {era}")
+            continue
         failure = written.unwrap_err()
         if failure.trouble is Trouble.REFUSED:
             return Err(failure)
--- a/src/rattanhollow/succession/_record.py
+++ b/src/rattanhollow/succession/_record.py
@@ -149,15 +149,8 @@
         )
         return Ok(to_spec(claimed))
 
-    while True:
-        updated = await update(store, SUCCESSION_KIND, service, change, attempts=4)
-        if updated.is_err():
-            return Err(updated.unwrap_err())
-        stored = updated.unwrap()
-        record = from_spec(SuccessionRecord, stored.spec)
-        # A first record is created whatever era has begun since it was found missing.
-        if is_token_of(record.token, stored.version.era):
-            return Ok(record)
+    updated = await update(store, SUCCESSION_KIND, service, change, attempts=4)
+    return updated.map(lambda stored: from_spec(SuccessionRecord, stored.spec))
 
 
 def _may_lead(server_id: str, record: SuccessionRecord) -> bool:
--- a/tests/test_succession_eras.py
+++ b/tests/test_succession_eras.py
@@ -5,12 +5,13 @@
 
 import random
 from functools import partial
+from typing import Any
 
 import pytest
 import trio
 
 from rattanhollow.serving import BackendServer
-from rattanhollow.store import ObjectStore
+from rattanhollow.store import ObjectStore, Revision, is_token_of
 from rattanhollow.succession import replace_primary
 from rattanhollow_standins.store import local_store
 from rattanhollow_standins.store._objects import SavedObjects
@@ -62,6 +63,25 @@
     run_scenario(scenario)
 
 
+def test_a_record_that_is_created_as_an_era_begins_is_claimed_again() -> None:
+    """The first record has no revision that would tell the eras apart."""
+
+    async def scenario(cluster: ReplacementCluster) -> None:
+        saved, inner = cluster.table.save(), local_store(cluster.table)
+
+        async def put(kind: str, name: str, spec: Any, version: Revision) -> Any:
+            if not cluster.table.era:
+                cluster.table.come_back_from(saved)
+            return await inner.put(kind, name, spec, version)
+
+        store = inner._replace(put=put)
+        assert await replace_leader(cluster, "a", store) is not None
+        tokens = [token for _, _, _, token in cluster.promotions.orders]
+        assert tokens and all(is_token_of(token, 1) for token in tokens)
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("seed", range(60))
 def test_no_two_hosts_share_a_token_whenever_the_store_comes_back(seed: int) -> None:
     """Also where a claim is lost, restored, or written as the store returns.
